--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,68 @@
+// Builds the product as one executable file, and the stand-ins and tools as plain bundles.
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, statSync, writeFileSync } from "node:fs";
+import { build } from "esbuild";
+
+const EXECUTABLE = "dist/hemlockbank";
+const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const NATIVE_OPTIONAL_PACKAGES = ["dtrace-provider", "unix-dgram", "mv", "source-map-support", "msgpackr-extract"];
+
+const entryPoints = {
+  hemlockbank: "src/cli/main.ts",
+  platform: "standins/platform/main.ts",
+  backendServer: "standins/backendServer/main.ts",
+  load: "standins/load/main.ts",
+  demo: "standins/scenarios/demo.ts",
+  prove: "standins/scenarios/prove.ts",
+  bench: "benchmarks/main.ts",
+};
+
+mkdirSync("build", { recursive: true });
+mkdirSync("dist", { recursive: true });
+
+await build({
+  entryPoints,
+  outdir: "build",
+  outExtension: { ".js": ".cjs" },
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  external: NATIVE_OPTIONAL_PACKAGES,
+  define: { "import.meta.url": "undefined" },
+  logLevel: "error",
+});
+
+if (isOutdated(EXECUTABLE, ["build/hemlockbank.cjs"])) {
+  buildExecutable();
+}
+
+function buildExecutable() {
+  const seaSettings = {
+    main: "build/hemlockbank.cjs",
+    output: "build/hemlockbank.blob",
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync("build/sea.json", JSON.stringify(seaSettings));
+  execFileSync(process.execPath, ["--experimental-sea-config", "build/sea.json"], { stdio: "ignore" });
+  copyFileSync(process.execPath, EXECUTABLE);
+  execFileSync(process.execPath, [
+    "node_modules/postject/dist/cli.js",
+    EXECUTABLE,
+    "NODE_SEA_BLOB",
+    "build/hemlockbank.blob",
+    "--sentinel-fuse",
+    FUSE,
+  ], { stdio: "ignore" });
+  chmodSync(EXECUTABLE, 0o755);
+  copyFileSync("build/hemlockbank.cjs", "build/hemlockbank.built.cjs");
+}
+
+function isOutdated(target, sources) {
+  try {
+    statSync(target);
+    return sources.some((source) => !readFileSync(source).equals(readFileSync("build/hemlockbank.built.cjs")));
+  } catch {
+    return true;
+  }
+}
--- /dev/null
+++ b/scripts/testWithKnownRed.mjs
@@ -0,0 +1,45 @@
+// Runs the tests. Failures listed in KNOWN-RED.txt are printed and passed over; any other failure fails the run.
+import { spawnSync } from "node:child_process";
+import { existsSync, mkdirSync, readFileSync, rmSync } from "node:fs";
+
+const REPORT = "build/tests.json";
+const KNOWN_RED = "KNOWN-RED.txt";
+
+mkdirSync("build", { recursive: true });
+rmSync(REPORT, { force: true });
+const run = spawnSync(
+  process.execPath,
+  ["node_modules/vitest/vitest.mjs", "run", "--reporter=default", "--reporter=json", `--outputFile.json=${REPORT}`],
+  { stdio: "inherit" },
+);
+if (!existsSync(REPORT)) {
+  process.exit(run.status || 1);
+}
+
+const report = JSON.parse(readFileSync(REPORT, "utf8"));
+const failed = report.testResults.flatMap((file) =>
+  file.assertionResults.filter((result) => result.status === "failed").map((result) => result.fullName),
+);
+const brokenFiles = report.testResults.filter(
+  (file) => file.status === "failed" && file.assertionResults.every((result) => result.status !== "failed"),
+);
+const knownRed = readKnownRed();
+const unexpected = failed.filter((name) => !knownRed.has(name));
+for (const name of failed.filter((each) => knownRed.has(each))) {
+  console.log(`known red: ${name}`);
+}
+for (const name of [...knownRed].filter((each) => !failed.includes(each))) {
+  console.log(`listed as known red but passed: ${name}`);
+}
+console.log(`${report.numPassedTests} passed, ${unexpected.length + brokenFiles.length} failed`);
+const unexplained = run.status !== 0 && failed.length === 0;
+process.exit(unexpected.length + brokenFiles.length > 0 || unexplained || report.numTotalTests === 0 ? 1 : 0);
+
+/** An entry starts with "test: " and the full name of the test. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED)) {
+    return new Set();
+  }
+  const lines = readFileSync(KNOWN_RED, "utf8").split("\n");
+  return new Set(lines.filter((line) => line.startsWith("test: ")).map((line) => line.slice("test: ".length).trim()));
+}
