--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,11 @@
   { ignores: ["build/", "dist/", "node_modules/"] },
   {
     files: ["**/*.ts"],
-    extends: [js.configs.recommended, ...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    extends: [
+      js.configs.recommended,
+      ...tseslint.configs.strictTypeChecked,
+      ...tseslint.configs.stylisticTypeChecked,
+    ],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       "@typescript-eslint/restrict-template-expressions": ["error", { allowNumber: true }],
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,7 +5,16 @@
 
 const EXECUTABLE = "dist/hemlockbank";
 const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
-const NATIVE_OPTIONAL_PACKAGES = ["dtrace-provider", "unix-dgram", "mv", "source-map-support", "msgpackr-extract"];
+const NATIVE_OPTIONAL_PACKAGES = [
+  "dtrace-provider",
+  "unix-dgram",
+  "mv",
+  "source-map-support",
+  "msgpackr-extract",
+  "bufferutil",
+  "utf-8-validate",
+  "supports-color",
+];
 
 const entryPoints = {
   hemlockbank: "src/cli/main.ts",
@@ -28,8 +37,8 @@
   platform: "node",
   target: "node20",
   format: "cjs",
-  external: NATIVE_OPTIONAL_PACKAGES,
-  define: { "import.meta.url": "undefined" },
+  plugins: [{ name: "absentPackages", setup: markAbsent }],
+  define: { "import.meta.url": JSON.stringify("file:///hemlockbank.cjs") },
   logLevel: "error",
 });
 
@@ -37,6 +46,15 @@
   buildExecutable();
 }
 
+/** Libraries try these packages and do without them; one file cannot carry native code. */
+function markAbsent(bundler) {
+  const filter = new RegExp(`^(${NATIVE_OPTIONAL_PACKAGES.join("|")})$`);
+  bundler.onResolve({ filter }, ({ path }) => ({ path, namespace: "absent" }));
+  bundler.onLoad({ filter: /.*/, namespace: "absent" }, ({ path }) => ({
+    contents: `throw Object.assign(new Error("${path} is not part of this program"), { code: "MODULE_NOT_FOUND" });`,
+  }));
+}
+
 function buildExecutable() {
   const seaSettings = {
     main: "build/hemlockbank.cjs",
@@ -46,14 +64,18 @@
   writeFileSync("build/sea.json", JSON.stringify(seaSettings));
   execFileSync(process.execPath, ["--experimental-sea-config", "build/sea.json"], { stdio: "ignore" });
   copyFileSync(process.execPath, EXECUTABLE);
-  execFileSync(process.execPath, [
-    "node_modules/postject/dist/cli.js",
-    EXECUTABLE,
-    "NODE_SEA_BLOB",
-    "build/hemlockbank.blob",
-    "--sentinel-fuse",
-    FUSE,
-  ], { stdio: "ignore" });
+  execFileSync(
+    process.execPath,
+    [
+      "node_modules/postject/dist/cli.js",
+      EXECUTABLE,
+      "NODE_SEA_BLOB",
+      "build/hemlockbank.blob",
+      "--sentinel-fuse",
+      FUSE,
+    ],
+    { stdio: "ignore" },
+  );
   chmodSync(EXECUTABLE, 0o755);
   copyFileSync("build/hemlockbank.cjs", "build/hemlockbank.built.cjs");
 }
@@ -61,7 +83,9 @@
 function isOutdated(target, sources) {
   try {
     statSync(target);
-    return sources.some((source) => !readFileSync(source).equals(readFileSync("build/hemlockbank.built.cjs")));
+    return sources.some(
+      (source) => !readFileSync(source).equals(readFileSync("build/hemlockbank.built.cjs")),
+    );
   } catch {
     return true;
   }
--- a/scripts/testWithKnownRed.mjs
+++ b/scripts/testWithKnownRed.mjs
@@ -9,7 +9,13 @@
 rmSync(REPORT, { force: true });
 const run = spawnSync(
   process.execPath,
-  ["node_modules/vitest/vitest.mjs", "run", "--reporter=default", "--reporter=json", `--outputFile.json=${REPORT}`],
+  [
+    "node_modules/vitest/vitest.mjs",
+    "run",
+    "--reporter=default",
+    "--reporter=json",
+    `--outputFile.json=${REPORT}`,
+  ],
   { stdio: "inherit" },
 );
 if (!existsSync(REPORT)) {
@@ -41,5 +47,7 @@
     return new Set();
   }
   const lines = readFileSync(KNOWN_RED, "utf8").split("\n");
-  return new Set(lines.filter((line) => line.startsWith("test: ")).map((line) => line.slice("test: ".length).trim()));
+  return new Set(
+    lines.filter((line) => line.startsWith("test: ")).map((line) => line.slice("test: ".length).trim()),
+  );
 }
--- /dev/null
+++ b/src/balancing/loadView.ts
@@ -0,0 +1,90 @@
+/** What an entry daemon knows of the load of all servers, learnt from the answers that pass through it. */
+import type { Clock, DataCentreName, LoadReport, ServerName } from "../types";
+
+/** A load report older than this says little; only the own requests in flight count then. */
+const REPORT_AGE_MS = 1000;
+const DEFAULT_LATENCY_MS = 10;
+/** Cost factor of a server in another data centre. */
+const REMOTE_COST = 1.5;
+
+interface ServerView {
+  report: LoadReport;
+  reportedAt: number;
+  ownInFlight: number;
+}
+
+/** A server that may be chosen. */
+export interface ServerChoice {
+  readonly name: ServerName;
+  readonly dataCentre: DataCentreName;
+  readonly slots: number;
+}
+
+/** Chooses servers for requests without keys. */
+export interface LoadView {
+  /** Takes a load report. */
+  record(server: ServerName, load: LoadReport): void;
+  /** Counts a request that this daemon sends; call the result when it ended. */
+  start(server: ServerName): () => void;
+  /** Chooses the cheaper of two random candidates; undefined without candidates. */
+  choose(candidates: readonly ServerChoice[], dataCentre: DataCentreName): ServerChoice | undefined;
+}
+
+/**
+ * Creates a load view.
+ *
+ * @param clock - Clock of the reports' age.
+ * @param random - Uniform random number in [0, 1).
+ * @returns The view.
+ */
+export function createLoadView(clock: Clock, random: () => number): LoadView {
+  const views = new Map<ServerName, ServerView>();
+
+  return {
+    record: (server, load) => {
+      const view = viewOf(server);
+      view.report = load;
+      view.reportedAt = clock.now();
+    },
+    start: (server) => {
+      const view = viewOf(server);
+      view.ownInFlight += 1;
+      return () => {
+        view.ownInFlight -= 1;
+      };
+    },
+    choose: (candidates, dataCentre) => {
+      const first = pickRandom(candidates);
+      const second = pickRandom(candidates.filter((candidate) => candidate !== first));
+      if (first === undefined || second === undefined) {
+        return first;
+      }
+      return cost(second, dataCentre) < cost(first, dataCentre) ? second : first;
+    },
+  };
+
+  function viewOf(server: ServerName): ServerView {
+    let view = views.get(server);
+    if (view === undefined) {
+      const report = { inFlight: 0, queued: 0, limit: 0, latencyMs: DEFAULT_LATENCY_MS };
+      view = { report, reportedAt: Number.NEGATIVE_INFINITY, ownInFlight: 0 };
+      views.set(server, view);
+    }
+    return view;
+  }
+
+  /** Expected time until an answer: requests before this one, over the places, times the latency. */
+  function cost(choice: ServerChoice, dataCentre: DataCentreName): number {
+    const view = viewOf(choice.name);
+    const isFresh = clock.now() - view.reportedAt < REPORT_AGE_MS;
+    const reported = isFresh ? view.report.inFlight + view.report.queued : 0;
+    const ahead = Math.max(reported, view.ownInFlight);
+    const places = isFresh && view.report.limit > 0 ? view.report.limit : choice.slots;
+    const distance = choice.dataCentre === dataCentre ? 1 : REMOTE_COST;
+    return ((ahead + 1) / places) * Math.max(view.report.latencyMs, 1) * distance;
+  }
+
+  function pickRandom<Item>(items: readonly Item[]): Item | undefined {
+    return items[Math.floor(random() * items.length)];
+  }
+}
--- /dev/null
+++ b/src/cli/command.ts
@@ -0,0 +1,56 @@
+/** What a command of the program is. */
+
+/** Values of a command's options. */
+export type FlagValues = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Declaration of one option. */
+export interface Flag {
+  readonly type: "string" | "number" | "boolean";
+  readonly help: string;
+  readonly isRequired?: boolean;
+  readonly default?: string | number | boolean;
+}
+
+/** One command. */
+export interface Command {
+  /** Words that name it, such as `config apply`. */
+  readonly name: string;
+  /** Names of its arguments. */
+  readonly arguments: readonly string[];
+  readonly summary: string;
+  readonly flags: Readonly<Record<string, Flag>>;
+  /** Runs it. Returns the exit code. Throws InputError on wrong input. */
+  run(input: readonly string[], flags: FlagValues): Promise<number>;
+}
+
+/** Exit codes. */
+export const ExitCode = { Success: 0, Failure: 1, WrongInput: 2 } as const;
+
+/**
+ * Reads a text option.
+ *
+ * @param flags - Values of the options.
+ * @param name - Name of the option.
+ * @returns Its value; empty when it was not given.
+ */
+export function textFlag(flags: FlagValues, name: string): string {
+  const value = flags[name];
+  return typeof value === "string" ? value : "";
+}
+
+/** Option of commands that call the platform. */
+export const platformFlag: Flag = {
+  type: "string",
+  isRequired: true,
+  help: "base URL of the platform, such as http://10.0.0.5:8000",
+};
+
+/** Option of commands that ask a daemon. */
+export const adminFlag: Flag = {
+  type: "string",
+  isRequired: true,
+  help: "admin address of any daemon, such as 10.0.0.7:7003",
+};
+
+/** Option of commands that print tables or JSON. */
+export const jsonFlag: Flag = { type: "boolean", help: "print JSON instead of a table", default: false };
--- /dev/null
+++ b/src/cli/commands/operate.ts
@@ -0,0 +1,169 @@
+/** `hemlockbank server …`, `dc …` and `stopped …`: one small change each, bound to the version it was read from. */
+import { userInfo } from "node:os";
+import { type StoredConfiguration, applyConfiguration, readConfiguration } from "../../configuration/apply";
+import { InputError } from "../../errors";
+import {
+  type StopNotice,
+  STOP_NOTICE_PATH,
+  assignmentPath,
+  findServer,
+  parseAssignment,
+  parseStopNotice,
+} from "../../ownership";
+import { CallPriority, type ObjectStore, openEnvelope, updateObject } from "../../platform";
+import { type Command, ExitCode, type FlagValues, jsonFlag, platformFlag } from "../command";
+import { printJson, printLine } from "../output";
+import { withPlatform } from "../platformClient";
+import { requireKnown } from "./config";
+
+type Section = "servers" | "data_centres";
+type Source = Record<Section, Record<string, Record<string, unknown>>>;
+
+interface StateChange {
+  readonly name: string;
+  readonly argument: string;
+  readonly summary: string;
+  readonly section: Section;
+  readonly kind: string;
+  readonly state: string;
+}
+
+const stateChanges: readonly StateChange[] = [
+  {
+    name: "server drain",
+    argument: "SERVER",
+    summary: "Give a backend server no new work; its keys move away.",
+    section: "servers",
+    kind: "backend server",
+    state: "draining",
+  },
+  {
+    name: "server undrain",
+    argument: "SERVER",
+    summary: "Let a drained backend server take work again.",
+    section: "servers",
+    kind: "backend server",
+    state: "active",
+  },
+  {
+    name: "dc out",
+    argument: "DATA-CENTRE",
+    summary: "Take a data centre out: its backend servers get no new work.",
+    section: "data_centres",
+    kind: "data centre",
+    state: "out",
+  },
+  {
+    name: "dc in",
+    argument: "DATA-CENTRE",
+    summary: "Bring a data centre back.",
+    section: "data_centres",
+    kind: "data centre",
+    state: "in",
+  },
+];
+
+/** The commands that set one state in the configuration. */
+export const stateCommands: readonly Command[] = stateChanges.map((change) => ({
+  name: change.name,
+  arguments: [change.argument],
+  summary: change.summary,
+  flags: { platform: platformFlag, json: jsonFlag },
+  run: (input, flags) =>
+    withPlatform(flags, ({ objects }) => setState(objects, change, input[0] ?? "", flags)),
+}));
+
+async function setState(
+  objects: ObjectStore,
+  change: StateChange,
+  name: string,
+  flags: FlagValues,
+): Promise<number> {
+  const current = await requireConfiguration(objects);
+  const source = structuredClone(current.document.source) as Source;
+  requireKnown(change.kind, name, Object.keys(source[change.section]));
+  source[change.section][name] = { ...source[change.section][name], state: change.state };
+  const author = userInfo().username;
+  const result = await applyConfiguration(objects, { source, base: current.version, author });
+  if (flags.json === true) {
+    printJson(result);
+  } else if (result.kind === "stale") {
+    printLine(
+      `Refused: ${result.current.document.author} changed the configuration meanwhile. Nothing was written; run the command again.`,
+    );
+  } else {
+    printLine(`${change.kind} ${name} is ${change.state} as of version ${result.version}.`);
+  }
+  return result.kind === "stale" ? ExitCode.Failure : ExitCode.Success;
+}
+
+/** `hemlockbank stopped daemon`: the operator's word that a daemon's process is gone. */
+export const stoppedDaemonCommand: Command = {
+  name: "stopped daemon",
+  arguments: ["DAEMON"],
+  summary: "Declare that a daemon's process is gone for good, so that others may replace it.",
+  flags: { platform: platformFlag },
+  run: (input, flags) =>
+    withPlatform(flags, async ({ objects }) => {
+      const name = input[0] ?? "";
+      const holders = (await listAssignments(objects)).flatMap((assignment) =>
+        assignment.servers.flatMap((server) => [...server.predecessors, server.leaseholder ?? []].flat()),
+      );
+      const runs = holders.filter((holder) => holder.daemon === name);
+      if (runs.length === 0) {
+        throw new InputError(`daemon "${name}" holds no lease; nothing to declare`, {
+          props: { step: "read assignments" },
+        });
+      }
+      await addNotice(objects, {
+        daemons: runs.map(({ daemon, incarnation }) => ({ daemon, incarnation })),
+        servers: [],
+      });
+      printLine(`Daemon ${name} is declared stopped; its leases pass to others.`);
+      return ExitCode.Success;
+    }),
+};
+
+/** `hemlockbank stopped server`: the operator's word that a backend server runs nothing any more. */
+export const stoppedServerCommand: Command = {
+  name: "stopped server",
+  arguments: ["SERVER"],
+  summary: "Declare that a backend server runs nothing any more, so that its keys may move.",
+  flags: { platform: platformFlag },
+  run: (input, flags) =>
+    withPlatform(flags, async ({ objects }) => {
+      const name = input[0] ?? "";
+      const servers = (await listAssignments(objects)).flatMap(
+        (assignment) => findServer(assignment, name) ?? [],
+      );
+      requireKnown("backend server", name, servers.length > 0 ? [name] : []);
+      await addNotice(objects, {
+        daemons: [],
+        servers: servers.map(({ generation }) => ({ server: name, generation })),
+      });
+      printLine(`Backend server ${name} is declared stopped; its keys move to others.`);
+      return ExitCode.Success;
+    }),
+};
+
+async function addNotice(objects: ObjectStore, added: StopNotice): Promise<void> {
+  await updateObject(objects, STOP_NOTICE_PATH, CallPriority.Ownership, (current) => {
+    const notice = current === undefined ? { daemons: [], servers: [] } : parseStopNotice(current.value);
+    return { daemons: [...notice.daemons, ...added.daemons], servers: [...notice.servers, ...added.servers] };
+  });
+}
+
+async function listAssignments(objects: ObjectStore) {
+  const { objects: stored } = await objects.list(assignmentPath(""), CallPriority.Status);
+  return stored.map((object) => parseAssignment(openEnvelope(object).value));
+}
+
+async function requireConfiguration(objects: ObjectStore): Promise<StoredConfiguration> {
+  const current = await readConfiguration(objects);
+  if (current === undefined) {
+    throw new InputError("no configuration is applied yet; run: hemlockbank config apply FILE", {
+      props: { step: "read configuration" },
+    });
+  }
+  return current;
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,149 @@
+/** The program: finds the command, checks its options, runs it. */
+import meow from "meow";
+import { RELEASE } from "../daemon";
+import { HemlockbankError, InputError, describeError } from "../errors";
+import { type Command, ExitCode, type Flag, type FlagValues } from "./command";
+import {
+  configApplyCommand,
+  configCheckCommand,
+  configHistoryCommand,
+  configPlanCommand,
+  configRolloutCommand,
+} from "./commands/config";
+import { daemonCommand } from "./commands/daemon";
+import { keyOwnerCommand, statusCommand } from "./commands/inspect";
+import { stateCommands, stoppedDaemonCommand, stoppedServerCommand } from "./commands/operate";
+import { printLine } from "./output";
+
+const commands: readonly Command[] = [
+  daemonCommand,
+  configCheckCommand,
+  configPlanCommand,
+  configApplyCommand,
+  configRolloutCommand,
+  configHistoryCommand,
+  statusCommand,
+  keyOwnerCommand,
+  ...stateCommands,
+  stoppedDaemonCommand,
+  stoppedServerCommand,
+];
+
+void main(process.argv.slice(2)).then((code) => {
+  process.exitCode = code;
+});
+
+async function main(args: readonly string[]): Promise<number> {
+  process.on("unhandledRejection", (error) => {
+    process.stderr.write(`unexpected error: ${describeError(error)}\n`);
+  });
+  if (args[0] === "--version") {
+    printLine(RELEASE);
+    return ExitCode.Success;
+  }
+  const command = findCommand(args);
+  if (command === undefined) {
+    return showUsage(args);
+  }
+  try {
+    return await runCommand(command, args.slice(command.name.split(" ").length));
+  } catch (error) {
+    return reportError(error);
+  }
+}
+
+function findCommand(args: readonly string[]): Command | undefined {
+  return commands.find((command) => command.name.split(" ").every((word, index) => args[index] === word));
+}
+
+function showUsage(args: readonly string[]): number {
+  const isAsked = args.length === 0 || args[0] === "--help";
+  const words = args.filter((arg) => !arg.startsWith("-")).join(" ");
+  const known = commands.filter((command) => words !== "" && command.name.startsWith(words));
+  const listed = known.length > 0 ? known : commands;
+  if (!isAsked && known.length === 0) {
+    process.stderr.write(`unknown command "${words}"; run hemlockbank --help for the list\n`);
+    return ExitCode.WrongInput;
+  }
+  printLine("Usage: hemlockbank COMMAND [OPTIONS]   (--help after a command shows its options)\n");
+  for (const command of listed) {
+    printLine(`  ${[command.name, ...command.arguments].join(" ").padEnd(28)}${command.summary}`);
+  }
+  return ExitCode.Success;
+}
+
+async function runCommand(command: Command, args: readonly string[]): Promise<number> {
+  const help = createHelp(command);
+  if (args.includes("--help")) {
+    printLine(help);
+    return ExitCode.Success;
+  }
+  const { input, flags } = meow(help, {
+    importMeta: { url: "file:///hemlockbank" } as ImportMeta,
+    pkg: { name: "hemlockbank", version: RELEASE },
+    argv: [...args],
+    autoHelp: false,
+    autoVersion: false,
+    flags: Object.fromEntries(Object.entries(command.flags).map(([name, flag]) => [name, toMeowFlag(flag)])),
+  });
+  checkUsage(command, input, flags, args);
+  return command.run(input, flags);
+}
+
+function toMeowFlag(flag: Flag) {
+  return { type: flag.type, ...(flag.default === undefined ? {} : { default: flag.default }) } as {
+    type: "string";
+  };
+}
+
+function checkUsage(
+  command: Command,
+  input: readonly string[],
+  flags: FlagValues,
+  args: readonly string[],
+): void {
+  const unknown = args
+    .filter((arg) => arg.startsWith("--"))
+    .map((arg) => arg.slice(2).split("=")[0] ?? "")
+    .find((name) => !(name in command.flags));
+  if (unknown !== undefined) {
+    throw usageError(command, `unknown option --${unknown}`);
+  }
+  for (const [name, flag] of Object.entries(command.flags)) {
+    if (flag.isRequired === true && (flags[name] === undefined || flags[name] === "")) {
+      throw usageError(command, `option --${name} is missing`);
+    }
+  }
+  if (input.length !== command.arguments.length) {
+    throw usageError(
+      command,
+      `needs ${command.arguments.length} arguments (${command.arguments.join(" ")}), got ${input.length}`,
+    );
+  }
+}
+
+function usageError(command: Command, message: string): Error {
+  return new InputError(`${command.name}: ${message}; run: hemlockbank ${command.name} --help`, {
+    props: { step: command.name },
+  });
+}
+
+function createHelp(command: Command): string {
+  const options = Object.entries(command.flags).map(([name, flag]) => {
+    const value = flag.type === "boolean" ? "" : ` ${flag.type.toUpperCase()}`;
+    return `  ${`--${name}${value}`.padEnd(22)}${flag.help}${flag.isRequired === true ? " (required)" : ""}`;
+  });
+  const usage = ["hemlockbank", command.name, ...command.arguments].join(" ");
+  return [`Usage: ${usage} [OPTIONS]`, "", command.summary, "", ...options].join("\n").trimEnd();
+}
+
+function reportError(error: unknown): number {
+  process.stderr.write(`${describeError(error)}\n`);
+  if (error instanceof InputError) {
+    return ExitCode.WrongInput;
+  }
+  if (!(error instanceof HemlockbankError)) {
+    process.stderr.write(`${error instanceof Error ? (error.stack ?? "") : ""}\n`);
+  }
+  return ExitCode.Failure;
+}
--- /dev/null
+++ b/src/cli/output.ts
@@ -0,0 +1,69 @@
+/** Prints results for people or programs. */
+import Table from "cli-table3";
+
+/**
+ * Prints one line.
+ *
+ * @param line - The line.
+ */
+export function printLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/**
+ * Prints a value as JSON.
+ *
+ * @param value - The value.
+ */
+export function printJson(value: unknown): void {
+  printLine(JSON.stringify(value, null, 2));
+}
+
+/**
+ * Prints a table without frame or colours.
+ *
+ * @param head - Column titles.
+ * @param rows - Rows of cells.
+ */
+export function printTable(
+  head: readonly string[],
+  rows: readonly (readonly (string | number | undefined)[])[],
+): void {
+  printLine(formatTable(head, rows));
+}
+
+/**
+ * Formats a table without frame or colours.
+ *
+ * @param head - Column titles.
+ * @param rows - Rows of cells.
+ * @returns The lines.
+ */
+export function formatTable(
+  head: readonly string[],
+  rows: readonly (readonly (string | number | undefined)[])[],
+): string {
+  const table = new Table({
+    head: [...head],
+    style: { head: [], border: [], compact: true, "padding-left": 0, "padding-right": 1 },
+    chars: {
+      top: "",
+      "top-mid": "",
+      "top-left": "",
+      "top-right": "",
+      bottom: "",
+      "bottom-mid": "",
+      "bottom-left": "",
+      "bottom-right": "",
+      left: "",
+      "left-mid": "",
+      mid: "",
+      "mid-mid": "",
+      right: "",
+      "right-mid": "",
+      middle: " ",
+    },
+  });
+  table.push(...rows.map((row) => row.map((cell) => cell ?? "")));
+  return table.toString();
+}
--- /dev/null
+++ b/src/cli/platformClient.ts
@@ -0,0 +1,30 @@
+/** Opens the platform for one command. */
+import { type Platform, createHttpPlatform } from "../platform";
+import { type FlagValues, textFlag } from "./command";
+
+const TIMEOUT_MS = 3000;
+const CALLS_PER_SECOND = 20;
+
+/**
+ * Runs a command with the platform that its options name.
+ *
+ * @param flags - Values of the options, with `platform`.
+ * @param use - What to do with it.
+ * @returns What `use` returns.
+ */
+export async function withPlatform<Result>(
+  flags: FlagValues,
+  use: (platform: Platform) => Promise<Result>,
+): Promise<Result> {
+  const platform = createHttpPlatform({
+    url: textFlag(flags, "platform").replace(/\/$/, ""),
+    timeoutMs: TIMEOUT_MS,
+    writesPerSecond: CALLS_PER_SECOND,
+    readsPerSecond: CALLS_PER_SECOND,
+  });
+  try {
+    return await use(platform);
+  } finally {
+    await platform.close();
+  }
+}
--- /dev/null
+++ b/src/configuration/plan.ts
@@ -0,0 +1,50 @@
+/** Compares two configurations for people. */
+
+/** One changed value. */
+export interface PlannedChange {
+  readonly kind: "added" | "removed" | "changed";
+  /** Path of the value, such as `servers.desk-1.state`. */
+  readonly path: string;
+  readonly before: string;
+  readonly after: string;
+}
+
+/**
+ * Lists the differences between two configurations as operators wrote them.
+ *
+ * @param before - The configuration in force.
+ * @param after - The wanted one.
+ * @returns The changes in order of path.
+ */
+export function planChanges(before: unknown, after: unknown): readonly PlannedChange[] {
+  const former = flatten("", before);
+  const next = flatten("", after);
+  const paths = [...new Set([...former.keys(), ...next.keys()])].sort();
+  return paths.flatMap((path) => compare(path, former.get(path), next.get(path)) ?? []);
+}
+
+function compare(
+  path: string,
+  before: string | undefined,
+  after: string | undefined,
+): PlannedChange | undefined {
+  if (before === after) {
+    return undefined;
+  }
+  if (before === undefined) {
+    return { kind: "added", path, before: "", after: after ?? "" };
+  }
+  return after === undefined
+    ? { kind: "removed", path, before, after: "" }
+    : { kind: "changed", path, before, after };
+}
+
+function flatten(prefix: string, value: unknown): Map<string, string> {
+  if (typeof value !== "object" || value === null || Array.isArray(value)) {
+    return new Map(value === undefined ? [] : [[prefix, JSON.stringify(value)]]);
+  }
+  const entries = Object.entries(value).flatMap(([name, nested]) => [
+    ...flatten(prefix === "" ? name : `${prefix}.${name}`, nested),
+  ]);
+  return new Map(entries);
+}
--- /dev/null
+++ b/src/daemon/adminServer.ts
@@ -0,0 +1,71 @@
+/** Admin HTTP of one daemon: health for the balancer, status and version for operators. */
+import { type Server, createServer } from "node:http";
+import express from "express";
+import type { Address } from "../types";
+
+const HTTP_UNAVAILABLE = 503;
+
+/** What the admin pages show. */
+export interface AdminPages {
+  readonly isReady: () => boolean;
+  readonly status: () => unknown;
+  readonly owner: (service: string, key: string) => unknown;
+  readonly counters: () => Readonly<Record<string, number>>;
+  readonly release: string;
+}
+
+/** The admin server. */
+export interface AdminServer {
+  /** Stops listening. */
+  close(): void;
+}
+
+/**
+ * Starts the admin server.
+ *
+ * @param address - Its address.
+ * @param pages - What it shows.
+ * @returns The server.
+ * @throws Error when the address cannot be bound.
+ */
+export async function createAdminServer(address: Address, pages: AdminPages): Promise<AdminServer> {
+  const app = express();
+  app.disable("x-powered-by");
+  app.get("/health", (_request, response) => {
+    const isReady = pages.isReady();
+    response.status(isReady ? 200 : HTTP_UNAVAILABLE).json({ ready: isReady });
+  });
+  app.get("/status", (_request, response) => {
+    response.json(pages.status());
+  });
+  app.get("/owner", (request, response) => {
+    const { service, key } = request.query;
+    response.json(
+      pages.owner(typeof service === "string" ? service : "", typeof key === "string" ? key : ""),
+    );
+  });
+  app.get("/counters", (_request, response) => {
+    response.json(pages.counters());
+  });
+  app.get("/version", (_request, response) => {
+    response.json({ release: pages.release });
+  });
+  const server = createServer(app);
+  await listen(server, address);
+  return {
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function listen(server: Server, address: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => {
+      server.removeListener("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,405 @@
+/** One daemon: wires the subsystems, starts them in order and shuts them down without cutting off requests. */
+import { createLoadView, createRetryBudget } from "../balancing";
+import { PlatformUnavailableError, describeError } from "../errors";
+import { createMembership, createUdpTransport } from "../membership";
+import { Event, createCounters, createLogger } from "../observability";
+import {
+  type SlotLoads,
+  balanceLeases,
+  chooseSuccessor,
+  createAssignmentStore,
+  createHttpServerControl,
+  createLeaseManager,
+  createPauseGuard,
+  createPlanner,
+  createStatusView,
+  createStopEvidence,
+  rankCandidates,
+} from "../ownership";
+import { PEER_PROTOCOL, type Peers, createPeers } from "../peers";
+import { createHttpPlatform } from "../platform";
+import {
+  createCallerServer,
+  createLeaseholderDispatcher,
+  createPeerForwarder,
+  createRouteTable,
+  createRouter,
+  createWorkRegistry,
+} from "../routing";
+import type { Settings } from "../settings";
+import { createSnapshotStore, watchPlatform } from "../snapshots";
+import { type ServiceName, repeat, sleep, systemClock } from "../types";
+import { createAdminServer } from "./adminServer";
+import { RELEASE } from "./release";
+import { type Spread, createSpread } from "./spread";
+import { describeOwner, describeStatus } from "./status";
+
+const WATCHERS_PER_DATA_CENTRE = 2;
+const LEASE_BALANCE_INTERVAL_MS = 2000;
+const START_CHECK_MS = 50;
+const START_ATTEMPTS = 20;
+const HANDOVER_RETRY_MS = 500;
+/** Time for balancers to see that the daemon is not ready any more. */
+const LAME_DUCK_MS = 1000;
+const IDLE_CHECK_MS = 20;
+const RETRY_RATIO = 0.1;
+const RETRY_CAPACITY = 100;
+
+/** A running daemon. */
+export interface Daemon {
+  /** Shuts down gracefully: hands leases over, finishes requests, then stops. */
+  shutDown(): Promise<void>;
+}
+
+/**
+ * Starts a daemon.
+ *
+ * @param settings - Its settings.
+ * @returns The daemon, as soon as its addresses are bound.
+ * @throws Error when an address cannot be bound.
+ */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+  const clock = systemClock;
+  const random = Math.random;
+  const logger = createLogger(settings.daemon, settings.log_level);
+  const counters = createCounters(settings.daemon, settings.statsd);
+  const platform = createHttpPlatform({
+    url: settings.platform.url.replace(/\/$/, ""),
+    timeoutMs: settings.platform.timeout,
+    writesPerSecond: settings.platform.writes_per_second,
+    readsPerSecond: settings.platform.reads_per_second,
+  });
+  const snapshots = createSnapshotStore(logger, counters);
+  const statuses = createStatusView();
+  const run = { daemon: settings.daemon, incarnation: Date.now() };
+  const stop = new AbortController();
+  let isLeaving = false;
+  let hasPlatformAnswered = false;
+  let hasSyncedWithSeeds = false;
+
+  const membership = createMembership({
+    cluster: settings.cluster,
+    self: { ...run, dataCentre: settings.data_centre, address: settings.peers },
+    seeds: settings.seeds.map((seed) => ({
+      daemon: seed.daemon,
+      address: { host: seed.host, port: seed.port },
+    })),
+    clock,
+    transport: await createUdpTransport(settings.peers),
+    logger,
+    counters,
+    random,
+    digest: () => snapshots.digest(),
+  });
+  const pauseGuard = createPauseGuard(clock, logger, () => {
+    void catchUpAfterPause();
+  });
+  const assignments = createAssignmentStore(platform.objects, snapshots);
+  const evidence = createStopEvidence({
+    membership,
+    snapshots,
+    vms: platform.vms,
+    identifyPeer: (address) => openPeers().identify(address),
+    clock,
+  });
+  const leases = createLeaseManager({
+    self: run,
+    assignments,
+    snapshots,
+    statuses,
+    membership,
+    evidence,
+    clock,
+    logger,
+    counters,
+    isFresh: () => pauseGuard.isFresh(),
+    createControl: createHttpServerControl,
+    isVmLeaving: (address) => spread.isVmLeaving(address),
+    sendHandover: (successor, handover) => {
+      openPeers().broadcast({ kind: "handover", handover }, [successor.daemon]);
+    },
+  });
+  const registry = createWorkRegistry(clock);
+  const dispatcher = createLeaseholderDispatcher({
+    leases,
+    snapshots,
+    registry,
+    clock,
+    logger,
+    counters,
+    peers: openPeers,
+  });
+  const loads = createLoadView(clock, random);
+  const router = createRouter({
+    table: createRouteTable({ snapshots, membership, statuses, loads }),
+    forward: createPeerForwarder({
+      membership,
+      peers: openPeers,
+      counters,
+      handleLocally: dispatcher.handleWork,
+      random,
+    }),
+    loads,
+    budget: createRetryBudget(RETRY_RATIO, RETRY_CAPACITY),
+    snapshots,
+    clock,
+    counters,
+  });
+  const planner = createPlanner({
+    membership,
+    snapshots,
+    assignments,
+    statuses,
+    evidence,
+    clock,
+    logger,
+    collectLoads,
+  });
+
+  const peers: Peers = await createPeers({
+    hello: {
+      kind: "hello",
+      protocol: PEER_PROTOCOL,
+      cluster: settings.cluster,
+      ...run,
+      dataCentre: settings.data_centre,
+      release: RELEASE,
+    },
+    address: settings.peers,
+    membership,
+    clock,
+    logger,
+    counters,
+    handlers: {
+      handleWork: dispatcher.handleWork,
+      wasSeen: (workId) => registry.wasSeen(workId),
+      newerThan: (versions) => snapshots.newerThan(versions),
+      versions: () => snapshots.versions(),
+      takeSnapshots: (received) => {
+        spread.takeSnapshots(received);
+      },
+      statuses: () => statuses.all().filter((status) => status.reporter === settings.daemon),
+      takeStatuses: (received) => {
+        received.forEach((status) => statuses.offer(status));
+      },
+      takeLeavingVms: (addresses) => {
+        spread.takeLeavingVms(addresses);
+      },
+      takeHandover: (handover) => {
+        leases.receiveHandover(handover);
+      },
+      takeSlotLoads,
+    },
+  });
+  const spread: Spread = createSpread({
+    snapshots,
+    statuses,
+    membership,
+    peers,
+    vms: platform.vms,
+    clock,
+    random,
+    isWatcher,
+  });
+  snapshots.events.on("changed", () => {
+    membership.setConfigurationVersion(snapshots.configuration()?.version ?? 0);
+    leases.follow();
+  });
+  membership.events.on("changed", (member) => {
+    if (member.status === "alive" && member.daemon !== settings.daemon) {
+      openPeers()
+        .connect(member.daemon)
+        .catch(() => undefined);
+    }
+  });
+
+  const callers = await createCallerServer({
+    address: settings.callers,
+    router,
+    snapshots,
+    clock,
+    logger,
+    counters,
+  });
+  const admin = await createAdminServer(settings.admin, {
+    isReady,
+    status: () => describeStatus({ membership, snapshots, statuses, leases, isReady }),
+    owner: (service, key) => describeOwner(snapshots, service, key),
+    counters: () => counters.totals(),
+    release: RELEASE,
+  });
+  logger.log(Event.DaemonStarted, { release: RELEASE, dataCentre: settings.data_centre });
+
+  void watchPlatform(
+    {
+      objects: platform.objects,
+      snapshots,
+      clock,
+      logger,
+      isWatcher,
+      onReachable: (reachable) => {
+        hasPlatformAnswered ||= reachable;
+        membership.setPlatformReachable(reachable);
+      },
+    },
+    stop.signal,
+  );
+  void spread.run(stop.signal);
+  void startPlanning();
+  void repeat(clock, LEASE_BALANCE_INTERVAL_MS, stop.signal, balance);
+
+  return { shutDown };
+
+  /** Deferred, since the peers' handlers need subsystems that need the peers. */
+  function openPeers(): Peers {
+    return peers;
+  }
+
+  function isReady(): boolean {
+    return !isLeaving && hasStartedFromNewest() && snapshots.configuration() !== undefined;
+  }
+
+  /** A restarted daemon must not act on the snapshot of one stale peer. */
+  function hasStartedFromNewest(): boolean {
+    return hasPlatformAnswered || hasSyncedWithSeeds;
+  }
+
+  async function startPlanning(): Promise<void> {
+    await syncWithSeeds();
+    while (!isReady() && !stop.signal.aborted) {
+      await sleep(clock, START_CHECK_MS, stop.signal);
+    }
+    logger.log(Event.DaemonReady);
+    await planner.run(stop.signal);
+  }
+
+  async function syncWithSeeds(): Promise<void> {
+    const others = settings.seeds.filter((seed) => seed.daemon !== settings.daemon);
+    await Promise.all(others.map((seed) => syncWhenKnown(seed.daemon)));
+    hasSyncedWithSeeds = snapshots.configuration() !== undefined;
+  }
+
+  async function syncWhenKnown(daemon: string): Promise<void> {
+    for (let attempt = 0; attempt < START_ATTEMPTS && !stop.signal.aborted; attempt += 1) {
+      if (membership.get(daemon) !== undefined && (await spread.syncWith(daemon))) {
+        return;
+      }
+      await sleep(clock, START_CHECK_MS, stop.signal);
+    }
+  }
+
+  /** Two daemons of each data centre read the platform; the others learn from them. */
+  function isWatcher(): boolean {
+    const eligible = membership
+      .present()
+      .filter(
+        (member) => member.dataCentre === settings.data_centre && !member.leaving && member.platformReachable,
+      )
+      .map((member) => member.daemon);
+    return rankCandidates("watcher", eligible).slice(0, WATCHERS_PER_DATA_CENTRE).includes(settings.daemon);
+  }
+
+  async function catchUpAfterPause(): Promise<void> {
+    while (!stop.signal.aborted) {
+      try {
+        for (const service of new Set(leases.all().map((lease) => lease.service))) {
+          await assignments.refresh(service);
+        }
+        pauseGuard.confirm();
+        return;
+      } catch {
+        await sleep(clock, HANDOVER_RETRY_MS, stop.signal);
+      }
+    }
+  }
+
+  function takeSlotLoads(service: ServiceName): SlotLoads {
+    const own = leases.all().filter((lease) => lease.service === service);
+    return new Map(own.flatMap((lease) => [...lease.takeSlotLoads()]));
+  }
+
+  async function collectLoads(service: ServiceName): Promise<SlotLoads> {
+    const collected = new Map(takeSlotLoads(service));
+    const others = membership.present().filter((member) => member.daemon !== settings.daemon);
+    await Promise.all(
+      others.map(async (member) => {
+        try {
+          const peer = await openPeers().connect(member.daemon);
+          for (const [slot, load] of await peer.queryLoads(service)) {
+            collected.set(slot, load);
+          }
+        } catch {
+          // A daemon that does not answer is left out of this round.
+        }
+      }),
+    );
+    return collected;
+  }
+
+  async function balance(): Promise<void> {
+    if (isLeaving || !isReady()) {
+      return;
+    }
+    try {
+      await balanceLeases({ leases, membership, snapshots });
+    } catch (error) {
+      reportPlatformError(error);
+    }
+  }
+
+  function reportPlatformError(error: unknown): void {
+    const kind = error instanceof PlatformUnavailableError ? Event.PlanFailed : Event.UnexpectedError;
+    logger.log(kind, { step: "hand leases over", error: describeError(error) });
+  }
+
+  async function shutDown(): Promise<void> {
+    const deadlineAt = clock.now() + settings.shutdown_timeout;
+    isLeaving = true;
+    logger.log(Event.ShutdownStarted);
+    membership.setLeaving();
+    callers.drain();
+    await handLeasesOver(deadlineAt);
+    await sleep(clock, LAME_DUCK_MS);
+    await waitUntilIdle(deadlineAt);
+    await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
+    await waitUntilIdle(deadlineAt);
+    stop.abort();
+    await leases.stop();
+    membership.leave();
+    await sleep(clock, IDLE_CHECK_MS);
+    membership.stop();
+    pauseGuard.stop();
+    dispatcher.close();
+    admin.close();
+    await openPeers().close();
+    await platform.close();
+    counters.close();
+    logger.log(Event.ShutdownFinished);
+  }
+
+  /** While the platform is silent the daemon keeps its leases and serves on, until its deadline. */
+  async function handLeasesOver(deadlineAt: number): Promise<void> {
+    while (clock.now() < deadlineAt) {
+      const servers = leases.all().map((lease) => lease.server);
+      try {
+        await leases.handOver(servers, (server) =>
+          chooseSuccessor({ leases, membership, snapshots }, server),
+        );
+        return;
+      } catch (error) {
+        reportPlatformError(error);
+        await sleep(clock, HANDOVER_RETRY_MS);
+      }
+    }
+  }
+
+  async function waitUntilIdle(deadlineAt: number): Promise<void> {
+    while (callers.inFlight() > 0 || dispatcher.inFlight() > 0) {
+      if (clock.now() > deadlineAt) {
+        logger.log(Event.ShutdownDeadline, { callers: callers.inFlight(), requests: dispatcher.inFlight() });
+        return;
+      }
+      await sleep(clock, IDLE_CHECK_MS);
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,4 @@
+/** One daemon. */
+export * from "./daemon";
+export * from "./release";
+export * from "./status";
--- /dev/null
+++ b/src/daemon/spread.ts
@@ -0,0 +1,158 @@
+/** Spreads snapshots, statuses and the list of leaving VMs between daemons. */
+import type { Membership } from "../membership";
+import type { VmList } from "../platform";
+import type { StatusView } from "../ownership";
+import type { Peers } from "../peers";
+import type { RawSnapshot, SnapshotStore } from "../snapshots";
+import { type Address, type Clock, type DaemonName, formatAddress, repeat } from "../types";
+
+/** Up to this many daemons, whoever learns something first tells all of them. */
+const DIRECT_SPREAD_LIMIT = 16;
+/** In larger clusters each daemon that learns something tells this many others. */
+const FANOUT = 4;
+const SYNC_PAUSE_MS = 300;
+const VM_LIST_INTERVAL_MS = 1000;
+
+/** What spreading is made from. */
+export interface SpreadOptions {
+  readonly snapshots: SnapshotStore;
+  readonly statuses: StatusView;
+  readonly membership: Membership;
+  readonly peers: Peers;
+  readonly vms: VmList;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Whether this daemon reads the platform for its data centre. */
+  readonly isWatcher: () => boolean;
+}
+
+/** Spreading of this daemon. */
+export interface Spread {
+  /** Takes snapshots of a peer. */
+  takeSnapshots(snapshots: readonly RawSnapshot[]): void;
+  /** Takes the leaving VMs of a peer that reads the list. */
+  takeLeavingVms(addresses: readonly Address[]): void;
+  /** Whether the VM at an address leaves. */
+  isVmLeaving(address: Address): boolean;
+  /** Exchanges snapshots with a daemon; false when that failed. */
+  syncWith(daemon: DaemonName): Promise<boolean>;
+  /** Reads the VM list regularly while this daemon is a watcher. */
+  run(signal: AbortSignal): Promise<void>;
+}
+
+/**
+ * Creates the spreading and subscribes it to what changes here.
+ *
+ * @param options - Views and ports.
+ * @returns The spreading.
+ */
+export function createSpread(options: SpreadOptions): Spread {
+  const { snapshots, statuses, membership, peers, clock, random } = options;
+  const fromPeers = new Set<string>();
+  const syncing = new Set<DaemonName>();
+  let leavingVms = new Set<string>();
+
+  snapshots.events.on("changed", (raw) => {
+    const isFromPeer = fromPeers.delete(snapshotKey(raw));
+    pushSnapshot(raw, isFromPeer);
+  });
+  statuses.events.on("changed", (status) => {
+    if (status.reporter === membership.self().daemon) {
+      peers.broadcast({ kind: "statuses", statuses: [status] }, listOthers());
+    }
+  });
+  membership.events.on("differs", (member) => {
+    void syncWith(member.daemon);
+  });
+
+  return {
+    takeSnapshots: (received) => {
+      for (const raw of received) {
+        fromPeers.add(snapshotKey(raw));
+        if (!snapshots.offer(raw)) {
+          fromPeers.delete(snapshotKey(raw));
+        }
+      }
+    },
+    takeLeavingVms: (addresses) => {
+      leavingVms = new Set(addresses.map(formatAddress));
+    },
+    isVmLeaving: (address) => leavingVms.has(formatAddress(address)),
+    syncWith,
+    run: (signal) => repeat(clock, VM_LIST_INTERVAL_MS, signal, readVmList),
+  };
+
+  function pushSnapshot(raw: RawSnapshot, isFromPeer: boolean): void {
+    const others = listOthers();
+    const isSmall = others.length <= DIRECT_SPREAD_LIMIT;
+    if (isSmall && isFromPeer) {
+      return;
+    }
+    const targets = isSmall ? others : pickRandom(others, FANOUT);
+    peers.broadcast({ kind: "snapshotPush", snapshots: [raw] }, targets);
+  }
+
+  /** Asks one daemon at most once in a while; the next ping shows whether a difference is left. */
+  async function syncWith(daemon: DaemonName): Promise<boolean> {
+    if (syncing.has(daemon)) {
+      return true;
+    }
+    syncing.add(daemon);
+    clock.schedule(SYNC_PAUSE_MS, () => {
+      syncing.delete(daemon);
+    });
+    try {
+      const peer = await peers.connect(daemon);
+      await peer.sync();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  async function readVmList(): Promise<void> {
+    if (!options.isWatcher()) {
+      return;
+    }
+    try {
+      const vms = await options.vms.list();
+      followVms(vms.filter((vm) => vm.state === "leaving").map((vm) => vm.address));
+    } catch {
+      // The last list stays in use; the platform watcher reports the outage.
+    }
+  }
+
+  function followVms(leaving: readonly Address[]): void {
+    const next = new Set(leaving.map(formatAddress));
+    const hasChanged = next.size !== leavingVms.size || [...next].some((address) => !leavingVms.has(address));
+    leavingVms = next;
+    if (hasChanged) {
+      const local = membership
+        .present()
+        .filter((member) => member.dataCentre === membership.self().dataCentre);
+      peers.broadcast(
+        { kind: "leavingVms", addresses: leaving },
+        local.map((member) => member.daemon).filter((daemon) => daemon !== membership.self().daemon),
+      );
+    }
+  }
+
+  function listOthers(): readonly DaemonName[] {
+    return membership
+      .present()
+      .map((member) => member.daemon)
+      .filter((daemon) => daemon !== membership.self().daemon);
+  }
+
+  function pickRandom(names: readonly DaemonName[], count: number): readonly DaemonName[] {
+    return names
+      .map((name) => ({ name, order: random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, count)
+      .map((entry) => entry.name);
+  }
+}
+
+function snapshotKey(raw: RawSnapshot): string {
+  return `${raw.path}@${raw.version}`;
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,4 @@
+/** Which daemons are alive. */
+export * from "./membership";
+export * from "./types";
+export * from "./udpTransport";
--- /dev/null
+++ b/src/membership/memberTable.ts
@@ -0,0 +1,93 @@
+/** The member table: merges statements about members and selects which ones to pass on. */
+import type { DaemonName } from "../types";
+import { type Member, MemberStatus } from "./types";
+
+const TRANSMISSIONS_PER_LOG2 = 3;
+
+const statusRank: Readonly<Record<MemberStatus, number>> = {
+  alive: 0,
+  suspect: 1,
+  dead: 2,
+  left: 3,
+};
+
+/** Known members and the statements still to be passed on. */
+export interface MemberTable {
+  /** Returns what is known of a daemon. */
+  get(daemon: DaemonName): Member | undefined;
+  /** Returns all known members. */
+  all(): readonly Member[];
+  /** Merges a statement. Returns true when it was newer than what was known. */
+  merge(statement: Member): boolean;
+  /** Forgets a member. */
+  remove(daemon: DaemonName): void;
+  /** Takes the least transmitted statements, at most `limit`. */
+  takeGossip(limit: number): readonly Member[];
+}
+
+/**
+ * Tells whether one statement about a daemon replaces another.
+ *
+ * @param next - The newer candidate.
+ * @param known - What is known.
+ * @returns True when `next` replaces `known`.
+ */
+export function isNewerStatement(next: Member, known: Member): boolean {
+  if (next.incarnation !== known.incarnation) {
+    return next.incarnation > known.incarnation;
+  }
+  if (known.status === MemberStatus.Left) {
+    return false;
+  }
+  if (next.status === MemberStatus.Left) {
+    return true;
+  }
+  if (next.refutation !== known.refutation) {
+    return next.refutation > known.refutation;
+  }
+  return statusRank[next.status] > statusRank[known.status];
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @returns The table.
+ */
+export function createMemberTable(): MemberTable {
+  const members = new Map<DaemonName, Member>();
+  const transmissions = new Map<DaemonName, number>();
+
+  return {
+    get: (daemon) => members.get(daemon),
+    all: () => [...members.values()],
+    merge: (statement) => {
+      const known = members.get(statement.daemon);
+      if (known !== undefined && !isNewerStatement(statement, known)) {
+        return false;
+      }
+      members.set(statement.daemon, statement);
+      transmissions.set(statement.daemon, 0);
+      return true;
+    },
+    remove: (daemon) => {
+      members.delete(daemon);
+      transmissions.delete(daemon);
+    },
+    takeGossip: (limit) => {
+      const limitPerStatement = TRANSMISSIONS_PER_LOG2 * Math.ceil(Math.log2(members.size + 1));
+      const selected = [...transmissions].sort(([, left], [, right]) => left - right).slice(0, limit);
+      for (const [daemon, count] of selected) {
+        countTransmission(daemon, count + 1, limitPerStatement);
+      }
+      return selected.flatMap(([daemon]) => members.get(daemon) ?? []);
+    },
+  };
+
+  function countTransmission(daemon: DaemonName, count: number, limit: number): void {
+    if (count >= limit) {
+      transmissions.delete(daemon);
+    } else {
+      transmissions.set(daemon, count);
+    }
+  }
+}
--- /dev/null
+++ b/src/observability/events.ts
@@ -0,0 +1,50 @@
+/** Catalogue of log events. docs/LOGS.md lists the same numbers; a test holds both equal. */
+
+/** Severity of a log event. */
+export const Severity = { Debug: "debug", Info: "info", Warn: "warn", Error: "error" } as const;
+export type Severity = (typeof Severity)[keyof typeof Severity];
+
+/** One kind of log event. */
+export interface EventKind {
+  readonly number: number;
+  readonly severity: Severity;
+  readonly message: string;
+}
+
+function event(number: number, severity: Severity, message: string): EventKind {
+  return { number, severity, message };
+}
+
+/** All log events, by name. Numbers are never reused. */
+export const Event = {
+  DaemonStarted: event(1001, Severity.Info, "daemon started"),
+  DaemonReady: event(1002, Severity.Info, "daemon ready for callers"),
+  ShutdownStarted: event(1003, Severity.Info, "graceful shutdown started"),
+  ShutdownFinished: event(1004, Severity.Info, "graceful shutdown finished"),
+  ShutdownDeadline: event(1005, Severity.Warn, "graceful shutdown passed its deadline"),
+  UnexpectedError: event(1006, Severity.Error, "unexpected error; the daemon continues"),
+  ProcessPaused: event(1007, Severity.Warn, "process was paused"),
+  PlatformUnavailable: event(1101, Severity.Warn, "platform unavailable"),
+  PlatformAvailable: event(1102, Severity.Info, "platform available again"),
+  SnapshotAccepted: event(1201, Severity.Info, "newer snapshot accepted"),
+  SnapshotInvalid: event(1202, Severity.Error, "snapshot refused because its content is invalid"),
+  MemberAlive: event(1301, Severity.Info, "member alive"),
+  MemberSuspect: event(1302, Severity.Info, "member suspected"),
+  MemberDead: event(1303, Severity.Warn, "member dead"),
+  PeerConnected: event(1401, Severity.Info, "peer connected"),
+  PeerDisconnected: event(1402, Severity.Info, "peer disconnected"),
+  PeerRefused: event(1403, Severity.Warn, "peer refused"),
+  LeaseClaimed: event(1501, Severity.Info, "lease for backend server claimed"),
+  LeaseLost: event(1502, Severity.Warn, "lease for backend server lost"),
+  LeaseHandedOver: event(1503, Severity.Info, "lease for backend server handed over"),
+  ServerUp: event(1504, Severity.Info, "backend server up"),
+  ServerUnreachable: event(1505, Severity.Warn, "backend server unreachable"),
+  ServerRestarted: event(1506, Severity.Warn, "backend server restarted with empty grants"),
+  ServerLost: event(1507, Severity.Warn, "backend server proved stopped"),
+  StopNotProved: event(1508, Severity.Warn, "backend server may still run work; its slots stay in place"),
+  SlotsMoved: event(1509, Severity.Info, "slots moved"),
+  LeaseholdersPlaced: event(1510, Severity.Info, "leaseholders placed"),
+  PlanFailed: event(1511, Severity.Warn, "plan could not be written; it is made again"),
+  ServerCold: event(1601, Severity.Info, "backend server cold; admission ramps from one request"),
+  RequestFailed: event(1701, Severity.Debug, "request ended without an answer"),
+} as const;
--- /dev/null
+++ b/src/observability/index.ts
@@ -0,0 +1,4 @@
+/** Logs and counters. */
+export * from "./counters";
+export * from "./events";
+export * from "./logger";
--- /dev/null
+++ b/src/observability/logger.ts
@@ -0,0 +1,31 @@
+/** Structured logs: one numbered event a line. */
+import bunyan from "bunyan";
+import type { EventKind } from "./events";
+
+/** Values that describe one occurrence of an event. */
+export type EventDetail = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes log events. */
+export interface Logger {
+  /** Writes one event. */
+  log(kind: EventKind, detail?: EventDetail): void;
+}
+
+/**
+ * Creates a logger that writes JSON lines to standard error.
+ *
+ * @param name - Name of the daemon.
+ * @param level - Lowest severity written.
+ * @returns The logger.
+ */
+export function createLogger(name: string, level: bunyan.LogLevelString): Logger {
+  const logger = bunyan.createLogger({ name, level, stream: process.stderr });
+  return {
+    log: (kind, detail = {}) => {
+      logger[kind.severity]({ event: kind.number, ...detail }, kind.message);
+    },
+  };
+}
+
+/** A logger that writes nothing. */
+export const silentLogger: Logger = { log: () => undefined };
--- /dev/null
+++ b/src/ownership/candidates.ts
@@ -0,0 +1,62 @@
+/** Which servers may take slots or new work. */
+import type { Configuration, Server } from "../configuration";
+import type { Membership } from "../membership";
+import { RefusalReason, type ServerName } from "../types";
+import { findServer } from "./assignment";
+import type { Candidate } from "./placement";
+import type { StatusView } from "./statusView";
+import { type Assignment, ServerState } from "./types";
+
+/** Why a server must get no new work; undefined when it may. */
+export function findLeavingReason(
+  configuration: Configuration,
+  name: ServerName,
+  state: ServerState,
+): RefusalReason | undefined {
+  const server = configuration.servers[name];
+  if (server === undefined || server.state === "draining" || state === ServerState.Draining) {
+    return RefusalReason.ServerLeaving;
+  }
+  if (configuration.data_centres[server.data_centre]?.state === "out") {
+    return RefusalReason.DataCentreOut;
+  }
+  return undefined;
+}
+
+/**
+ * Lists the servers that may take slots, without cold ones unless there are no others.
+ *
+ * @param assignment - The assignment of the service.
+ * @param configuration - The configuration in force.
+ * @param statuses - Statements about servers.
+ * @param membership - Which daemons are present.
+ * @param excluded - A server to leave out.
+ * @returns The candidates.
+ */
+export function listCandidates(
+  assignment: Assignment,
+  configuration: Configuration,
+  statuses: StatusView,
+  membership: Membership,
+  excluded?: ServerName,
+): readonly Candidate[] {
+  const usable = Object.entries(configuration.servers).filter(
+    ([name, server]) =>
+      server.service === assignment.service &&
+      name !== excluded &&
+      findLeavingReason(configuration, name, statuses.stateOf(name)) === undefined &&
+      statuses.stateOf(name) !== ServerState.Lost &&
+      hasPresentLeaseholder(assignment, name, membership),
+  );
+  const warm = usable.filter(([name]) => statuses.stateOf(name) === ServerState.Up);
+  return (warm.length > 0 ? warm : usable).map(toCandidate);
+}
+
+function hasPresentLeaseholder(assignment: Assignment, name: ServerName, membership: Membership): boolean {
+  const leaseholder = findServer(assignment, name)?.leaseholder ?? null;
+  return leaseholder !== null && membership.isPresent(leaseholder);
+}
+
+function toCandidate([name, server]: [ServerName, Server]): Candidate {
+  return { name, weight: server.slots };
+}
--- /dev/null
+++ b/src/ownership/leaseManager.ts
@@ -0,0 +1,344 @@
+/** Holds the leases that assignments give to this daemon, and hands them over. */
+import type { RampPosition } from "../balancing";
+import type { Service } from "../configuration";
+import { PlatformUnavailableError, describeError } from "../errors";
+import { Event } from "../observability";
+import {
+  type CancelTimer,
+  type DaemonRun,
+  type Generation,
+  type ServerName,
+  type ServiceName,
+  isSameRun,
+  sleep,
+} from "../types";
+import { clearPredecessors, findServer, holdsLease, setLeaseholder } from "./assignment";
+import { type ServerLease, type ServerLeaseOptions, createServerLease } from "./serverLease";
+import type { AssignedServer, Assignment, Leaseholder, ServerControl } from "./types";
+import { ServerState } from "./types";
+
+const CONFIRM_INTERVAL_MS = 1000;
+const HANDOVER_KEPT_MS = 5000;
+
+/** What the previous leaseholder tells its successor. */
+export interface Handover {
+  readonly server: ServerName;
+  /** Generation of the successor. */
+  readonly generation: Generation;
+  readonly position: RampPosition;
+  /** Requests of the previous leaseholder that still run. */
+  readonly inFlight: number;
+}
+
+/** What a lease manager is made from. */
+export interface LeaseManagerOptions extends Omit<
+  ServerLeaseOptions,
+  "service" | "server" | "generation" | "serverSettings" | "serviceSettings" | "control" | "isVmLeaving"
+> {
+  /** Creates the control adapter of a server. */
+  readonly createControl: (server: ServerName, address: { host: string; port: number }) => ServerControl;
+  /** Whether the VM list says that a server's VM leaves. */
+  readonly isVmLeaving: (address: { host: string; port: number }) => boolean;
+  /** Sends a handover to a successor. */
+  readonly sendHandover: (successor: DaemonRun, handover: Handover) => void;
+}
+
+/** The leases of this daemon. */
+export interface LeaseManager {
+  /** The lease of a server, when this daemon holds it. */
+  get(server: ServerName): ServerLease | undefined;
+  /** All held leases. */
+  all(): readonly ServerLease[];
+  /** Starts and ends leases as the newest assignments say. */
+  follow(): void;
+  /** Takes a predecessor's handover. */
+  receiveHandover(handover: Handover): void;
+  /** Gives leases to successors with one write for each service. Throws PlatformUnavailableError. */
+  handOver(
+    servers: readonly ServerName[],
+    chooseSuccessor: (server: AssignedServer) => Leaseholder | undefined,
+  ): Promise<void>;
+  /** Ends all leases without a handover. */
+  stop(): Promise<void>;
+}
+
+interface HeldLease {
+  readonly lease: ServerLease;
+  readonly abort: AbortController;
+  readonly control: ServerControl;
+  readonly finished: Promise<void>;
+  isRunning: boolean;
+}
+
+/**
+ * Creates the manager.
+ *
+ * @param options - Ports and views that leases share.
+ * @returns The manager.
+ */
+export function createLeaseManager(options: LeaseManagerOptions): LeaseManager {
+  const { snapshots, clock, logger, self } = options;
+  const held = new Map<ServerName, HeldLease>();
+  const handovers = new Map<ServerName, Handover>();
+  let isStopped = false;
+  let cancelConfirm: CancelTimer = clock.schedule(CONFIRM_INTERVAL_MS, confirmRegularly);
+
+  return {
+    get: (server) => held.get(server)?.lease,
+    all: () => [...held.values()].map((entry) => entry.lease),
+    follow,
+    receiveHandover,
+    handOver,
+    stop: async () => {
+      isStopped = true;
+      cancelConfirm();
+      await Promise.all([...held.keys()].map(end));
+    },
+  };
+
+  function follow(): void {
+    if (isStopped) {
+      return;
+    }
+    for (const [server, entry] of held) {
+      if (isStillHeld(entry.lease)) {
+        entry.lease.wake();
+      } else {
+        logger.log(Event.LeaseLost, { server, generation: entry.lease.generation });
+        void end(server);
+      }
+    }
+    for (const { value: assignment } of snapshots.assignments()) {
+      for (const server of assignment.servers) {
+        startIfGiven(assignment, server);
+      }
+    }
+  }
+
+  function isStillHeld(lease: ServerLease): boolean {
+    const assignment = snapshots.assignment(lease.service)?.value;
+    return assignment !== undefined && holdsLease(assignment, lease.server, lease.generation, self);
+  }
+
+  function startIfGiven(assignment: Assignment, server: AssignedServer): void {
+    if (server.leaseholder === null || !isSameRun(server.leaseholder, self) || held.has(server.name)) {
+      return;
+    }
+    const configuration = snapshots.configuration()?.value.configuration;
+    const serverSettings = configuration?.servers[server.name];
+    const serviceSettings = configuration?.services[assignment.service];
+    if (serverSettings === undefined || serviceSettings === undefined) {
+      return;
+    }
+    start(assignment.service, server, serverSettings, serviceSettings);
+  }
+
+  function start(
+    service: ServiceName,
+    server: AssignedServer,
+    serverSettings: ServerLeaseOptions["serverSettings"],
+    serviceSettings: Service,
+  ): void {
+    const address = { host: serverSettings.host, port: serverSettings.port };
+    const control = options.createControl(server.name, address);
+    const lease = createServerLease({
+      ...options,
+      service,
+      server: server.name,
+      generation: server.generation,
+      serverSettings,
+      serviceSettings,
+      control,
+      isVmLeaving: () => options.isVmLeaving(address),
+    });
+    const abort = new AbortController();
+    const entry: HeldLease = {
+      lease,
+      abort,
+      control,
+      isRunning: true,
+      finished: runLease(lease, abort.signal),
+    };
+    held.set(server.name, entry);
+    applyHandover(lease);
+  }
+
+  async function runLease(lease: ServerLease, signal: AbortSignal): Promise<void> {
+    try {
+      await lease.run(signal);
+    } catch (error) {
+      logger.log(Event.UnexpectedError, {
+        server: lease.server,
+        step: "hold lease",
+        error: describeError(error),
+      });
+      lease.close();
+    }
+  }
+
+  async function end(server: ServerName): Promise<void> {
+    const entry = held.get(server);
+    if (entry === undefined) {
+      return;
+    }
+    held.delete(server);
+    entry.lease.close();
+    entry.abort.abort();
+    await entry.finished;
+    entry.control.close();
+  }
+
+  function receiveHandover(handover: Handover): void {
+    handovers.set(handover.server, handover);
+    clock.schedule(HANDOVER_KEPT_MS, () => {
+      if (handovers.get(handover.server) === handover) {
+        handovers.delete(handover.server);
+      }
+    });
+    const lease = held.get(handover.server)?.lease;
+    if (lease !== undefined) {
+      applyHandover(lease);
+    }
+  }
+
+  function applyHandover(lease: ServerLease): void {
+    const handover = handovers.get(lease.server);
+    if (handover?.generation === lease.generation) {
+      lease.resume(handover.position, handover.inFlight);
+    }
+  }
+
+  async function handOver(
+    servers: readonly ServerName[],
+    chooseSuccessor: (server: AssignedServer) => Leaseholder | undefined,
+  ): Promise<void> {
+    const leases = servers.flatMap((server) => held.get(server)?.lease ?? []);
+    for (const service of new Set(leases.map((lease) => lease.service))) {
+      await handOverService(
+        service,
+        leases.filter((lease) => lease.service === service),
+        chooseSuccessor,
+      );
+    }
+  }
+
+  /** Stops first and writes then, since a server that checks no grants must have one sender only. */
+  async function handOverService(
+    service: ServiceName,
+    leases: readonly ServerLease[],
+    chooseSuccessor: (server: AssignedServer) => Leaseholder | undefined,
+  ): Promise<void> {
+    const assignment = snapshots.assignment(service)?.value;
+    const successors = new Map<ServerLease, Leaseholder>();
+    for (const lease of leases) {
+      const server = assignment === undefined ? undefined : findServer(assignment, lease.server);
+      const successor = server === undefined ? undefined : chooseSuccessor(server);
+      if (successor !== undefined) {
+        successors.set(lease, successor);
+      }
+    }
+    if (successors.size === 0) {
+      return;
+    }
+    await options.assignments.refresh(service);
+    for (const [lease, successor] of successors) {
+      lease.close();
+      announceHandover(lease, successor);
+    }
+    try {
+      await options.assignments.update(service, (current) => {
+        return current === undefined ? undefined : replaceHolders(current, successors);
+      });
+    } catch (error) {
+      void reopenAfterSettling(service, [...successors.keys()]);
+      throw error;
+    }
+    for (const lease of successors.keys()) {
+      logger.log(Event.LeaseHandedOver, { server: lease.server, to: successors.get(lease)?.daemon });
+    }
+    follow();
+  }
+
+  /** A handover with a lost answer may have taken effect: nothing is sent until that is known. */
+  async function reopenAfterSettling(service: ServiceName, leases: readonly ServerLease[]): Promise<void> {
+    while (!isStopped) {
+      try {
+        await options.assignments.settle(service);
+        break;
+      } catch {
+        await sleep(clock, CONFIRM_INTERVAL_MS);
+      }
+    }
+    for (const lease of leases) {
+      if (held.get(lease.server)?.lease === lease) {
+        await end(lease.server);
+      }
+    }
+    follow();
+  }
+
+  function announceHandover(lease: ServerLease, successor: Leaseholder): void {
+    options.sendHandover(successor, {
+      server: lease.server,
+      generation: lease.generation + 1,
+      position: lease.rampPosition(),
+      inFlight: lease.load().inFlight,
+    });
+  }
+
+  function replaceHolders(
+    current: Assignment,
+    successors: ReadonlyMap<ServerLease, Leaseholder>,
+  ): Assignment | undefined {
+    let next = current;
+    for (const [lease, successor] of successors) {
+      if (holdsLease(next, lease.server, lease.generation, self)) {
+        next = setLeaseholder(next, lease.server, successor);
+      }
+    }
+    return next === current ? undefined : next;
+  }
+
+  function confirmRegularly(): void {
+    void confirmShutOut().finally(() => {
+      if (!isStopped) {
+        cancelConfirm = clock.schedule(CONFIRM_INTERVAL_MS, confirmRegularly);
+      }
+    });
+  }
+
+  /** Once a server has answered under this generation, its earlier leaseholders need no evidence any more. */
+  async function confirmShutOut(): Promise<void> {
+    for (const { value: assignment } of snapshots.assignments()) {
+      if (assignment.servers.some((server) => isShutOut(assignment, server))) {
+        await clearShutOut(assignment.service);
+      }
+    }
+  }
+
+  async function clearShutOut(service: ServiceName): Promise<void> {
+    try {
+      await options.assignments.update(service, (current) => {
+        const done = current?.servers.filter((server) => isShutOut(current, server)) ?? [];
+        return done.length === 0 || current === undefined
+          ? undefined
+          : done.reduce((next, server) => clearPredecessors(next, server.name), current);
+      });
+    } catch (error) {
+      if (!(error instanceof PlatformUnavailableError)) {
+        throw error;
+      }
+    }
+  }
+
+  function isShutOut(assignment: Assignment, server: AssignedServer): boolean {
+    const lease = held.get(server.name)?.lease;
+    const isReached = lease?.state() === ServerState.Up || lease?.state() === ServerState.Cold;
+    return (
+      lease !== undefined &&
+      isReached &&
+      server.predecessors.length > 0 &&
+      holdsLease(assignment, server.name, lease.generation, self)
+    );
+  }
+}
--- /dev/null
+++ b/src/ownership/pauseGuard.ts
@@ -0,0 +1,59 @@
+/** Notices that the process was paused, before it acts on what it knew earlier. */
+import { Event, type Logger } from "../observability";
+import type { CancelTimer, Clock } from "../types";
+
+const TICK_MS = 100;
+/** A process that did not run for this long may have been replaced. */
+const PAUSE_MS = 1000;
+
+/** Tells whether the process has run without a long pause since it last caught up. */
+export interface PauseGuard {
+  /** False after a pause, until `confirm` is called. */
+  isFresh(): boolean;
+  /** Takes note that the newest assignments were read after the pause. */
+  confirm(): void;
+  /** Ends the checks. */
+  stop(): void;
+}
+
+/**
+ * Creates a guard and starts its checks.
+ *
+ * @param clock - Monotonic clock that also counts pauses.
+ * @param logger - Log of pauses.
+ * @param onPause - Called once for each pause; it must read the newest assignments and then confirm.
+ * @returns The guard.
+ */
+export function createPauseGuard(clock: Clock, logger: Logger, onPause: () => void): PauseGuard {
+  let lastTickAt = clock.now();
+  let isStale = false;
+  let cancel: CancelTimer = clock.schedule(TICK_MS, tick);
+
+  return {
+    isFresh: () => {
+      check();
+      return !isStale;
+    },
+    confirm: () => {
+      isStale = false;
+    },
+    stop: () => {
+      cancel();
+    },
+  };
+
+  function tick(): void {
+    check();
+    lastTickAt = clock.now();
+    cancel = clock.schedule(TICK_MS, tick);
+  }
+
+  function check(): void {
+    const pausedMs = clock.now() - lastTickAt;
+    if (pausedMs > PAUSE_MS && !isStale) {
+      isStale = true;
+      logger.log(Event.ProcessPaused, { pausedMs: Math.round(pausedMs) });
+      onPause();
+    }
+  }
+}
--- /dev/null
+++ b/src/ownership/placement.ts
@@ -0,0 +1,183 @@
+/** Chooses owners for slots: least movement first, then even load. */
+import type { ServerName, Slot } from "../types";
+import { type Assignment, type Move, NO_OWNER } from "./types";
+
+/** A server that may take slots. */
+export interface Candidate {
+  readonly name: ServerName;
+  /** Share of the load that it can bear, relative to the others. */
+  readonly weight: number;
+}
+
+/** Load of each slot in requests per second; a slot without an entry has BASE_LOAD. */
+export type SlotLoads = ReadonlyMap<Slot, number>;
+
+/** Limits of one round of balancing. */
+export interface BalanceLimits {
+  /** Busiest server over the mean above which slots move. */
+  readonly tolerance: number;
+  /** Most moves in one round. */
+  readonly maxMoves: number;
+}
+
+/** Load counted for every slot, so that slots without requests spread evenly too. */
+const BASE_LOAD = 0.01;
+
+interface Bin {
+  readonly name: ServerName;
+  readonly weight: number;
+  readonly slots: Set<Slot>;
+  load: number;
+}
+
+/**
+ * Chooses targets for slots that must leave their owners, heaviest slot first, each to the least
+ * loaded candidate. All other slots stay.
+ *
+ * @param assignment - The assignment.
+ * @param slots - The slots to place.
+ * @param candidates - Servers that may take them.
+ * @param loads - Load of each slot.
+ * @returns The moves; empty when there is no candidate.
+ */
+export function placeSlots(
+  assignment: Assignment,
+  slots: readonly Slot[],
+  candidates: readonly Candidate[],
+  loads: SlotLoads,
+): readonly Move[] {
+  if (candidates.length === 0) {
+    return [];
+  }
+  const bins = createBins(assignment, candidates, loads, new Set(slots));
+  const heaviestFirst = [...slots].sort(
+    (left, right) => loadOf(loads, right) - loadOf(loads, left) || left - right,
+  );
+  return heaviestFirst.map((slot) => {
+    const bin = findLeastLoaded(bins);
+    bin.load += loadOf(loads, slot);
+    return { slot, target: bin.name };
+  });
+}
+
+/**
+ * Lists the slots without an owner.
+ *
+ * @param assignment - The assignment.
+ * @returns The slots.
+ */
+export function listFreeSlots(assignment: Assignment): readonly Slot[] {
+  return assignment.owners.flatMap((owner, slot) => (owner === NO_OWNER ? [slot] : []));
+}
+
+/**
+ * Plans moves from the busiest to the least busy candidates while that lowers the highest load.
+ *
+ * @param assignment - The assignment.
+ * @param candidates - Servers that take part.
+ * @param loads - Load of each slot.
+ * @param limits - When to move, and how much.
+ * @returns The moves; empty while the load is within the tolerance.
+ */
+export function planBalance(
+  assignment: Assignment,
+  candidates: readonly Candidate[],
+  loads: SlotLoads,
+  limits: BalanceLimits,
+): readonly Move[] {
+  const bins = createBins(assignment, candidates, loads, new Set());
+  const moves: Move[] = [];
+  while (moves.length < limits.maxMoves) {
+    const move = findImprovement(bins, loads, limits.tolerance);
+    if (move === undefined) {
+      break;
+    }
+    moves.push(move);
+  }
+  return moves;
+}
+
+function findImprovement(bins: readonly Bin[], loads: SlotLoads, tolerance: number): Move | undefined {
+  if (bins.length < 2) {
+    return undefined;
+  }
+  const busiest = bins.reduce((left, right) => (pressure(right) > pressure(left) ? right : left));
+  const calmest = findLeastLoaded(bins);
+  const totalWeight = bins.reduce((sum, bin) => sum + bin.weight, 0);
+  const mean = bins.reduce((sum, bin) => sum + bin.load, 0) / totalWeight;
+  if (pressure(busiest) <= mean * tolerance) {
+    return undefined;
+  }
+  const slot = findBestSlot(busiest, calmest, loads, mean);
+  if (slot === undefined) {
+    return undefined;
+  }
+  const load = loadOf(loads, slot);
+  busiest.slots.delete(slot);
+  busiest.load -= load;
+  calmest.slots.add(slot);
+  calmest.load += load;
+  return { slot, target: calmest.name };
+}
+
+/** The heaviest slot that neither overloads the target nor empties the source below the mean by more than needed. */
+function findBestSlot(source: Bin, target: Bin, loads: SlotLoads, mean: number): Slot | undefined {
+  const excess = source.load - mean * source.weight;
+  const room = mean * target.weight - target.load;
+  const limit = Math.max(Math.min(excess, room), 0);
+  let best: Slot | undefined;
+  for (const slot of source.slots) {
+    const load = loadOf(loads, slot);
+    if (load <= limit && (best === undefined || load > loadOf(loads, best))) {
+      best = slot;
+    }
+  }
+  return best ?? findSlotThatLowersMaximum(source, target, loads);
+}
+
+function findSlotThatLowersMaximum(source: Bin, target: Bin, loads: SlotLoads): Slot | undefined {
+  const before = pressure(source);
+  let best: Slot | undefined;
+  for (const slot of source.slots) {
+    const load = loadOf(loads, slot);
+    const lowers = (target.load + load) / target.weight < before;
+    if (lowers && (best === undefined || load < loadOf(loads, best))) {
+      best = slot;
+    }
+  }
+  return best;
+}
+
+function createBins(
+  assignment: Assignment,
+  candidates: readonly Candidate[],
+  loads: SlotLoads,
+  excluded: ReadonlySet<Slot>,
+): readonly Bin[] {
+  const bins = candidates.map((candidate): Bin => ({ ...candidate, slots: new Set(), load: 0 }));
+  const byName = new Map(bins.map((bin) => [bin.name, bin]));
+  const targets = new Map(assignment.moves.map((move) => [move.slot, move.target]));
+  assignment.owners.forEach((owner, slot) => {
+    const bin = byName.get(targets.get(slot) ?? assignment.servers[owner]?.name ?? "");
+    if (bin === undefined || excluded.has(slot)) {
+      return;
+    }
+    bin.load += loadOf(loads, slot);
+    if (!targets.has(slot)) {
+      bin.slots.add(slot);
+    }
+  });
+  return bins;
+}
+
+function findLeastLoaded(bins: readonly Bin[]): Bin {
+  return bins.reduce((left, right) => (pressure(right) < pressure(left) ? right : left));
+}
+
+function pressure(bin: Bin): number {
+  return bin.load / bin.weight;
+}
+
+function loadOf(loads: SlotLoads, slot: Slot): number {
+  return (loads.get(slot) ?? 0) + BASE_LOAD;
+}
--- /dev/null
+++ b/src/ownership/serverSession.ts
@@ -0,0 +1,214 @@
+/** The control exchanges of a leaseholder with its backend server: one kind for fenced servers, one for others. */
+import { describeError } from "../errors";
+import type { Clock, Epoch, Generation, Slot } from "../types";
+import type { LeaseAnswer, ServerControl, ServerReport, SlotEpoch } from "./types";
+
+/** Validity of grants on the server's clock. */
+export const GRANT_VALIDITY_MS = 800;
+/** A later session of the same process starts above all sequence numbers of an earlier one. */
+const SEQUENCES_PER_MS = 1000;
+/** Bound on the difference of two clocks' rates. */
+const CLOCK_DRIFT = 0.01;
+/** Time by which a server may be late in enforcing a deadline. */
+const DEADLINE_MARGIN_MS = 250;
+
+/** Result of one exchange. */
+export type ExchangeResult =
+  | {
+      readonly kind: "reached";
+      readonly report: ServerReport;
+      /** The server's process is another one than at the last exchange. */
+      readonly hasRestarted: boolean;
+      /** A further exchange is due at once. */
+      readonly isIncomplete: boolean;
+    }
+  | { readonly kind: "fenced"; readonly generation: Generation }
+  | { readonly kind: "unreached"; readonly error: string };
+
+/** Control of one server under one lease. */
+export interface ServerSession {
+  /** Renews the lease, or probes the server. */
+  exchange(): Promise<ExchangeResult>;
+  /** Epoch under which a slot may be sent now; undefined when the server has no grant for it. */
+  epochToSend(slot: Slot): Epoch | undefined;
+  /** Takes note of a request that was sent and whose end is not known. */
+  recordUnresolved(slot: Slot | undefined, deadlineAt: number): void;
+  /** Ends the ownership of slots without requests in flight. Returns those that provably stopped. */
+  revoke(slots: readonly Slot[]): Promise<readonly Slot[]>;
+  /** Whether all work has provably stopped, while the server is unreachable and nothing is sent. */
+  hasProvablyStopped(): Promise<boolean>;
+}
+
+/** What a fenced session is made from. */
+export interface FencedSessionOptions {
+  readonly control: ServerControl;
+  readonly clock: Clock;
+  readonly generation: Generation;
+  /** Slots that the server shall own now. */
+  readonly desiredSlots: () => readonly SlotEpoch[];
+  /**
+   * Time on the local clock by which all earlier leaseholders had stopped: undefined without evidence,
+   * minus infinity when there are none.
+   */
+  readonly predecessorsStoppedAt: () => Promise<number | undefined>;
+}
+
+/**
+ * Creates the session of a fenced server. Each renewal names a time on the server's own clock, taken from
+ * its last answer, so that a renewal that is delivered late extends nothing.
+ *
+ * @param options - Ports and lease.
+ * @returns The session.
+ */
+export function createFencedSession(options: FencedSessionOptions): ServerSession {
+  const { control, clock, generation } = options;
+  const granted = new Map<Slot, Epoch>();
+  let bootId: string | null = null;
+  let lapses = 0;
+  let sequence = Math.floor(clock.now() * SEQUENCES_PER_MS);
+  let sample: { readonly clockMs: number; readonly receivedAt: number } | undefined;
+  /** Local time by which every renewal sent by this session has lapsed. */
+  let lapsedBy = Number.NEGATIVE_INFINITY;
+
+  return {
+    exchange: async () => {
+      const desired = options.desiredSlots();
+      const grant = desired.filter(({ slot, epoch }) => granted.get(slot) !== epoch);
+      try {
+        const answer = await send(grant, []);
+        return answer.kind === "fenced" ? answer : follow(answer, grant, desired.length);
+      } catch (error) {
+        return { kind: "unreached", error: describeError(error) };
+      }
+    },
+    epochToSend: (slot) => granted.get(slot),
+    recordUnresolved: () => undefined,
+    revoke: async (slots) => {
+      for (const slot of slots) {
+        granted.delete(slot);
+      }
+      try {
+        const answer = await send([], slots);
+        return answer.kind === "fenced" ? [] : slots.filter((slot) => !answer.stillRunning.includes(slot));
+      } catch {
+        return [];
+      }
+    },
+    hasProvablyStopped: async () => {
+      const isFenced = bootId !== null;
+      const stoppedAt = isFenced ? Number.NEGATIVE_INFINITY : await options.predecessorsStoppedAt();
+      if (stoppedAt === undefined) {
+        return false;
+      }
+      const hasLapsed = clock.now() > Math.max(lapsedBy, stoppedAt + maximumValidityMs());
+      if (hasLapsed) {
+        granted.clear();
+      }
+      return hasLapsed;
+    },
+  };
+
+  function send(grant: readonly SlotEpoch[], revoke: readonly Slot[]): Promise<LeaseAnswer> {
+    const validUntilMs = sample === undefined ? 0 : sample.clockMs + GRANT_VALIDITY_MS;
+    if (sample !== undefined) {
+      lapsedBy = Math.max(lapsedBy, sample.receivedAt + maximumValidityMs());
+    }
+    sequence += 1;
+    return control.lease({ generation, sequence, bootId, validUntilMs, grant, revoke });
+  }
+
+  function follow(
+    answer: LeaseAnswer & { kind: "accepted" },
+    grant: readonly SlotEpoch[],
+    desiredCount: number,
+  ): ExchangeResult {
+    const { report } = answer;
+    const isSameBoot = bootId === report.bootId;
+    const hasRestarted = bootId !== null && !isSameBoot;
+    if (!isSameBoot || lapses !== answer.lapses) {
+      granted.clear();
+    } else {
+      for (const { slot, epoch } of grant) {
+        granted.set(slot, epoch);
+      }
+    }
+    bootId = report.bootId;
+    lapses = answer.lapses;
+    sample = { clockMs: report.clockMs, receivedAt: clock.now() };
+    return { kind: "reached", report, hasRestarted, isIncomplete: granted.size < desiredCount };
+  }
+}
+
+/** What an unfenced session is made from. */
+export interface UnfencedSessionOptions {
+  readonly control: ServerControl;
+  readonly clock: Clock;
+  readonly desiredSlots: () => readonly SlotEpoch[];
+  /** Time in which requests of an earlier leaseholder may still run; 0 without one. */
+  readonly predecessorDeadlineMs: number;
+  /** Requests in flight of this leaseholder. */
+  readonly inFlight: () => number;
+  /** Whether an operator declared the server stopped under this generation. */
+  readonly isDeclaredStopped: () => boolean;
+}
+
+interface UnresolvedRequest {
+  /** Undefined stands for any slot. */
+  readonly slot: Slot | undefined;
+  /** Local time by which a server that runs has enforced the deadline. */
+  readonly endsBy: number;
+}
+
+/**
+ * Creates the session of a server that checks no grants. The leaseholder is its only sender, so nothing
+ * runs there once each request sent has ended or, at a server that answers, its deadline has passed.
+ *
+ * @param options - Ports and lease.
+ * @returns The session.
+ */
+export function createUnfencedSession(options: UnfencedSessionOptions): ServerSession {
+  const { control, clock } = options;
+  let unresolved: readonly UnresolvedRequest[] = [];
+  let bootId: string | null = null;
+  if (options.predecessorDeadlineMs > 0) {
+    recordUnresolved(undefined, clock.now() + options.predecessorDeadlineMs);
+  }
+
+  return {
+    exchange: async () => {
+      const sentAt = clock.now();
+      try {
+        const report = await control.health();
+        const hasRestarted = bootId !== null && bootId !== report.bootId;
+        bootId = report.bootId;
+        unresolved = hasRestarted ? [] : unresolved.filter((request) => request.endsBy > sentAt);
+        return { kind: "reached", report, hasRestarted, isIncomplete: false };
+      } catch (error) {
+        return { kind: "unreached", error: describeError(error) };
+      }
+    },
+    epochToSend: (slot) => options.desiredSlots().find((desired) => desired.slot === slot)?.epoch,
+    recordUnresolved,
+    revoke: (slots) =>
+      Promise.resolve(slots.filter((slot) => !unresolved.some((request) => concerns(request, slot)))),
+    hasProvablyStopped: async () => {
+      const isStopped = options.isDeclaredStopped() || (await control.refusesConnections());
+      if (isStopped) {
+        unresolved = [];
+      }
+      return isStopped || (unresolved.length === 0 && options.inFlight() === 0);
+    },
+  };
+
+  function recordUnresolved(slot: Slot | undefined, deadlineAt: number): void {
+    unresolved = [...unresolved, { slot, endsBy: deadlineAt + DEADLINE_MARGIN_MS }];
+  }
+}
+
+function concerns(request: UnresolvedRequest, slot: Slot): boolean {
+  return request.slot === undefined || request.slot === slot;
+}
+
+function maximumValidityMs(): number {
+  return GRANT_VALIDITY_MS * (1 + CLOCK_DRIFT);
+}
--- /dev/null
+++ b/src/ownership/statusView.ts
@@ -0,0 +1,42 @@
+/** The newest statement of each leaseholder about its server. */
+import Emittery from "emittery";
+import type { ServerName } from "../types";
+import { ServerState, type ServerStatus } from "./types";
+
+/** Statements about servers. */
+export interface StatusView {
+  /** `changed` is emitted after a new statement was taken. */
+  readonly events: Emittery<{ changed: ServerStatus }>;
+  /** Takes a statement unless a newer leaseholder has made one. Returns true when it was new. */
+  offer(status: ServerStatus): boolean;
+  /** State of a server. */
+  stateOf(server: ServerName): ServerState;
+  /** All statements. */
+  all(): readonly ServerStatus[];
+}
+
+/**
+ * Creates an empty view.
+ *
+ * @returns The view.
+ */
+export function createStatusView(): StatusView {
+  const events = new Emittery<{ changed: ServerStatus }>();
+  const statuses = new Map<ServerName, ServerStatus>();
+  return {
+    events,
+    offer: (status) => {
+      const known = statuses.get(status.server);
+      const isOld = known !== undefined && known.generation > status.generation;
+      const isSame = known?.generation === status.generation && known.state === status.state;
+      if (isOld || isSame) {
+        return false;
+      }
+      statuses.set(status.server, status);
+      void events.emit("changed", status);
+      return true;
+    },
+    stateOf: (server) => statuses.get(server)?.state ?? ServerState.Unknown,
+    all: () => [...statuses.values()],
+  };
+}
--- /dev/null
+++ b/src/ownership/types.ts
@@ -0,0 +1,126 @@
+/** Types of key ownership: assignments of slots to backend servers, and leases of daemons on servers. */
+import type {
+  Address,
+  DaemonName,
+  DaemonRun,
+  DataCentreName,
+  Epoch,
+  Generation,
+  ServerName,
+  ServiceName,
+  Slot,
+} from "../types";
+
+/** Index in `Assignment.owners` of a slot without an owner. */
+export const NO_OWNER = -1;
+
+/** A daemon run that holds a lease, with the address at which its process can be asked for. */
+export interface Leaseholder extends DaemonRun {
+  readonly address: Address;
+}
+
+/** A backend server in an assignment, with the one daemon that may send to it. */
+export interface AssignedServer {
+  readonly name: ServerName;
+  readonly dataCentre: DataCentreName;
+  /** Rises with each change of the leaseholder. */
+  readonly generation: Generation;
+  readonly leaseholder: Leaseholder | null;
+  /** Earlier leaseholders that a fenced server may not have shut out yet. */
+  readonly predecessors: readonly Leaseholder[];
+}
+
+/** A planned move. The slot stays with its owner until the owner has provably stopped. */
+export interface Move {
+  readonly slot: Slot;
+  readonly target: ServerName;
+}
+
+/** Ownership of one service's slots, and the leaseholders of its servers. Changed as a whole. */
+export interface Assignment {
+  readonly service: ServiceName;
+  readonly servers: readonly AssignedServer[];
+  /** For each slot the index of its owner in `servers`, or NO_OWNER. Empty for services without keys. */
+  readonly owners: readonly number[];
+  /** For each slot the number of its current ownership. */
+  readonly epochs: readonly Epoch[];
+  readonly moves: readonly Move[];
+}
+
+/** A slot with the number of its ownership. */
+export interface SlotEpoch {
+  readonly slot: Slot;
+  readonly epoch: Epoch;
+}
+
+/** What a leaseholder knows of its server. */
+export const ServerState = {
+  /** Not reached yet by this leaseholder. */
+  Unknown: "unknown",
+  Up: "up",
+  Cold: "cold",
+  /** The server reports that it leaves. */
+  Draining: "draining",
+  /** Proved stopped. */
+  Lost: "lost",
+} as const;
+export type ServerState = (typeof ServerState)[keyof typeof ServerState];
+
+/** A leaseholder's statement about its server. */
+export interface ServerStatus {
+  readonly service: ServiceName;
+  readonly server: ServerName;
+  readonly generation: Generation;
+  readonly state: ServerState;
+  readonly reporter: DaemonName;
+}
+
+/** What a backend server says of itself. */
+export interface ServerReport {
+  /** Changes with each start of the server's process. */
+  readonly bootId: string;
+  /** The server's monotonic clock in milliseconds. */
+  readonly clockMs: number;
+  /** Requests running now, by the server's own count. */
+  readonly running: number;
+  readonly isCold: boolean;
+  readonly isDraining: boolean;
+}
+
+/** A control call to a fenced server. */
+export interface LeaseCall {
+  readonly generation: Generation;
+  /** Rises with each call of one generation; a server ignores calls that arrive out of order. */
+  readonly sequence: number;
+  /** Boot that the call is meant for; a server with another boot id changes no grants. */
+  readonly bootId: string | null;
+  /** Time on the server's clock until which grants hold; 0 leaves it as it is. */
+  readonly validUntilMs: number;
+  readonly grant: readonly SlotEpoch[];
+  readonly revoke: readonly Slot[];
+}
+
+/** A fenced server's answer to a control call. */
+export type LeaseAnswer =
+  | {
+      readonly kind: "accepted";
+      readonly report: ServerReport;
+      /** Revoked slots whose earlier requests still run. */
+      readonly stillRunning: readonly Slot[];
+      /** Times that the server dropped all grants because the lease had lapsed. */
+      readonly lapses: number;
+    }
+  /** A newer generation holds the lease. */
+  | { readonly kind: "fenced"; readonly generation: Generation };
+
+/** Control calls to backend servers. They throw ServerUnreachableError when no answer arrives. */
+export interface ServerControl {
+  /** Renews the lease, grants and revokes slots at a fenced server. */
+  lease(call: LeaseCall): Promise<LeaseAnswer>;
+  /** Reads the report of a server that checks no grants. */
+  health(): Promise<ServerReport>;
+  /** Whether the server's address refuses connections, which only a stopped process does. */
+  refusesConnections(): Promise<boolean>;
+  /** Closes its connections. */
+  close(): void;
+}
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,3 @@
+/** Connections and messages between daemons. */
+export * from "./messages";
+export * from "./peers";
--- /dev/null
+++ b/src/peers/messages.ts
@@ -0,0 +1,81 @@
+/** Messages between daemons. docs/INTERFACES.md describes each one. */
+import type { Handover, ServerStatus } from "../ownership";
+import type { RawSnapshot, SnapshotVersions } from "../snapshots";
+import type {
+  Address,
+  DaemonName,
+  DataCentreName,
+  Failure,
+  Headers,
+  Incarnation,
+  LoadReport,
+  ServiceName,
+  Slot,
+  WorkRequest,
+} from "../types";
+
+/** Version of the peer protocol. A daemon refuses peers of another version. */
+export const PEER_PROTOCOL = 1;
+
+/** Load of one slot in requests per second. */
+export type SlotLoad = readonly [slot: Slot, requestsPerSecond: number];
+
+/** First message in both directions. */
+export interface Hello {
+  readonly kind: "hello";
+  readonly protocol: number;
+  readonly cluster: string;
+  readonly daemon: DaemonName;
+  readonly incarnation: Incarnation;
+  readonly dataCentre: DataCentreName;
+  /** Release of the sender. */
+  readonly release: string;
+}
+
+/** Messages after the hellos. Identifiers are chosen by the side that asks. */
+export type PeerMessage =
+  | {
+      readonly kind: "request";
+      readonly id: number;
+      readonly work: WorkRequest;
+      readonly body: Uint8Array | null;
+    }
+  | {
+      readonly kind: "requestBody";
+      readonly id: number;
+      readonly chunk: Uint8Array;
+      readonly isLast: boolean;
+    }
+  | { readonly kind: "requestCredit"; readonly id: number; readonly bytes: number }
+  | { readonly kind: "requestAborted"; readonly id: number }
+  | { readonly kind: "cancel"; readonly id: number }
+  | {
+      readonly kind: "answer";
+      readonly id: number;
+      readonly status: number;
+      readonly headers: Headers;
+      readonly load: LoadReport;
+      /** Null when the body follows. */
+      readonly body: Uint8Array | null;
+    }
+  | { readonly kind: "failure"; readonly id: number; readonly failure: Failure }
+  | { readonly kind: "answerBody"; readonly id: number; readonly chunk: Uint8Array; readonly isLast: boolean }
+  | { readonly kind: "answerCredit"; readonly id: number; readonly bytes: number }
+  | { readonly kind: "answerAborted"; readonly id: number }
+  /** Asks whether a request was seen; if not, it is refused from then on. */
+  | { readonly kind: "query"; readonly id: number; readonly workId: string }
+  | { readonly kind: "queryAnswer"; readonly id: number; readonly wasSeen: boolean }
+  | { readonly kind: "snapshotSync"; readonly id: number; readonly versions: SnapshotVersions }
+  | {
+      readonly kind: "snapshots";
+      readonly id: number;
+      readonly snapshots: readonly RawSnapshot[];
+      readonly versions: SnapshotVersions;
+    }
+  | { readonly kind: "snapshotPush"; readonly snapshots: readonly RawSnapshot[] }
+  | { readonly kind: "statuses"; readonly statuses: readonly ServerStatus[] }
+  /** Addresses of VMs that the platform's list calls leaving. */
+  | { readonly kind: "leavingVms"; readonly addresses: readonly Address[] }
+  | { readonly kind: "handover"; readonly handover: Handover }
+  | { readonly kind: "loadQuery"; readonly id: number; readonly service: ServiceName }
+  | { readonly kind: "loadAnswer"; readonly id: number; readonly loads: readonly SlotLoad[] };
--- /dev/null
+++ b/src/peers/peers.ts
@@ -0,0 +1,342 @@
+/** All connections of this daemon with other daemons. */
+import { WebSocketServer } from "ws";
+import { PeerError, describeError } from "../errors";
+import type { Membership } from "../membership";
+import { type Counters, Event, type Logger } from "../observability";
+import type { Handover, PeerIdentity, ServerStatus, SlotLoads } from "../ownership";
+import type { RawSnapshot, SnapshotVersions } from "../snapshots";
+import {
+  type Address,
+  type Clock,
+  type DaemonName,
+  type ServiceName,
+  type WorkHandler,
+  isSameRun,
+} from "../types";
+import { type PeerLink, MAX_MESSAGE_BYTES, acceptLink, dialPeer, runOf } from "./link";
+import type { Hello, PeerMessage, SlotLoad } from "./messages";
+import { type WorkChannel, createWorkChannel } from "./workChannel";
+
+const QUERY_TIMEOUT_MS = 500;
+const REDIAL_PAUSE_MS = 150;
+
+/** What other daemons may ask of this one. */
+export interface PeerHandlers {
+  readonly handleWork: WorkHandler;
+  /** Whether a request was seen; if not, it must be refused from now on. */
+  readonly wasSeen: (workId: string) => boolean;
+  /** Snapshots that are newer here. */
+  readonly newerThan: (versions: SnapshotVersions) => readonly RawSnapshot[];
+  readonly versions: () => SnapshotVersions;
+  readonly takeSnapshots: (snapshots: readonly RawSnapshot[]) => void;
+  readonly statuses: () => readonly ServerStatus[];
+  readonly takeStatuses: (statuses: readonly ServerStatus[]) => void;
+  readonly takeLeavingVms: (addresses: readonly Address[]) => void;
+  readonly takeHandover: (handover: Handover) => void;
+  readonly takeSlotLoads: (service: ServiceName) => SlotLoads;
+}
+
+/** What the connections are made from. */
+export interface PeersOptions {
+  readonly hello: Hello;
+  readonly address: Address;
+  readonly membership: Membership;
+  readonly handlers: PeerHandlers;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly counters: Counters;
+}
+
+/** A connection that is ready for use. */
+export interface Peer {
+  readonly remote: Hello;
+  readonly forward: WorkChannel["forward"];
+  /** Asks whether the peer has seen a request. */
+  query(workId: string): Promise<boolean>;
+  /** Exchanges newer snapshots in both directions. */
+  sync(): Promise<void>;
+  /** Asks for the load of the peer's slots. */
+  queryLoads(service: ServiceName): Promise<readonly SlotLoad[]>;
+  /** Sends a message without an answer. */
+  send(message: PeerMessage): void;
+}
+
+/** Connections with all daemons. */
+export interface Peers {
+  /** Gives a connection, dialling when there is none. Throws PeerError. */
+  connect(daemon: DaemonName): Promise<Peer>;
+  /** Sends a message to present daemons with an open or new connection; failures are dropped. */
+  broadcast(message: PeerMessage, daemons: readonly DaemonName[]): void;
+  /** Asks the process at an address which run it is. */
+  identify(address: Address): Promise<PeerIdentity>;
+  /** Closes the listener and all connections. */
+  close(): Promise<void>;
+}
+
+interface PendingAnswer {
+  readonly resolve: (message: PeerMessage) => void;
+  readonly reject: (error: Error) => void;
+}
+
+interface OpenPeer extends Peer {
+  readonly link: PeerLink;
+}
+
+/**
+ * Listens for other daemons.
+ *
+ * @param options - Identity, address and handlers.
+ * @returns The connections.
+ * @throws Error when the address cannot be bound.
+ */
+export async function createPeers(options: PeersOptions): Promise<Peers> {
+  const { hello, membership, handlers, clock, logger, counters } = options;
+  const dialled = new Map<DaemonName, Promise<OpenPeer>>();
+  const openLinks = new Set<PeerLink>();
+  const failedAt = new Map<DaemonName, number>();
+  const server = await listen(options.address);
+  server.on("connection", (socket) => {
+    socket.on("error", () => undefined);
+    acceptLink(socket, hello).then(
+      (link) => {
+        link.greet(hello);
+        open(link);
+      },
+      (error: unknown) => {
+        counters.increment("peers.refused", describeError(error));
+        logger.log(Event.PeerRefused, { error: describeError(error) });
+      },
+    );
+  });
+
+  return {
+    connect,
+    broadcast: (message, daemons) => {
+      for (const daemon of daemons) {
+        connect(daemon).then(
+          (peer) => {
+            peer.send(message);
+          },
+          () => undefined,
+        );
+      }
+    },
+    identify,
+    close: async () => {
+      for (const link of openLinks) {
+        link.close();
+      }
+      await new Promise<void>((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+      });
+    },
+  };
+
+  function connect(daemon: DaemonName): Promise<OpenPeer> {
+    const known = dialled.get(daemon);
+    if (known !== undefined) {
+      return known;
+    }
+    if (clock.now() - (failedAt.get(daemon) ?? Number.NEGATIVE_INFINITY) < REDIAL_PAUSE_MS) {
+      return Promise.reject(
+        new PeerError("dialled without success just now", { props: { step: "dial", peer: daemon } }),
+      );
+    }
+    const dialling = dial(daemon);
+    dialled.set(daemon, dialling);
+    dialling.catch(() => {
+      failedAt.set(daemon, clock.now());
+      dialled.delete(daemon);
+      membership.check(daemon);
+    });
+    return dialling;
+  }
+
+  async function dial(daemon: DaemonName): Promise<OpenPeer> {
+    const member = membership.get(daemon);
+    if (member === undefined) {
+      throw new PeerError("unknown daemon", { props: { step: "dial", peer: daemon } });
+    }
+    const link = await dialPeer(member.address, hello);
+    link.onClose(() => {
+      dialled.delete(daemon);
+      membership.check(daemon);
+      logger.log(Event.PeerDisconnected, { peer: daemon });
+    });
+    logger.log(Event.PeerConnected, { peer: daemon, release: link.remote.release });
+    const peer = open(link);
+    return peer;
+  }
+
+  async function identify(address: Address): Promise<PeerIdentity> {
+    try {
+      const link = await dialPeer(address, hello);
+      const run = runOf(link.remote);
+      link.close();
+      return { kind: "run", run };
+    } catch (error) {
+      return { kind: isRefused(error) ? "refused" : "silent" };
+    }
+  }
+
+  function open(link: PeerLink): OpenPeer {
+    const channel = createWorkChannel(link, handlers.handleWork);
+    const pending = new Map<number, PendingAnswer>();
+    let lastQueryId = 0;
+    openLinks.add(link);
+    link.onClose(() => {
+      openLinks.delete(link);
+      channel.breakAll();
+      for (const waiting of pending.values()) {
+        waiting.reject(
+          new PeerError("peer connection lost", { props: { step: "query", peer: link.remote.daemon } }),
+        );
+      }
+    });
+    link.receive((message) => {
+      handleMessage(link, channel, pending, message);
+    });
+    link.send({ kind: "statuses", statuses: handlers.statuses() });
+    return {
+      link,
+      remote: link.remote,
+      forward: (work, body, signal) => channel.forward(work, body, signal),
+      query: async (workId) => {
+        const answer = await ask((id) => ({ kind: "query", id, workId }));
+        return answer.kind !== "queryAnswer" || answer.wasSeen;
+      },
+      sync: async () => {
+        const answer = await ask((id) => ({ kind: "snapshotSync", id, versions: handlers.versions() }));
+        if (answer.kind === "snapshots") {
+          handlers.takeSnapshots(answer.snapshots);
+          const missing = handlers.newerThan(answer.versions);
+          if (missing.length > 0) {
+            link.send({ kind: "snapshotPush", snapshots: missing });
+          }
+        }
+      },
+      queryLoads: async (service) => {
+        const answer = await ask((id) => ({ kind: "loadQuery", id, service }));
+        return answer.kind === "loadAnswer" ? answer.loads : [];
+      },
+      send: (message) => {
+        link.send(message);
+      },
+    };
+
+    function ask(createMessage: (id: number) => PeerMessage): Promise<PeerMessage> {
+      lastQueryId += 1;
+      const id = lastQueryId;
+      return new Promise<PeerMessage>((resolve, reject) => {
+        const cancel = clock.schedule(QUERY_TIMEOUT_MS, () => {
+          reject(new PeerError("no answer in time", { props: { step: "query", peer: link.remote.daemon } }));
+        });
+        pending.set(id, {
+          resolve: (message) => {
+            cancel();
+            resolve(message);
+          },
+          reject: (error) => {
+            cancel();
+            reject(error);
+          },
+        });
+        link.send(createMessage(id));
+      }).finally(() => {
+        pending.delete(id);
+      });
+    }
+  }
+
+  function handleMessage(
+    link: PeerLink,
+    channel: WorkChannel,
+    pending: ReadonlyMap<number, PendingAnswer>,
+    message: PeerMessage,
+  ): void {
+    switch (message.kind) {
+      case "query":
+        link.send({ kind: "queryAnswer", id: message.id, wasSeen: handlers.wasSeen(message.workId) });
+        break;
+      case "snapshotSync":
+        link.send({
+          kind: "snapshots",
+          id: message.id,
+          snapshots: handlers.newerThan(message.versions),
+          versions: handlers.versions(),
+        });
+        break;
+      case "loadQuery":
+        link.send({
+          kind: "loadAnswer",
+          id: message.id,
+          loads: [...handlers.takeSlotLoads(message.service)],
+        });
+        break;
+      case "queryAnswer":
+      case "snapshots":
+      case "loadAnswer":
+        pending.get(message.id)?.resolve(message);
+        break;
+      case "snapshotPush":
+        handlers.takeSnapshots(message.snapshots);
+        break;
+      case "statuses":
+        handlers.takeStatuses(message.statuses);
+        break;
+      case "leavingVms":
+        handlers.takeLeavingVms(message.addresses);
+        break;
+      case "handover":
+        handlers.takeHandover(message.handover);
+        break;
+      case "request":
+      case "requestBody":
+      case "requestCredit":
+      case "requestAborted":
+      case "cancel":
+      case "answer":
+      case "failure":
+      case "answerBody":
+      case "answerCredit":
+      case "answerAborted":
+        channel.receive(message);
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+}
+
+function listen(address: Address): Promise<WebSocketServer> {
+  const server = new WebSocketServer({
+    host: address.host,
+    port: address.port,
+    perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES,
+  });
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.once("listening", () => {
+      server.removeListener("error", reject);
+      resolve(server);
+    });
+  });
+}
+
+function isRefused(error: unknown): boolean {
+  return error instanceof PeerError && (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
+}
+
+/**
+ * Tells whether a peer is the run that is meant.
+ *
+ * @param peer - The peer.
+ * @param run - The run.
+ * @returns True when they agree.
+ */
+export function isPeerRun(peer: Peer, run: { daemon: DaemonName; incarnation: number }): boolean {
+  return isSameRun(runOf(peer.remote), run);
+}
--- /dev/null
+++ b/src/platform/types.ts
@@ -0,0 +1,53 @@
+/** Ports to the platform: the object API and the VM list. */
+import type { Address, DataCentreName, Version } from "../types";
+
+/** An object as the object API holds it. */
+export interface StoredObject {
+  readonly path: string;
+  readonly version: Version;
+  readonly value: unknown;
+}
+
+/** Answer to a conditional update. */
+export type WriteResult =
+  | { readonly kind: "written"; readonly version: Version }
+  | { readonly kind: "conflict"; readonly current: StoredObject | undefined };
+
+/** Objects as of a version. */
+export interface ObjectChanges {
+  readonly objects: readonly StoredObject[];
+  /** Highest version of the object API at the time of the answer. */
+  readonly version: Version;
+}
+
+/** Importance of a platform call when the budget is short; a lower number goes first. */
+export const CallPriority = { Ownership: 0, Configuration: 1, Status: 2 } as const;
+export type CallPriority = (typeof CallPriority)[keyof typeof CallPriority];
+
+/**
+ * The object API. Every method throws PlatformUnavailableError when no answer arrives; a write
+ * without an answer may have taken effect.
+ */
+export interface ObjectStore {
+  /** Reads one object; undefined when there is none. */
+  read(path: string, priority: CallPriority): Promise<StoredObject | undefined>;
+  /** Writes when the object's version is `base`; 0 stands for an absent object. */
+  write(path: string, value: unknown, base: Version, priority: CallPriority): Promise<WriteResult>;
+  /** Lists the objects whose path starts with `prefix`. */
+  list(prefix: string, priority: CallPriority): Promise<ObjectChanges>;
+  /** Waits up to `waitMs` for changes after `since` under `prefix`. */
+  watch(prefix: string, since: Version, waitMs: number, signal: AbortSignal): Promise<ObjectChanges>;
+}
+
+/** One VM of the platform's list. */
+export interface VmRecord {
+  readonly address: Address;
+  readonly dataCentre: DataCentreName;
+  readonly state: "live" | "leaving";
+}
+
+/** The platform's list of VMs. It lags behind what happens. */
+export interface VmList {
+  /** Reads the list. */
+  list(): Promise<readonly VmRecord[]>;
+}
--- /dev/null
+++ b/src/routing/callerServer.ts
@@ -0,0 +1,234 @@
+/** The entry for callers: HTTP/1.1 in, whole answers or clear refusals out. */
+import { randomUUID } from "node:crypto";
+import { type Server, type ServerResponse, createServer } from "node:http";
+import type { Socket } from "node:net";
+import { pipeline } from "node:stream/promises";
+import express from "express";
+import { describeError } from "../errors";
+import { type Counters, Event, type Logger } from "../observability";
+import type { SnapshotStore } from "../snapshots";
+import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
+import { type ReadRequest, readCallerBody, readCallerRequest } from "./callerRequest";
+import { HeaderName, readHeader } from "./headers";
+import type { Router } from "./router";
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const MAX_CONCURRENT_REQUESTS = 20_000;
+const RETRY_AFTER_SECONDS = "1";
+
+const statusByReason: Readonly<Partial<Record<RefusalReason, number>>> = {
+  [RefusalReason.UnknownService]: 404,
+  [RefusalReason.MissingKey]: 400,
+  [RefusalReason.InvalidRequest]: 400,
+  [RefusalReason.HeadersTooLarge]: 431,
+  [RefusalReason.TooManyRequests]: 503,
+  [RefusalReason.DuplicateInProgress]: 409,
+};
+const STATUS_NOT_RUN = 503;
+const STATUS_UNKNOWN = 502;
+const STATUS_DEADLINE = 504;
+
+/** What the entry is made from. */
+export interface CallerServerOptions {
+  readonly address: Address;
+  readonly router: Router;
+  readonly snapshots: SnapshotStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly counters: Counters;
+}
+
+/** The entry for callers. */
+export interface CallerServer {
+  /** Requests that have not been answered yet. */
+  inFlight(): number;
+  /** Asks callers to leave with their next answer. */
+  drain(): void;
+  /** Takes no new connections and closes idle ones. */
+  close(): Promise<void>;
+}
+
+/**
+ * Starts the entry.
+ *
+ * @param options - Address, router and ports.
+ * @returns The entry.
+ * @throws Error when the address cannot be bound.
+ */
+export async function createCallerServer(options: CallerServerOptions): Promise<CallerServer> {
+  const { snapshots, clock, counters, logger } = options;
+  let inFlight = 0;
+  let isDraining = false;
+  const app = express();
+  app.disable("x-powered-by");
+  app.disable("etag");
+  app.use((request, response) => {
+    void serve(request, response);
+  });
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, app);
+  server.on("clientError", refuseBrokenRequest);
+  await listen(server, options.address);
+
+  return {
+    inFlight: () => inFlight,
+    drain: () => {
+      isDraining = true;
+    },
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeIdleConnections();
+      }),
+  };
+
+  async function serve(message: express.Request, response: express.Response): Promise<void> {
+    inFlight += 1;
+    const requestId = readHeader(message.headers, HeaderName.RequestId) ?? randomUUID();
+    try {
+      await answer(message, response, requestId);
+    } catch (error) {
+      logger.log(Event.UnexpectedError, { step: "serve caller", error: describeError(error) });
+      response.destroy();
+    } finally {
+      inFlight -= 1;
+    }
+  }
+
+  async function answer(
+    message: express.Request,
+    response: express.Response,
+    requestId: string,
+  ): Promise<void> {
+    counters.increment("callers.requests");
+    if (isDraining) {
+      response.setHeader("connection", "close");
+    }
+    const read = readHead(message);
+    if (read.kind === "refused") {
+      refuse(response, requestId, notRun(read.reason), read.detail);
+      return;
+    }
+    const gone = new AbortController();
+    response.once("close", () => {
+      if (!response.writableFinished) {
+        gone.abort();
+      }
+    });
+    const body = await readCallerBody(message);
+    if (body === undefined) {
+      refuse(response, requestId, notRun(RefusalReason.CallerGone), "the request body was broken off");
+      return;
+    }
+    const result = await options.router(read.request, body, gone.signal);
+    if (result.kind === "failure") {
+      refuse(response, requestId, result.failure);
+      return;
+    }
+    await send(response, requestId, result.answer);
+  }
+
+  function readHead(message: express.Request): ReadRequest {
+    const configuration = snapshots.configuration()?.value.configuration;
+    if (configuration === undefined) {
+      return { kind: "refused", reason: RefusalReason.NotReady, detail: "no configuration is in force yet" };
+    }
+    if (inFlight > MAX_CONCURRENT_REQUESTS) {
+      return {
+        kind: "refused",
+        reason: RefusalReason.TooManyRequests,
+        detail: "too many requests in flight",
+      };
+    }
+    return readCallerRequest(message, configuration, clock);
+  }
+
+  async function send(response: ServerResponse, requestId: string, workAnswer: WorkAnswer): Promise<void> {
+    response.statusCode = workAnswer.status;
+    for (const [name, value] of Object.entries(workAnswer.headers)) {
+      response.setHeader(name, value);
+    }
+    response.setHeader(HeaderName.RequestId, requestId);
+    if (workAnswer.body.kind === "buffer") {
+      response.end(workAnswer.body.content);
+      return;
+    }
+    try {
+      await pipeline(workAnswer.body.stream, response);
+    } catch (error) {
+      // The connection is closed short of the announced length, so the caller sees that the answer is broken.
+      counters.increment("callers.answerBroken");
+      logger.log(Event.RequestFailed, { requestId, step: "send answer", error: describeError(error) });
+      response.destroy();
+    }
+  }
+
+  function refuse(response: ServerResponse, requestId: string, failure: Failure, detail?: string): void {
+    counters.increment("callers.refused", failure.reason);
+    logger.log(Event.RequestFailed, { requestId, ...failure });
+    if (response.destroyed) {
+      return;
+    }
+    response.statusCode = chooseStatus(failure);
+    response.setHeader(HeaderName.RequestId, requestId);
+    response.setHeader(HeaderName.Outcome, failure.outcome);
+    response.setHeader(HeaderName.Reason, failure.reason);
+    if (response.statusCode === STATUS_NOT_RUN) {
+      response.setHeader("retry-after", RETRY_AFTER_SECONDS);
+    }
+    response.setHeader("content-type", "application/json");
+    const { outcome, reason, step, peer } = failure;
+    response.end(JSON.stringify({ outcome, reason, step, peer, detail, requestId }));
+  }
+
+  /** Requests that the HTTP parser refuses never reach the application. */
+  function refuseBrokenRequest(
+    error: NodeJS.ErrnoException,
+    socket: Socket | import("node:stream").Duplex,
+  ): void {
+    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+    const reason = isTooLarge ? RefusalReason.HeadersTooLarge : RefusalReason.InvalidRequest;
+    counters.increment("callers.refused", reason);
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = isTooLarge ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const body = JSON.stringify({ outcome: Outcome.NotRun, reason, step: "read request" });
+    const fields = [
+      `HTTP/1.1 ${status}`,
+      "content-type: application/json",
+      `content-length: ${Buffer.byteLength(body)}`,
+      `${HeaderName.Outcome}: ${Outcome.NotRun}`,
+      `${HeaderName.Reason}: ${reason}`,
+      "connection: close",
+    ];
+    socket.end(`${fields.join("\r\n")}\r\n\r\n${body}`);
+  }
+}
+
+function chooseStatus(failure: Failure): number {
+  const status = statusByReason[failure.reason];
+  if (status !== undefined) {
+    return status;
+  }
+  if (failure.reason === RefusalReason.DeadlineExceeded) {
+    return STATUS_DEADLINE;
+  }
+  return failure.outcome === Outcome.NotRun ? STATUS_NOT_RUN : STATUS_UNKNOWN;
+}
+
+function notRun(reason: RefusalReason): Failure {
+  return { outcome: Outcome.NotRun, reason, step: "read request" };
+}
+
+function listen(server: Server, address: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => {
+      server.removeListener("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/routing/headers.ts
@@ -0,0 +1,74 @@
+/** Header fields that hemlockbank reads or writes. */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Headers } from "../types";
+
+/** Names of header fields. */
+export const HeaderName = {
+  RequestId: "x-request-id",
+  IdempotencyKey: "idempotency-key",
+  /** Caller's longest wait in milliseconds. */
+  Timeout: "x-hemlockbank-timeout-ms",
+  Slot: "x-hemlockbank-slot",
+  Epoch: "x-hemlockbank-epoch",
+  Generation: "x-hemlockbank-generation",
+  Outcome: "x-hemlockbank-outcome",
+  Reason: "x-hemlockbank-reason",
+  Cold: "x-hemlockbank-cold",
+} as const;
+
+const hopByHop = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/** Fields that only hemlockbank may set on requests. */
+const reserved = new Set<string>([
+  HeaderName.Slot,
+  HeaderName.Epoch,
+  HeaderName.Generation,
+  HeaderName.Outcome,
+  HeaderName.Reason,
+  HeaderName.Cold,
+  HeaderName.Timeout,
+]);
+
+/**
+ * Removes fields that concern one connection only or are set by hemlockbank.
+ *
+ * @param headers - Fields as received.
+ * @returns Fields to pass on.
+ */
+export function selectForwardedHeaders(headers: IncomingHttpHeaders): Headers {
+  const named = listConnectionFields(headers.connection);
+  const selected: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !hopByHop.has(name) && !reserved.has(name) && !named.has(name)) {
+      selected[name] = value;
+    }
+  }
+  return selected;
+}
+
+function listConnectionFields(connection: string | undefined): ReadonlySet<string> {
+  return new Set((connection ?? "").split(",").map((name) => name.trim().toLowerCase()));
+}
+
+/**
+ * Reads a field that must stand at most once.
+ *
+ * @param headers - The fields.
+ * @param name - Name of the field.
+ * @returns Its value, or undefined.
+ */
+export function readHeader(headers: Headers | IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/routing/leaseholderDispatcher.ts
@@ -0,0 +1,183 @@
+/** Carries out requests for the backend servers whose leases this daemon holds. */
+import { describeError } from "../errors";
+import { type Counters, Event, type Logger } from "../observability";
+import type { LeaseManager, ServerLease } from "../ownership";
+import type { Peers } from "../peers";
+import type { SnapshotStore } from "../snapshots";
+import {
+  type Body,
+  type Clock,
+  type Failure,
+  Outcome,
+  RefusalReason,
+  type ServerName,
+  type WorkHandler,
+  type WorkRequest,
+  type WorkResult,
+} from "../types";
+import { type ServerClient, createServerClient } from "./serverClient";
+import { type WorkRegistry, isReplayable } from "./workRegistry";
+
+/** What a dispatcher is made from. */
+export interface DispatcherOptions {
+  readonly leases: LeaseManager;
+  readonly snapshots: SnapshotStore;
+  readonly registry: WorkRegistry;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly counters: Counters;
+  /** Connections, for requests to be passed on; read at use, since both refer to each other. */
+  readonly peers: () => Peers;
+}
+
+/** The dispatcher of this daemon. */
+export interface LeaseholderDispatcher {
+  readonly handleWork: WorkHandler;
+  /** Requests being carried out. */
+  inFlight(): number;
+  /** Closes connections to servers. */
+  close(): void;
+}
+
+interface OpenClient {
+  readonly client: ServerClient;
+  readonly lease: ServerLease;
+}
+
+/**
+ * Creates the dispatcher.
+ *
+ * @param options - Leases and ports.
+ * @returns The dispatcher.
+ */
+export function createLeaseholderDispatcher(options: DispatcherOptions): LeaseholderDispatcher {
+  const { leases, clock, registry, counters } = options;
+  const clients = new Map<ServerName, OpenClient>();
+  let inFlight = 0;
+
+  return {
+    handleWork: async (work, body, signal) => {
+      inFlight += 1;
+      try {
+        const result = await handle(work, body, signal);
+        if (result.kind === "failure") {
+          counters.increment("dispatch.refused", result.failure.reason);
+        }
+        return result;
+      } catch (error) {
+        options.logger.log(Event.UnexpectedError, { step: "dispatch", error: describeError(error) });
+        return fail(Outcome.Unknown, RefusalReason.ServerConnectionLost, work);
+      } finally {
+        inFlight -= 1;
+      }
+    },
+    inFlight: () => inFlight,
+    close: () => {
+      for (const { client } of clients.values()) {
+        client.close();
+      }
+    },
+  };
+
+  async function handle(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
+    if (work.relayTo !== null) {
+      return relay(work, body, signal);
+    }
+    if (!registry.admitAttempt(work.id)) {
+      return fail(Outcome.NotRun, RefusalReason.DuplicateInProgress, work);
+    }
+    if (work.isIdempotent || work.idempotencyKey === null) {
+      return carryOut(work, body, signal);
+    }
+    return carryOutOnce(work, body, signal);
+  }
+
+  /** Passes a request on for a daemon that cannot reach the leaseholder. It is passed on once at most. */
+  async function relay(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
+    counters.increment("dispatch.relayed");
+    const daemon = work.relayTo ?? "";
+    try {
+      const peer = await options.peers().connect(daemon);
+      return await peer.forward({ ...work, relayTo: null }, body, signal);
+    } catch {
+      return fail(Outcome.NotRun, RefusalReason.LeaseholderUnreachable, work);
+    }
+  }
+
+  async function carryOutOnce(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
+    const repetition = registry.begin(work);
+    switch (repetition.kind) {
+      case "running":
+        return fail(Outcome.Unknown, RefusalReason.DuplicateInProgress, work);
+      case "ended":
+        counters.increment("dispatch.replayed");
+        return repetition.result;
+      case "first":
+        return carryOutFirst(work, body, signal);
+      default:
+        return repetition satisfies never;
+    }
+  }
+
+  async function carryOutFirst(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
+    const result = await carryOut(work, body, signal);
+    const kept = isReplayable(result)
+      ? result
+      : fail(Outcome.Unknown, RefusalReason.DuplicateInProgress, work);
+    registry.finish(work, kept);
+    return result;
+  }
+
+  async function carryOut(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
+    const lease = leases.get(work.server);
+    if (lease?.service !== work.service) {
+      return fail(Outcome.NotRun, RefusalReason.NotLeaseholder, work);
+    }
+    const deadlineAt = clock.now() + work.timeoutMs;
+    const admission = await lease.beginWork(work.key ?? undefined, deadlineAt, signal);
+    if (admission.kind === "refused") {
+      return fail(Outcome.NotRun, admission.reason, work);
+    }
+    if (clock.now() >= deadlineAt || signal.aborted) {
+      admission.permit.end("notSent", undefined);
+      return fail(Outcome.NotRun, RefusalReason.DeadlineExceeded, work);
+    }
+    const client = clientOf(lease);
+    if (client === undefined) {
+      admission.permit.end("notSent", undefined);
+      return fail(Outcome.NotRun, RefusalReason.NotLeaseholder, work);
+    }
+    counters.increment("dispatch.sent");
+    const { permit } = admission;
+    return client.send({ work, body, permit, generation: lease.generation, deadlineAt, signal });
+  }
+
+  function clientOf(lease: ServerLease): ServerClient | undefined {
+    const open = clients.get(lease.server);
+    if (open?.lease === lease) {
+      return open.client;
+    }
+    open?.client.retire();
+    clients.delete(lease.server);
+    const settings = options.snapshots.configuration()?.value.configuration.servers[lease.server];
+    if (settings === undefined) {
+      return undefined;
+    }
+    const client = createServerClient({
+      address: { host: settings.host, port: settings.port },
+      connections: Math.min(settings.connections, settings.slots),
+      clock,
+      load: () => lease.load(),
+      onCold: () => {
+        lease.recordCold();
+      },
+    });
+    clients.set(lease.server, { client, lease });
+    return client;
+  }
+}
+
+function fail(outcome: Outcome, reason: RefusalReason, work: WorkRequest): WorkResult {
+  const failure: Failure = { outcome, reason, step: "dispatch", peer: work.server };
+  return { kind: "failure", failure };
+}
--- /dev/null
+++ b/src/routing/peerForwarder.ts
@@ -0,0 +1,135 @@
+/** Passes requests to the daemon that holds a server's lease, directly or through one other daemon. */
+import type { Membership } from "../membership";
+import type { Counters } from "../observability";
+import type { Leaseholder } from "../ownership";
+import { type Peer, type Peers, isPeerRun } from "../peers";
+import {
+  type Body,
+  Outcome,
+  RefusalReason,
+  type WorkHandler,
+  type WorkRequest,
+  type WorkResult,
+  isSameRun,
+} from "../types";
+
+/** What a forwarder is made from. */
+export interface PeerForwarderOptions {
+  readonly membership: Membership;
+  readonly peers: () => Peers;
+  readonly counters: Counters;
+  /** Carries out requests for which this daemon is the leaseholder. */
+  readonly handleLocally: WorkHandler;
+  /** Uniform random number in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Passes a request to a leaseholder. */
+export type PeerForwarder = (
+  leaseholder: Leaseholder,
+  work: WorkRequest,
+  body: Body,
+  signal: AbortSignal,
+) => Promise<WorkResult>;
+
+/**
+ * Creates the forwarder.
+ *
+ * @param options - Connections and the local handler.
+ * @returns The forwarder.
+ */
+export function createPeerForwarder(options: PeerForwarderOptions): PeerForwarder {
+  const { membership, counters } = options;
+
+  return async (leaseholder, work, body, signal) => {
+    if (isSameRun(leaseholder, membership.self())) {
+      return options.handleLocally(work, body, signal);
+    }
+    const peer = await connectTo(leaseholder);
+    if (peer === "otherRun") {
+      return refuse(leaseholder);
+    }
+    return peer === undefined
+      ? forwardThroughOther(leaseholder, work, body, signal)
+      : forwardAndAsk(peer, leaseholder, work, body, signal);
+  };
+
+  async function connectTo(leaseholder: Leaseholder): Promise<Peer | "otherRun" | undefined> {
+    try {
+      const peer = await options.peers().connect(leaseholder.daemon);
+      return isPeerRun(peer, leaseholder) ? peer : "otherRun";
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** After a broken connection the leaseholder itself can say whether it has seen the request. */
+  async function forwardAndAsk(
+    peer: Peer,
+    leaseholder: Leaseholder,
+    work: WorkRequest,
+    body: Body,
+    signal: AbortSignal,
+  ): Promise<WorkResult> {
+    const result = await peer.forward(work, body, signal);
+    const isLost = result.kind === "failure" && result.failure.reason === RefusalReason.PeerConnectionLost;
+    if (!isLost) {
+      return result;
+    }
+    counters.increment("forward.connectionLost");
+    const again = await connectTo(leaseholder);
+    if (again === undefined || again === "otherRun") {
+      return result;
+    }
+    try {
+      const wasSeen = await again.query(work.id);
+      return wasSeen ? result : refuse(leaseholder);
+    } catch {
+      return result;
+    }
+  }
+
+  async function forwardThroughOther(
+    leaseholder: Leaseholder,
+    work: WorkRequest,
+    body: Body,
+    signal: AbortSignal,
+  ): Promise<WorkResult> {
+    const relay = chooseRelay(leaseholder);
+    if (relay === undefined) {
+      return refuse(leaseholder);
+    }
+    counters.increment("forward.relayed");
+    try {
+      const peer = await options.peers().connect(relay);
+      return await peer.forward({ ...work, relayTo: leaseholder.daemon }, body, signal);
+    } catch {
+      return refuse(leaseholder);
+    }
+  }
+
+  /** Another daemon, best one in the leaseholder's own data centre. */
+  function chooseRelay(leaseholder: Leaseholder): string | undefined {
+    const others = membership
+      .present()
+      .filter((member) => member.daemon !== leaseholder.daemon && member.daemon !== membership.self().daemon);
+    const dataCentre = membership.get(leaseholder.daemon)?.dataCentre;
+    const near = others.filter((member) => member.dataCentre === dataCentre);
+    const eligible = near.length > 0 ? near : others;
+    return membership.isPresent(leaseholder)
+      ? eligible[Math.floor(options.random() * eligible.length)]?.daemon
+      : undefined;
+  }
+}
+
+function refuse(leaseholder: Leaseholder): WorkResult {
+  return {
+    kind: "failure",
+    failure: {
+      outcome: Outcome.NotRun,
+      reason: RefusalReason.LeaseholderUnreachable,
+      step: "forward",
+      peer: leaseholder.daemon,
+    },
+  };
+}
--- /dev/null
+++ b/src/routing/routeTable.ts
@@ -0,0 +1,102 @@
+/** Finds the backend server and the daemon for a request, from the newest snapshots. */
+import type { LoadView, ServerChoice } from "../balancing";
+import type { Membership } from "../membership";
+import {
+  type Leaseholder,
+  ServerState,
+  type StatusView,
+  computeSlot,
+  findLeavingReason,
+  findServer,
+  ownerOf,
+} from "../ownership";
+import type { SnapshotStore } from "../snapshots";
+import { RefusalReason, type ServerName, type ServiceName } from "../types";
+
+/** Where a request goes next. */
+export type Route =
+  | { readonly kind: "found"; readonly server: ServerName; readonly leaseholder: Leaseholder }
+  | { readonly kind: "refused"; readonly reason: RefusalReason };
+
+/** What a route table is made from. */
+export interface RouteTableOptions {
+  readonly snapshots: SnapshotStore;
+  readonly membership: Membership;
+  readonly statuses: StatusView;
+  readonly loads: LoadView;
+}
+
+/** Routes of this daemon. */
+export interface RouteTable {
+  /** Finds the owner of a key. */
+  routeByKey(service: ServiceName, key: string): Route;
+  /** Chooses a server for a request without a key, preferably not one of `avoided`. */
+  routeFreely(service: ServiceName, avoided: ReadonlySet<ServerName>): Route;
+}
+
+/**
+ * Creates the route table.
+ *
+ * @param options - Views to read.
+ * @returns The table.
+ */
+export function createRouteTable(options: RouteTableOptions): RouteTable {
+  const { snapshots, membership, statuses } = options;
+
+  return {
+    routeByKey: (service, key) => {
+      const assignment = snapshots.assignment(service)?.value;
+      if (assignment === undefined) {
+        return refuse(RefusalReason.NoOwner);
+      }
+      const owner = ownerOf(assignment, computeSlot(key, assignment.owners.length));
+      if (owner === undefined) {
+        return refuse(RefusalReason.NoOwner);
+      }
+      return owner.leaseholder === null
+        ? refuse(RefusalReason.NoLeaseholder)
+        : { kind: "found", server: owner.name, leaseholder: owner.leaseholder };
+    },
+    routeFreely: (service, avoided) => {
+      const usable = listUsable(service);
+      const preferred = usable.filter((choice) => !avoided.has(choice.name));
+      const choice = options.loads.choose(
+        preferred.length > 0 ? preferred : usable,
+        membership.self().dataCentre,
+      );
+      return choice === undefined ? refuse(RefusalReason.NoServer) : routeTo(service, choice.name);
+    },
+  };
+
+  function routeTo(service: ServiceName, server: ServerName): Route {
+    const assignment = snapshots.assignment(service)?.value;
+    const leaseholder = assignment === undefined ? undefined : findServer(assignment, server)?.leaseholder;
+    return leaseholder === undefined || leaseholder === null
+      ? refuse(RefusalReason.NoLeaseholder)
+      : { kind: "found", server, leaseholder };
+  }
+
+  /** Servers that are reached and stay; cold ones too, since their leaseholders hold them to their ramp. */
+  function listUsable(service: ServiceName): readonly ServerChoice[] {
+    const configuration = snapshots.configuration()?.value.configuration;
+    const assignment = snapshots.assignment(service)?.value;
+    if (configuration === undefined || assignment === undefined) {
+      return [];
+    }
+    return assignment.servers.flatMap((server): ServerChoice[] => {
+      const state = statuses.stateOf(server.name);
+      const settings = configuration.servers[server.name];
+      const isReached = state === ServerState.Up || state === ServerState.Cold;
+      const hasHolder = server.leaseholder !== null && membership.isPresent(server.leaseholder);
+      const isLeaving = findLeavingReason(configuration, server.name, state) !== undefined;
+      if (settings === undefined || !isReached || !hasHolder || isLeaving) {
+        return [];
+      }
+      return [{ name: server.name, dataCentre: server.dataCentre, slots: settings.slots }];
+    });
+  }
+}
+
+function refuse(reason: RefusalReason): Route {
+  return { kind: "refused", reason };
+}
--- /dev/null
+++ b/src/routing/router.ts
@@ -0,0 +1,272 @@
+/** Routes one caller's request: attempts, retries under a budget, hedges, and the final outcome. */
+import { randomUUID } from "node:crypto";
+import type { LoadView, RetryBudget } from "../balancing";
+import type { Service } from "../configuration";
+import type { Counters } from "../observability";
+import type { SnapshotStore } from "../snapshots";
+import {
+  type Body,
+  type Clock,
+  type Failure,
+  type Headers,
+  Outcome,
+  RefusalReason,
+  type ServerName,
+  type ServiceName,
+  type WorkResult,
+  sleep,
+} from "../types";
+import type { PeerForwarder } from "./peerForwarder";
+import type { Route, RouteTable } from "./routeTable";
+
+const RETRY_PAUSE_MS = 25;
+/** Refusals for lack of room at more than this many servers mean that the service is full. */
+const MAX_FULL_SERVERS = 2;
+
+/** A request as a caller sent it. */
+export interface CallerRequest {
+  readonly service: ServiceName;
+  readonly settings: Service;
+  /** Undefined for services without keys. */
+  readonly key: string | undefined;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: Headers;
+  readonly isIdempotent: boolean;
+  readonly idempotencyKey: string | null;
+  /** Local time by which the answer must have come. */
+  readonly deadlineAt: number;
+}
+
+/** What a router is made from. */
+export interface RouterOptions {
+  readonly table: RouteTable;
+  readonly forward: PeerForwarder;
+  readonly loads: LoadView;
+  readonly budget: RetryBudget;
+  readonly snapshots: SnapshotStore;
+  readonly clock: Clock;
+  readonly counters: Counters;
+}
+
+/** Routes requests. */
+export type Router = (request: CallerRequest, body: Body, signal: AbortSignal) => Promise<WorkResult>;
+
+/** Refusals that end when ownership has moved or a server is back. */
+const passingReasons = new Set<RefusalReason>([
+  RefusalReason.NoOwner,
+  RefusalReason.NoLeaseholder,
+  RefusalReason.LeaseholderUnreachable,
+  RefusalReason.NotLeaseholder,
+  RefusalReason.LeaseNotHeld,
+  RefusalReason.OwnershipMoving,
+  RefusalReason.DataCentreOut,
+  RefusalReason.ServerLeaving,
+  RefusalReason.NoServer,
+  RefusalReason.ServerFenced,
+  RefusalReason.ServerUnreachable,
+]);
+
+const fullReasons = new Set<RefusalReason>([
+  RefusalReason.QueueFull,
+  RefusalReason.QueueTimeout,
+  RefusalReason.ServerShed,
+]);
+
+/**
+ * Creates the router.
+ *
+ * @param options - Routes, forwarder and budgets.
+ * @returns The router.
+ */
+export function createRouter(options: RouterOptions): Router {
+  const { table, clock, counters, budget } = options;
+
+  return async (request, body, signal) => {
+    budget.recordRequest();
+    const avoided = new Set<ServerName>();
+    let failure: Failure | undefined;
+    while (clock.now() < request.deadlineAt && !signal.aborted) {
+      const route = findRoute(request, avoided);
+      if (route.kind === "refused") {
+        failure = refusal(route.reason, request);
+        await waitForChange(request, signal);
+        continue;
+      }
+      const result = await attemptWithHedge(request, route, body, avoided, signal);
+      if (result.kind === "answer") {
+        return result;
+      }
+      failure = result.failure;
+      avoided.add(route.server);
+      if (!mayRetry(request, failure, body, avoided)) {
+        return result;
+      }
+      counters.increment("route.retried", failure.reason);
+      if (passingReasons.has(failure.reason) && failure.outcome === Outcome.NotRun) {
+        await waitForChange(request, signal);
+      }
+    }
+    return { kind: "failure", failure: failure ?? refusal(chooseEndReason(signal), request) };
+  };
+
+  function chooseEndReason(signal: AbortSignal): RefusalReason {
+    return signal.aborted ? RefusalReason.CallerGone : RefusalReason.DeadlineExceeded;
+  }
+
+  function findRoute(request: CallerRequest, avoided: ReadonlySet<ServerName>): Route {
+    return request.key === undefined
+      ? table.routeFreely(request.service, avoided)
+      : table.routeByKey(request.service, request.key);
+  }
+
+  /** A request that did not run may always be sent again; one that may have run only when that does no harm. */
+  function mayRetry(
+    request: CallerRequest,
+    failure: Failure,
+    body: Body,
+    avoided: ReadonlySet<ServerName>,
+  ): boolean {
+    if (body.kind === "stream" && body.stream.readableDidRead) {
+      return false;
+    }
+    if (failure.outcome === Outcome.Unknown) {
+      return request.isIdempotent && failure.reason !== RefusalReason.CallerGone && takeRetry();
+    }
+    if (fullReasons.has(failure.reason)) {
+      return request.key === undefined && avoided.size < MAX_FULL_SERVERS && takeRetry();
+    }
+    return passingReasons.has(failure.reason);
+  }
+
+  function takeRetry(): boolean {
+    const isTaken = budget.take();
+    if (!isTaken) {
+      counters.increment("route.retryRefused", RefusalReason.RetryBudget);
+    }
+    return isTaken;
+  }
+
+  async function attemptWithHedge(
+    request: CallerRequest,
+    route: Route & { kind: "found" },
+    body: Body,
+    avoided: ReadonlySet<ServerName>,
+    signal: AbortSignal,
+  ): Promise<WorkResult> {
+    const hedgeAfterMs = request.settings.hedge_after;
+    const mayHedge = request.key === undefined && request.isIdempotent && body.kind === "buffer";
+    if (hedgeAfterMs === undefined || !mayHedge) {
+      return attempt(request, route, body, signal);
+    }
+    return hedge(request, route, body, avoided, hedgeAfterMs, signal);
+  }
+
+  /** Sends a second copy to another server when the first is late; the loser is cancelled. */
+  async function hedge(
+    request: CallerRequest,
+    route: Route & { kind: "found" },
+    body: Body,
+    avoided: ReadonlySet<ServerName>,
+    hedgeAfterMs: number,
+    signal: AbortSignal,
+  ): Promise<WorkResult> {
+    const first = createCancellable(signal);
+    const firstResult = attempt(request, route, body, first.signal);
+    const timer = new AbortController();
+    const early = await Promise.race([firstResult, sleep(clock, hedgeAfterMs, timer.signal)]);
+    timer.abort();
+    if (early !== undefined) {
+      return early;
+    }
+    const otherRoute = table.routeFreely(request.service, new Set([...avoided, route.server]));
+    if (otherRoute.kind === "refused" || otherRoute.server === route.server || !takeRetry()) {
+      return firstResult;
+    }
+    counters.increment("route.hedged");
+    const second = createCancellable(signal);
+    const secondResult = attempt(request, otherRoute, body, second.signal);
+    return pickWinner(firstResult, first, secondResult, second);
+  }
+
+  async function attempt(
+    request: CallerRequest,
+    route: Route & { kind: "found" },
+    body: Body,
+    signal: AbortSignal,
+  ): Promise<WorkResult> {
+    const finish = options.loads.start(route.server);
+    const work = {
+      id: randomUUID(),
+      service: request.service,
+      server: route.server,
+      key: request.key ?? null,
+      method: request.method,
+      target: request.target,
+      headers: request.headers,
+      timeoutMs: request.deadlineAt - clock.now(),
+      isIdempotent: request.isIdempotent,
+      idempotencyKey: request.idempotencyKey,
+      relayTo: null,
+    };
+    try {
+      const result = await options.forward(route.leaseholder, work, body, signal);
+      if (result.kind === "answer") {
+        options.loads.record(route.server, result.answer.load);
+      }
+      return result;
+    } finally {
+      finish();
+    }
+  }
+
+  function waitForChange(request: CallerRequest, signal: AbortSignal): Promise<void> {
+    const waitMs = Math.min(RETRY_PAUSE_MS, Math.max(0, request.deadlineAt - clock.now()));
+    return sleep(clock, waitMs, signal);
+  }
+}
+
+interface Cancellable {
+  readonly signal: AbortSignal;
+  cancel(): void;
+}
+
+function createCancellable(outer: AbortSignal): Cancellable {
+  const controller = new AbortController();
+  return {
+    signal: AbortSignal.any([outer, controller.signal]),
+    cancel: () => {
+      controller.abort();
+    },
+  };
+}
+
+/** The first answer wins. A failure wins only when the other attempt fails too. */
+async function pickWinner(
+  first: Promise<WorkResult>,
+  firstCancel: Cancellable,
+  second: Promise<WorkResult>,
+  secondCancel: Cancellable,
+): Promise<WorkResult> {
+  const tagged = [
+    first.then((result) => ({ result, loser: secondCancel, other: second })),
+    second.then((result) => ({ result, loser: firstCancel, other: first })),
+  ];
+  const earliest = await Promise.race(tagged);
+  if (earliest.result.kind === "failure") {
+    return earliest.other;
+  }
+  earliest.loser.cancel();
+  void earliest.other.then(discard);
+  return earliest.result;
+}
+
+function discard(result: WorkResult): void {
+  if (result.kind === "answer" && result.answer.body.kind === "stream") {
+    result.answer.body.stream.destroy();
+  }
+}
+
+function refusal(reason: RefusalReason, request: CallerRequest): Failure {
+  return { outcome: Outcome.NotRun, reason, step: "route", peer: request.service };
+}
--- /dev/null
+++ b/src/routing/serverClient.ts
@@ -0,0 +1,237 @@
+/** Sends requests to one backend server over HTTP and judges how each one ended. */
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { describeError } from "../errors";
+import type { WorkEnd, WorkPermit } from "../ownership";
+import {
+  type Address,
+  type Body,
+  type Clock,
+  type Failure,
+  type Generation,
+  type LoadReport,
+  Outcome,
+  RefusalReason,
+  type WorkRequest,
+  type WorkResult,
+  formatAddress,
+} from "../types";
+import { HeaderName, readHeader, selectForwardedHeaders } from "./headers";
+
+const CONNECT_TIMEOUT_MS = 400;
+const KEEP_ALIVE_MS = 30_000;
+/** Longer answers are streamed. */
+const BUFFERED_ANSWER_BYTES = 64 * 1024;
+const HTTP_PRECONDITION_FAILED = 412;
+const STATUS_WITHOUT_BODY = new Set([204, 304]);
+/** Errors of the connection phase: no byte of the request has left. */
+const CONNECT_ERRORS = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** What a client is made from. */
+export interface ServerClientOptions {
+  readonly address: Address;
+  /** Most connections for requests. */
+  readonly connections: number;
+  readonly clock: Clock;
+  /** Load at the time of an answer. */
+  readonly load: () => LoadReport;
+  /** Called when an answer says that the server is cold. */
+  readonly onCold: () => void;
+}
+
+/** One request to send under a permit. */
+export interface PermittedWork {
+  readonly work: WorkRequest;
+  readonly body: Body;
+  readonly permit: WorkPermit;
+  readonly generation: Generation;
+  /** Local time by which the whole answer must have come. */
+  readonly deadlineAt: number;
+  /** Aborted when the caller has left. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends requests to one server. */
+export interface ServerClient {
+  /** Sends a request. The permit is ended when the answer is whole, or the request has failed. */
+  send(permitted: PermittedWork): Promise<WorkResult>;
+  /** Closes each connection when its request has ended. */
+  retire(): void;
+  /** Closes all connections at once. */
+  close(): void;
+}
+
+/**
+ * Creates the client of one server. Each connection carries one request at a time.
+ *
+ * @param options - Address, limits and callbacks.
+ * @returns The client.
+ */
+export function createServerClient(options: ServerClientOptions): ServerClient {
+  const { clock } = options;
+  const pool = new Pool(`http://${formatAddress(options.address)}`, {
+    connections: options.connections,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  return {
+    send,
+    retire: () => {
+      void pool.close();
+    },
+    close: () => {
+      void pool.destroy();
+    },
+  };
+
+  async function send(permitted: PermittedWork): Promise<WorkResult> {
+    const { work, permit, signal, deadlineAt } = permitted;
+    const startedAt = clock.now();
+    const deadline = new AbortController();
+    const cancelDeadline = clock.schedule(deadlineAt - startedAt, () => {
+      deadline.abort();
+    });
+    const stop = AbortSignal.any([signal, permit.serverLost, deadline.signal]);
+    let hasEnded = false;
+
+    try {
+      const response = await pool.request({
+        method: work.method,
+        path: work.target,
+        headers: createHeaders(permitted),
+        body: createRequestBody(permitted.body),
+        signal: stop,
+      });
+      return await receive(response);
+    } catch (error) {
+      return fail(error);
+    }
+
+    async function receive(response: Dispatcher.ResponseData): Promise<WorkResult> {
+      if (readHeader(response.headers, HeaderName.Cold) !== undefined) {
+        options.onCold();
+      }
+      const refusal = findServerRefusal(response);
+      if (refusal !== undefined) {
+        await response.body.dump();
+        return finish("notSent", { kind: "failure", failure: failureOf(Outcome.NotRun, refusal, work) });
+      }
+      const mismatch = findMismatch(response, work);
+      if (mismatch !== undefined) {
+        response.body.on("error", () => undefined).destroy();
+        return finish("unresolved", { kind: "failure", failure: failureOf(Outcome.Unknown, mismatch, work) });
+      }
+      return isShort(response) ? receiveWhole(response) : receiveStream(response);
+    }
+
+    async function receiveWhole(response: Dispatcher.ResponseData): Promise<WorkResult> {
+      const content = await response.body.bytes();
+      const result = answerOf(response, { kind: "buffer", content });
+      return finish("answered", result, clock.now() - startedAt);
+    }
+
+    function receiveStream(response: Dispatcher.ResponseData): WorkResult {
+      const latencyMs = clock.now() - startedAt;
+      const stream = response.body;
+      stream.on("error", () => undefined);
+      stream.once("close", () => {
+        end(stream.readableEnded ? "answered" : "unresolved", latencyMs);
+      });
+      return answerOf(response, { kind: "stream", stream });
+    }
+
+    function answerOf(response: Dispatcher.ResponseData, body: Body): WorkResult {
+      const headers = selectForwardedHeaders(response.headers);
+      return { kind: "answer", answer: { status: response.statusCode, headers, body, load: options.load() } };
+    }
+
+    function fail(error: unknown): WorkResult {
+      const isUnsent = CONNECT_ERRORS.has((error as NodeJS.ErrnoException).code ?? "");
+      const outcome = isUnsent ? Outcome.NotRun : Outcome.Unknown;
+      const failure = failureOf(outcome, chooseReason(isUnsent), work, describeError(error));
+      return finish(isUnsent ? "notSent" : "unresolved", { kind: "failure", failure });
+    }
+
+    function chooseReason(isUnsent: boolean): RefusalReason {
+      if (isUnsent || permit.serverLost.aborted) {
+        return RefusalReason.ServerUnreachable;
+      }
+      if (deadline.signal.aborted) {
+        return RefusalReason.DeadlineExceeded;
+      }
+      return signal.aborted ? RefusalReason.CallerGone : RefusalReason.ServerConnectionLost;
+    }
+
+    function finish(workEnd: WorkEnd, result: WorkResult, latencyMs?: number): WorkResult {
+      end(workEnd, latencyMs);
+      return result;
+    }
+
+    function end(workEnd: WorkEnd, latencyMs: number | undefined): void {
+      if (!hasEnded) {
+        hasEnded = true;
+        cancelDeadline();
+        permit.end(workEnd, latencyMs);
+      }
+    }
+  }
+
+  function createHeaders(permitted: PermittedWork): Record<string, string | string[]> {
+    const { work, permit, generation, deadlineAt } = permitted;
+    const headers: Record<string, string | string[]> = {
+      ...work.headers,
+      [HeaderName.RequestId]: work.id,
+      [HeaderName.Timeout]: String(Math.max(0, Math.round(deadlineAt - clock.now()))),
+      [HeaderName.Generation]: String(generation),
+    };
+    if (permit.slot !== undefined && permit.epoch !== undefined) {
+      headers[HeaderName.Slot] = String(permit.slot);
+      headers[HeaderName.Epoch] = String(permit.epoch);
+    }
+    return headers;
+  }
+}
+
+function createRequestBody(body: Body) {
+  if (body.kind === "stream") {
+    return body.stream;
+  }
+  return body.content.byteLength === 0 ? null : body.content;
+}
+
+/** The server's own word that it has not run the request. */
+function findServerRefusal(response: Dispatcher.ResponseData): RefusalReason | undefined {
+  if (readHeader(response.headers, HeaderName.Outcome) !== Outcome.NotRun) {
+    return undefined;
+  }
+  return response.statusCode === HTTP_PRECONDITION_FAILED
+    ? RefusalReason.ServerFenced
+    : RefusalReason.ServerShed;
+}
+
+/** An answer to another request, or one whose end could not be told from a broken connection. */
+function findMismatch(response: Dispatcher.ResponseData, work: WorkRequest): RefusalReason | undefined {
+  const echoedId = readHeader(response.headers, HeaderName.RequestId);
+  if (echoedId !== undefined && echoedId !== work.id) {
+    return RefusalReason.MismatchedAnswer;
+  }
+  const isFramed =
+    response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+  const hasNoBody = STATUS_WITHOUT_BODY.has(response.statusCode) || work.method === "HEAD";
+  return isFramed || hasNoBody ? undefined : RefusalReason.UnframedAnswer;
+}
+
+function isShort(response: Dispatcher.ResponseData): boolean {
+  const length = readHeader(response.headers, "content-length");
+  return length === undefined
+    ? response.headers["transfer-encoding"] === undefined
+    : Number(length) <= BUFFERED_ANSWER_BYTES;
+}
+
+function failureOf(outcome: Outcome, reason: RefusalReason, work: WorkRequest, detail?: string): Failure {
+  return { outcome, reason, step: detail === undefined ? "send" : `send: ${detail}`, peer: work.server };
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,3 @@
+/** The settings file of one daemon. */
+export * from "./load";
+export * from "./schema";
--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,82 @@
+/** Reads TOML files and checks them against a schema. */
+import { readFileSync } from "node:fs";
+import { parse } from "smol-toml";
+import type { z } from "zod";
+import { InputError, describeError } from "../errors";
+import { type Settings, settingsSchema } from "./schema";
+
+/**
+ * Reads the settings of a daemon.
+ *
+ * @param file - Path of the TOML file.
+ * @returns The checked settings.
+ * @throws InputError naming the file and the path of each wrong value.
+ */
+export function loadSettings(file: string): Settings {
+  return loadToml(file, settingsSchema);
+}
+
+/**
+ * Reads a TOML file and checks it.
+ *
+ * @param file - Path of the file.
+ * @param schema - Schema of its content.
+ * @returns The checked content.
+ * @throws InputError naming the file and the path of each wrong value.
+ */
+export function loadToml<Schema extends z.ZodType>(file: string, schema: Schema): z.output<Schema> {
+  return checkValue(file, parseToml(file, readText(file)), schema);
+}
+
+/**
+ * Checks a value against a schema.
+ *
+ * @param source - Where the value came from, for the error message.
+ * @param value - The value.
+ * @param schema - Its schema.
+ * @returns The checked value.
+ * @throws InputError naming the path of each wrong value.
+ */
+export function checkValue<Schema extends z.ZodType>(
+  source: string,
+  value: unknown,
+  schema: Schema,
+): z.output<Schema> {
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return result.data;
+  }
+  const problems = result.error.issues.map((issue) => `${formatPath(issue.path)}: ${issue.message}`);
+  throw new InputError(`check ${source}: ${problems.join("; ")}`, { props: { step: `check ${source}` } });
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    throw new InputError(`read ${file}: ${describeError(error)}`, { props: { step: `read ${file}` } });
+  }
+}
+
+function parseToml(file: string, text: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    const firstLine = describeError(error).split("\n")[0] ?? "";
+    throw new InputError(`parse ${file}: ${firstLine}`, { props: { step: `parse ${file}` } });
+  }
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  if (path.length === 0) {
+    return "file";
+  }
+  return path.map((part, index) => formatPathPart(part, index)).join("");
+}
+
+function formatPathPart(part: PropertyKey, index: number): string {
+  if (typeof part === "number") {
+    return `[${part}]`;
+  }
+  return index === 0 ? String(part) : `.${String(part)}`;
+}
--- /dev/null
+++ b/src/snapshots/platformWatcher.ts
@@ -0,0 +1,111 @@
+/** Follows the object API: lists all objects once, then watches for changes. */
+import { describeError } from "../errors";
+import { Event, type Logger } from "../observability";
+import { CallPriority, type ObjectStore, type StoredObject, openEnvelope } from "../platform";
+import { type Clock, sleep } from "../types";
+import type { SnapshotStore } from "./snapshotStore";
+
+const WATCH_WAIT_MS = 30_000;
+const RETRY_MS = 500;
+const IDLE_CHECK_MS = 500;
+/** A daemon that does not watch still asks now and then, so that it knows whether the platform is reachable. */
+const IDLE_READ_EVERY_CHECKS = 60;
+
+/** What a watcher is made from. */
+export interface PlatformWatcherOptions {
+  readonly objects: ObjectStore;
+  readonly snapshots: SnapshotStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Whether this daemon is one of those that watch for their data centre. */
+  readonly isWatcher: () => boolean;
+  /** Receives whether the platform is reachable, after each call. */
+  readonly onReachable: (reachable: boolean) => void;
+}
+
+/**
+ * Follows the object API until aborted.
+ *
+ * @param options - Ports and callbacks.
+ * @param signal - Ends the watcher.
+ */
+export async function watchPlatform(options: PlatformWatcherOptions, signal: AbortSignal): Promise<void> {
+  const { objects, snapshots, clock } = options;
+  let isReachable = true;
+  let needsList = true;
+  let wasWatcher = false;
+  let idleChecks = 0;
+  let since = 0;
+
+  while (!signal.aborted) {
+    try {
+      await followOnce();
+    } catch (error) {
+      await followFailure(error);
+    }
+  }
+
+  async function followFailure(error: unknown): Promise<void> {
+    if (signal.aborted) {
+      return;
+    }
+    report(false, describeError(error));
+    await sleep(clock, RETRY_MS, signal);
+  }
+
+  async function followOnce(): Promise<void> {
+    const isWatcher = options.isWatcher();
+    const becameWatcher = isWatcher && !wasWatcher;
+    wasWatcher = isWatcher;
+    if (needsList || becameWatcher || !isReachable) {
+      await listAll();
+      return;
+    }
+    if (isWatcher) {
+      const result = await objects.watch("", since, WATCH_WAIT_MS, signal);
+      report(true);
+      offerAll(result.objects);
+      since = Math.max(since, result.version);
+      return;
+    }
+    await waitIdle();
+  }
+
+  async function listAll(): Promise<void> {
+    const result = await objects.list("", CallPriority.Configuration);
+    offerAll(result.objects);
+    since = result.version;
+    needsList = false;
+    report(true);
+  }
+
+  async function waitIdle(): Promise<void> {
+    await sleep(clock, IDLE_CHECK_MS, signal);
+    idleChecks += 1;
+    needsList = idleChecks % IDLE_READ_EVERY_CHECKS === 0;
+  }
+
+  function offerAll(stored: readonly StoredObject[]): void {
+    for (const object of stored) {
+      offerStored(object);
+    }
+  }
+
+  /** An object that the system did not write is skipped; it must not stop the others. */
+  function offerStored(object: StoredObject): void {
+    try {
+      const { version, value } = openEnvelope(object);
+      snapshots.offer({ path: object.path, version, value });
+    } catch (error) {
+      options.logger.log(Event.SnapshotInvalid, { path: object.path, error: describeError(error) });
+    }
+  }
+
+  function report(reachable: boolean, error?: string): void {
+    if (reachable !== isReachable) {
+      options.logger.log(reachable ? Event.PlatformAvailable : Event.PlatformUnavailable, { error });
+    }
+    isReachable = reachable;
+    options.onReachable(reachable);
+  }
+}
--- /dev/null
+++ b/src/snapshots/snapshotStore.ts
@@ -0,0 +1,138 @@
+/** Keeps the newest checked version of each object. A version never goes back. */
+import Emittery from "emittery";
+import murmurhash from "murmurhash";
+import { CONFIGURATION_PATH, type ConfigurationDocument, parseConfigurationDocument } from "../configuration";
+import { describeError } from "../errors";
+import { type Counters, Event, type Logger } from "../observability";
+import {
+  type Assignment,
+  STOP_NOTICE_PATH,
+  type StopNotice,
+  assignmentPath,
+  isAssignmentPath,
+  parseAssignment,
+  parseStopNotice,
+} from "../ownership/documents";
+import type { ServiceName } from "../types";
+import type { RawSnapshot, Snapshot, SnapshotVersions } from "./types";
+
+type Document =
+  | { readonly kind: "configuration"; readonly content: ConfigurationDocument }
+  | { readonly kind: "assignment"; readonly content: Assignment }
+  | { readonly kind: "stopNotice"; readonly content: StopNotice };
+
+interface Entry {
+  readonly raw: RawSnapshot;
+  readonly document: Document;
+}
+
+/** The newest known version of each object. */
+export interface SnapshotStore {
+  /** `changed` is emitted after a newer version was accepted. */
+  readonly events: Emittery<{ changed: RawSnapshot }>;
+  /** Takes an object when it is newer than what is known and valid. Returns true when taken. */
+  offer(raw: RawSnapshot): boolean;
+  /** The configuration in force. */
+  configuration(): Snapshot<ConfigurationDocument> | undefined;
+  /** The assignment of a service. */
+  assignment(service: ServiceName): Snapshot<Assignment> | undefined;
+  /** All assignments. */
+  assignments(): readonly Snapshot<Assignment>[];
+  /** What operators declared stopped. */
+  stopNotice(): StopNotice;
+  /** Number that differs, in all likelihood, between stores with different versions. */
+  digest(): number;
+  /** Version of each object. */
+  versions(): SnapshotVersions;
+  /** Objects that are newer here than in `versions`. */
+  newerThan(versions: SnapshotVersions): readonly RawSnapshot[];
+}
+
+const emptyNotice: StopNotice = { daemons: [], servers: [] };
+
+/**
+ * Creates an empty store.
+ *
+ * @param logger - Log of accepted and refused objects.
+ * @param counters - Counters of refused objects.
+ * @returns The store.
+ */
+export function createSnapshotStore(logger: Logger, counters: Counters): SnapshotStore {
+  const events = new Emittery<{ changed: RawSnapshot }>();
+  const entries = new Map<string, Entry>();
+  let digest = 0;
+
+  return {
+    events,
+    offer: (raw) => {
+      if (raw.version <= (entries.get(raw.path)?.raw.version ?? 0)) {
+        return false;
+      }
+      const document = parseDocument(raw);
+      if (document === undefined) {
+        return false;
+      }
+      entries.set(raw.path, { raw, document });
+      digest = computeDigest();
+      logger.log(Event.SnapshotAccepted, { path: raw.path, version: raw.version });
+      void events.emit("changed", raw);
+      return true;
+    },
+    configuration: () => {
+      const entry = entries.get(CONFIGURATION_PATH);
+      return entry?.document.kind === "configuration" ? toSnapshot(entry, entry.document.content) : undefined;
+    },
+    assignment: (service) => toAssignment(entries.get(assignmentPath(service))),
+    assignments: () => [...entries.values()].flatMap((entry) => toAssignment(entry) ?? []),
+    stopNotice: () => {
+      const document = entries.get(STOP_NOTICE_PATH)?.document;
+      return document?.kind === "stopNotice" ? document.content : emptyNotice;
+    },
+    digest: () => digest,
+    versions: () => Object.fromEntries([...entries].map(([path, entry]) => [path, entry.raw.version])),
+    newerThan: (versions) =>
+      [...entries.values()]
+        .map((entry) => entry.raw)
+        .filter((raw) => raw.version > (versions[raw.path] ?? 0)),
+  };
+
+  function computeDigest(): number {
+    const versions = [...entries].map(([path, entry]) => `${path}=${entry.raw.version}`);
+    return murmurhash.v3(versions.sort().join("\n"));
+  }
+
+  function parseDocument(raw: RawSnapshot): Document | undefined {
+    try {
+      return parseByPath(raw);
+    } catch (error) {
+      counters.increment("snapshots.refused", "invalid");
+      logger.log(Event.SnapshotInvalid, {
+        path: raw.path,
+        version: raw.version,
+        error: describeError(error),
+      });
+      return undefined;
+    }
+  }
+}
+
+function parseByPath(raw: RawSnapshot): Document | undefined {
+  if (raw.path === CONFIGURATION_PATH) {
+    return { kind: "configuration", content: parseConfigurationDocument(raw.value) };
+  }
+  if (raw.path === STOP_NOTICE_PATH) {
+    return { kind: "stopNotice", content: parseStopNotice(raw.value) };
+  }
+  if (isAssignmentPath(raw.path)) {
+    return { kind: "assignment", content: parseAssignment(raw.value) };
+  }
+  return undefined;
+}
+
+function toAssignment(entry: Entry | undefined): Snapshot<Assignment> | undefined {
+  return entry?.document.kind === "assignment" ? toSnapshot(entry, entry.document.content) : undefined;
+}
+
+function toSnapshot<Value>(entry: Entry, value: Value): Snapshot<Value> {
+  return { version: entry.raw.version, value };
+}
--- /dev/null
+++ b/src/types/index.ts
@@ -0,0 +1,5 @@
+/** Types and ports that every subsystem shares. */
+export * from "./clock";
+export * from "./identifiers";
+export * from "./outcome";
+export * from "./work";
--- /dev/null
+++ b/standins/platform/objectTable.ts
@@ -0,0 +1,83 @@
+/** The objects of the platform stand-in: versions, conditional updates and waiting watches. */
+
+/** An object with its version. */
+export interface TableObject {
+  readonly path: string;
+  readonly version: number;
+  readonly value: unknown;
+}
+
+/** Objects as of a version. */
+export interface TableChanges {
+  readonly objects: readonly TableObject[];
+  readonly version: number;
+}
+
+/** Answer to a conditional update. */
+export type TableWrite =
+  | { readonly kind: "written"; readonly version: number }
+  | { readonly kind: "conflict"; readonly current: TableObject | undefined };
+
+/** Objects with versions that rise over all of them. */
+export interface ObjectTable {
+  read(path: string): TableObject | undefined;
+  write(path: string, value: unknown, base: number): TableWrite;
+  list(prefix: string): TableChanges;
+  /** Waits for changes after `since`, at most `waitMs` milliseconds. */
+  watch(prefix: string, since: number, waitMs: number): Promise<TableChanges>;
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @returns The table.
+ */
+export function createObjectTable(): ObjectTable {
+  const objects = new Map<string, TableObject>();
+  const watchers = new Set<() => void>();
+  let version = 0;
+
+  return {
+    read: (path) => objects.get(path),
+    write: (path, value, base) => {
+      const current = objects.get(path);
+      if ((current?.version ?? 0) !== base) {
+        return { kind: "conflict", current };
+      }
+      version += 1;
+      objects.set(path, { path, version, value });
+      for (const wake of watchers) {
+        wake();
+      }
+      return { kind: "written", version };
+    },
+    list: (prefix) => changesSince(prefix, 0),
+    watch: async (prefix, since, waitMs) => {
+      const changes = changesSince(prefix, since);
+      if (changes.objects.length > 0) {
+        return changes;
+      }
+      await waitForWrite(waitMs);
+      return changesSince(prefix, since);
+    },
+  };
+
+  function changesSince(prefix: string, since: number): TableChanges {
+    const changed = [...objects.values()].filter(
+      (object) => object.path.startsWith(prefix) && object.version > since,
+    );
+    return { objects: changed, version };
+  }
+
+  function waitForWrite(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer);
+        watchers.delete(finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, waitMs);
+      watchers.add(finish);
+    });
+  }
+}
--- /dev/null
+++ b/standins/platform/platform.ts
@@ -0,0 +1,232 @@
+/** A small stand-in for the platform: object API and VM list over HTTP, with fault switches. */
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createObjectTable } from "./objectTable";
+
+const MAX_VALUE_BYTES = 1024 * 1024;
+const RATE_WINDOW_MS = 1000;
+
+/** A VM as the list shows it. */
+export interface ListedVm {
+  readonly host: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly state: "live" | "leaving";
+}
+
+/** Faults of one entrance. */
+export interface PlatformFaults {
+  /** Every call is cut off. */
+  readonly isDown: boolean;
+  /** Delay of every call in milliseconds. */
+  readonly delayMs: number;
+  /** The answers to this many next writes are lost after they have taken effect. */
+  readonly lostAnswers: number;
+  /** The VM list shows what it showed when this was set. */
+  readonly hasStaleVms: boolean;
+}
+
+/** Calls counted since start. */
+export interface PlatformCalls {
+  readonly reads: number;
+  readonly writes: number;
+  readonly watches: number;
+  readonly refused: number;
+}
+
+/** What a stand-in is made from. */
+export interface PlatformOptions {
+  readonly host: string;
+  /** One entrance for each port; faults can be set for each. 0 takes a free port. */
+  readonly ports: readonly number[];
+  readonly writesPerSecond: number;
+  readonly readsPerSecond: number;
+  /** Time after which a change of VMs shows in the list, in milliseconds. */
+  readonly vmListLagMs: number;
+}
+
+/** A running stand-in. */
+export interface PlatformStandIn {
+  readonly ports: readonly number[];
+  setFaults(entrance: number, faults: Partial<PlatformFaults>): void;
+  setVms(vms: readonly ListedVm[]): void;
+  calls(): PlatformCalls;
+  close(): void;
+}
+
+const noFaults: PlatformFaults = { isDown: false, delayMs: 0, lostAnswers: 0, hasStaleVms: false };
+
+/**
+ * Starts the stand-in.
+ *
+ * @param options - Addresses and limits.
+ * @returns The running stand-in.
+ */
+export async function startPlatform(options: PlatformOptions): Promise<PlatformStandIn> {
+  const table = createObjectTable();
+  const faults = options.ports.map(() => noFaults);
+  const counts = { reads: 0, writes: 0, watches: 0, refused: 0 };
+  const window = { startedAt: performance.now(), reads: 0, writes: 0 };
+  let shownVms: readonly ListedVm[] = [];
+  const servers = await Promise.all(options.ports.map((port, entrance) => listen(port, entrance)));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+
+  return {
+    ports,
+    setFaults,
+    setVms,
+    calls: () => ({ ...counts }),
+    close: () => {
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
+    },
+  };
+
+  function listen(port: number, entrance: number): Promise<Server> {
+    const server = createServer((request, response) => {
+      handle(request, response, entrance).catch(() => {
+        response.destroy();
+      });
+    });
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, options.host, () => {
+        resolve(server);
+      });
+    });
+  }
+
+  function setFaults(entrance: number, change: Partial<PlatformFaults>): void {
+    faults[entrance] = { ...(faults[entrance] ?? noFaults), ...change };
+  }
+
+  function setVms(vms: readonly ListedVm[]): void {
+    setTimeout(() => {
+      if (!faults.some((fault) => fault.hasStaleVms)) {
+        shownVms = vms;
+      }
+    }, options.vmListLagMs);
+  }
+
+  async function handle(request: IncomingMessage, response: ServerResponse, entrance: number): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://platform");
+    if (url.pathname.startsWith("/control/")) {
+      await handleControl(url, request, response);
+      return;
+    }
+    const fault = faults[entrance] ?? noFaults;
+    if (fault.isDown) {
+      request.socket.destroy();
+      return;
+    }
+    if (fault.delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, fault.delayMs));
+    }
+    if (!admit(request.method === "PUT")) {
+      counts.refused += 1;
+      reply(response, 429, {});
+      return;
+    }
+    await handleCall(url, request, response, entrance);
+  }
+
+  async function handleCall(
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+    entrance: number,
+  ): Promise<void> {
+    const prefix = url.searchParams.get("prefix") ?? "";
+    if (url.pathname === "/vms") {
+      reply(response, 200, { vms: shownVms });
+    } else if (url.pathname === "/watch") {
+      counts.watches += 1;
+      const since = Number(url.searchParams.get("since"));
+      const changes = await table.watch(prefix, since, Number(url.searchParams.get("wait")));
+      replyUnlessDown(response, entrance, changes);
+    } else if (url.pathname === "/objects") {
+      reply(response, 200, table.list(prefix));
+    } else if (request.method === "PUT") {
+      await handleWrite(url, request, response, entrance);
+    } else {
+      const object = table.read(pathOf(url));
+      reply(response, object === undefined ? 404 : 200, object ?? {});
+    }
+  }
+
+  function replyUnlessDown(response: ServerResponse, entrance: number, body: unknown): void {
+    if (faults[entrance]?.isDown === true) {
+      response.destroy();
+    } else {
+      reply(response, 200, body);
+    }
+  }
+
+  async function handleWrite(
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+    entrance: number,
+  ): Promise<void> {
+    const text = await readText(request);
+    if (text.length > MAX_VALUE_BYTES) {
+      reply(response, 413, {});
+      return;
+    }
+    const { value } = JSON.parse(text) as { value: unknown };
+    const result = table.write(pathOf(url), value, Number(url.searchParams.get("base")));
+    const lostAnswers = faults[entrance]?.lostAnswers ?? 0;
+    if (lostAnswers > 0) {
+      setFaults(entrance, { lostAnswers: lostAnswers - 1 });
+      request.socket.destroy();
+    } else if (result.kind === "conflict") {
+      reply(response, 409, { current: result.current ?? null });
+    } else {
+      reply(response, 200, { version: result.version });
+    }
+  }
+
+  async function handleControl(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const text = await readText(request);
+    if (url.pathname === "/control/faults") {
+      const { entrance, ...change } = JSON.parse(text) as Partial<PlatformFaults> & { entrance: number };
+      setFaults(entrance, change);
+    } else if (url.pathname === "/control/vms") {
+      setVms(JSON.parse(text) as ListedVm[]);
+    }
+    reply(response, 200, { ...counts });
+  }
+
+  function admit(isWrite: boolean): boolean {
+    if (performance.now() - window.startedAt > RATE_WINDOW_MS) {
+      Object.assign(window, { startedAt: performance.now(), reads: 0, writes: 0 });
+    }
+    if (isWrite) {
+      counts.writes += 1;
+      window.writes += 1;
+      return window.writes <= options.writesPerSecond;
+    }
+    counts.reads += 1;
+    window.reads += 1;
+    return window.reads <= options.readsPerSecond;
+  }
+}
+
+function pathOf(url: URL): string {
+  return decodeURIComponent(url.pathname.slice("/objects/".length));
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of request as AsyncIterable<Uint8Array>) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+function reply(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/standins/scenarios/callers.ts
@@ -0,0 +1,161 @@
+/** Callers: open-loop load whose arrivals do not wait for answers, with latency from the intended start. */
+import { type Histogram, build } from "hdr-histogram-js";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Agent, request } from "undici";
+import { createContent } from "../backendServer/backendServer";
+
+const MAX_LATENCY_US = 120_000_000;
+const TICK_MS = 2;
+const ANSWER_TIMEOUT_MS = 30_000;
+
+/** One request that a caller sends. */
+export interface CallerRequest {
+  readonly url: string;
+  readonly method: "GET" | "POST";
+  readonly callerId: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Expected size of a large download. */
+  readonly bytes?: number;
+}
+
+/** How one request ended for its caller. */
+export interface CallerResult {
+  readonly callerId: string;
+  readonly method: string;
+  /** `whole`, or the reason of the refusal, or `broken`. */
+  readonly end: string;
+  readonly outcome: string;
+  readonly startedAt: number;
+  readonly latencyMs: number;
+}
+
+/** Sends requests and keeps what became of them. */
+export interface Callers {
+  /** Sends `rate` requests a second for a time; resolves when all have ended. */
+  send(rate: number, durationMs: number, create: (index: number) => CallerRequest): Promise<void>;
+  /** Sends one request. */
+  sendOne(callerRequest: CallerRequest): Promise<CallerResult>;
+  results(): readonly CallerResult[];
+  /** Latency of whole answers in microseconds. */
+  readonly latency: Histogram;
+  close(): Promise<void>;
+}
+
+/**
+ * Creates callers.
+ *
+ * @returns The callers.
+ */
+export function createCallers(): Callers {
+  const agent = new Agent({ connections: 512, pipelining: 1 });
+  const results: CallerResult[] = [];
+  const latency = build({ highestTrackableValue: MAX_LATENCY_US, numberOfSignificantValueDigits: 3 });
+
+  return {
+    latency,
+    results: () => results,
+    close: () => agent.destroy(),
+    sendOne: (callerRequest) => sendAt(callerRequest, performance.now()),
+    send: async (rate, durationMs, create) => {
+      const startedAt = performance.now();
+      const total = Math.floor((rate * durationMs) / 1000);
+      const pending: Promise<CallerResult>[] = [];
+      while (pending.length < total) {
+        const due = Math.min(total, Math.floor(((performance.now() - startedAt) * rate) / 1000));
+        while (pending.length < due) {
+          const index = pending.length;
+          pending.push(sendAt(create(index), startedAt + (index * 1000) / rate));
+        }
+        await new Promise((resolve) => setTimeout(resolve, TICK_MS));
+      }
+      await Promise.all(pending);
+    },
+  };
+
+  async function sendAt(callerRequest: CallerRequest, intendedAt: number): Promise<CallerResult> {
+    const { callerId, method } = callerRequest;
+    const ended = await perform(callerRequest);
+    const latencyMs = performance.now() - intendedAt;
+    if (ended.end === "whole") {
+      latency.recordValue(Math.max(1, Math.round(latencyMs * 1000)));
+    }
+    const result = { callerId, method, ...ended, startedAt: intendedAt, latencyMs };
+    results.push(result);
+    return result;
+  }
+
+  async function perform(callerRequest: CallerRequest): Promise<{ end: string; outcome: string }> {
+    try {
+      const response = await request(callerRequest.url, {
+        method: callerRequest.method,
+        dispatcher: agent,
+        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+        ...(callerRequest.headers === undefined ? {} : { headers: callerRequest.headers }),
+        ...(callerRequest.method === "POST" ? { body: "{}" } : {}),
+      });
+      const content = Buffer.from(await response.body.arrayBuffer());
+      if (response.statusCode === 200) {
+        return { end: isWhole(callerRequest, content) ? "whole" : "wrong content", outcome: "run" };
+      }
+      const reason = response.headers["x-hemlockbank-reason"];
+      const outcome = response.headers["x-hemlockbank-outcome"];
+      return {
+        end: typeof reason === "string" ? reason : `status ${response.statusCode}`,
+        outcome: String(outcome),
+      };
+    } catch (error) {
+      return { end: "broken", outcome: error instanceof Error ? error.message : "unknown" };
+    }
+  }
+}
+
+/** Small answers name the key that was asked for; large ones have a known content. */
+function isWhole(callerRequest: CallerRequest, content: Buffer): boolean {
+  if (callerRequest.bytes !== undefined) {
+    return content.equals(createContent(0, callerRequest.bytes));
+  }
+  const key = new URL(callerRequest.url).pathname.split("/")[2] ?? "";
+  return (JSON.parse(content.toString()) as { key: string }).key === key;
+}
+
+/**
+ * Creates a uniform random number generator.
+ *
+ * @param seed - Seed.
+ * @returns Numbers in [0, 1).
+ */
+export function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+/**
+ * Creates a generator of ranks under a Zipf distribution.
+ *
+ * @param count - Number of ranks.
+ * @param exponent - Exponent of the distribution.
+ * @param random - Uniform random numbers in [0, 1).
+ * @returns Ranks from 0, the most frequent first.
+ */
+export function createZipf(count: number, exponent: number, random: () => number): () => number {
+  const cumulative = new Float64Array(count);
+  let sum = 0;
+  for (let rank = 0; rank < count; rank += 1) {
+    sum += 1 / (rank + 1) ** exponent;
+    cumulative[rank] = sum;
+  }
+  return () => {
+    const target = random() * sum;
+    let low = 0;
+    let high = count - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((cumulative[middle] ?? 0) < target) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
+  };
+}
--- /dev/null
+++ b/standins/scenarios/cluster.ts
@@ -0,0 +1,403 @@
+/** Starts a whole deployment as separate processes on loopback and switches its faults. */
+import { type ChildProcess, execFile, spawn } from "node:child_process";
+import { appendFileSync, mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { promisify } from "node:util";
+import { stringify } from "smol-toml";
+import { request } from "undici";
+import type { DaemonStatus } from "../../src/daemon";
+import { machineTime } from "../backendServer/backendServer";
+
+const EXECUTABLE = "dist/hemlockbank";
+const HOST = "127.0.0.1";
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 20;
+const runFile = promisify(execFile);
+
+/** A backend server of the deployment. */
+export interface ServerPlan {
+  readonly name: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly isFenced: boolean;
+  readonly slots: number;
+  readonly workMs?: number;
+  readonly coldMs?: number;
+}
+
+/** What to start. */
+export interface ClusterPlan {
+  readonly dataCentres: readonly string[];
+  readonly daemonsPerDataCentre: number;
+  /** Services as the configuration file has them. */
+  readonly services: Readonly<Record<string, object>>;
+  readonly servers: readonly ServerPlan[];
+  readonly vmListLagMs?: number;
+}
+
+/** A started daemon. */
+export interface DaemonProcess {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly callers: string;
+  readonly admin: string;
+  readonly peersPort: number;
+  readonly settingsFile: string;
+  process: ChildProcess;
+}
+
+/** A started backend server. */
+export interface ServerProcess extends ServerPlan {
+  readonly port: number;
+  process: ChildProcess;
+}
+
+/** A running deployment. */
+export interface Cluster {
+  readonly daemons: readonly DaemonProcess[];
+  readonly servers: readonly ServerProcess[];
+  readonly recordFile: string;
+  readonly platformUrl: string;
+  /** Kills a backend server at once. */
+  killServer(name: string): void;
+  /** Starts a killed backend server again, cold and without grants. */
+  restartServer(name: string): Promise<void>;
+  /** Sends a signal to a daemon. */
+  signalDaemon(name: string, signal: NodeJS.Signals): void;
+  /** Starts a stopped daemon again. */
+  restartDaemon(name: string): void;
+  /** Sends a signal to a backend server. */
+  signalServer(name: string, signal: NodeJS.Signals): void;
+  /** Switches a backend server's behaviour. */
+  controlServer(name: string, path: string, body: object): Promise<void>;
+  /** Switches the platform's faults for one data centre's entrance. */
+  setPlatformFaults(dataCentre: string, faults: object): Promise<void>;
+  /** Calls that the platform has counted. */
+  countPlatformCalls(): Promise<{ reads: number; writes: number; watches: number; refused: number }>;
+  /** Sets the platform's VM list; by default it has all VMs as live. */
+  setVms(change: (vms: VmEntry[]) => VmEntry[]): Promise<void>;
+  /** Runs a command of the product. */
+  run(...args: readonly string[]): Promise<string>;
+  /** Status as a daemon sees it. */
+  status(daemon: string): Promise<DaemonStatus>;
+  /** Waits until a condition holds for the status of a daemon. */
+  waitFor(
+    what: string,
+    daemon: string,
+    isTrue: (status: DaemonStatus) => boolean,
+    timeoutMs?: number,
+  ): Promise<number>;
+  /** Stops everything. */
+  stop(): Promise<void>;
+}
+
+/** A VM of the platform's list. */
+export interface VmEntry {
+  readonly host: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly state: "live" | "leaving";
+}
+
+/**
+ * Starts a deployment and waits until every backend server is served.
+ *
+ * @param plan - What to start.
+ * @returns The running deployment.
+ */
+export async function startCluster(plan: ClusterPlan): Promise<Cluster> {
+  const folder = mkdtempSync(join(tmpdir(), "hemlockbank-"));
+  mkdirSync(folder, { recursive: true });
+  const recordFile = join(folder, "records.jsonl");
+  writeFileSync(recordFile, "");
+  const output = openSync(join(folder, "output.log"), "a");
+  const children = new Set<ChildProcess>();
+  const platformPorts = await Promise.all([...plan.dataCentres, "operators"].map(findFreePort));
+  const platformUrl = `http://${HOST}:${platformPorts[platformPorts.length - 1] ?? 0}`;
+  startNode(
+    "platform",
+    "--ports",
+    platformPorts.join(","),
+    "--vm-list-lag",
+    String(plan.vmListLagMs ?? 2000),
+  );
+  const servers = await Promise.all(plan.servers.map(startServer));
+  const daemons = await planDaemons();
+  for (const daemon of daemons) {
+    daemon.process = startDaemon(daemon);
+  }
+  let vms: VmEntry[] = [
+    ...daemons.map((daemon) => toVm(daemon.peersPort, daemon.dataCentre)),
+    ...servers.map((server) => toVm(server.port, server.dataCentre)),
+  ];
+  await retry("platform", () => sendJson(`${platformUrl}/control/vms`, vms));
+  await applyConfiguration();
+
+  const cluster: Cluster = {
+    daemons,
+    servers,
+    recordFile,
+    platformUrl,
+    killServer: (name) => {
+      findServer(name).process.kill("SIGKILL");
+      appendFileSync(recordFile, `${JSON.stringify({ kind: "killed", server: name, at: machineTime() })}\n`);
+    },
+    restartServer: async (name) => {
+      const server = findServer(name);
+      server.process = startServerProcess(server, server.port);
+      await Promise.resolve();
+    },
+    signalDaemon: (name, signal) => {
+      findDaemon(name).process.kill(signal);
+    },
+    restartDaemon: (name) => {
+      const daemon = findDaemon(name);
+      daemon.process = startDaemon(daemon);
+    },
+    signalServer: (name, signal) => {
+      findServer(name).process.kill(signal);
+    },
+    controlServer: (name, path, body) =>
+      sendJson(`http://${HOST}:${findServer(name).port}/control/${path}`, body),
+    setPlatformFaults: (dataCentre, faults) => {
+      const entrance = plan.dataCentres.indexOf(dataCentre);
+      return sendJson(`${platformUrl}/control/faults`, { entrance, ...faults });
+    },
+    countPlatformCalls: async () => {
+      const response = await request(`${platformUrl}/control/calls`, { method: "POST", body: "{}" });
+      return (await response.body.json()) as {
+        reads: number;
+        writes: number;
+        watches: number;
+        refused: number;
+      };
+    },
+    setVms: (change) => {
+      vms = change(vms);
+      return sendJson(`${platformUrl}/control/vms`, vms);
+    },
+    run: async (...args) => (await runFile(EXECUTABLE, [...args])).stdout,
+    status: readStatus,
+    waitFor,
+    stop: async () => {
+      for (const child of children) {
+        child.kill("SIGCONT");
+        child.kill("SIGKILL");
+      }
+      await Promise.all([...children].map(waitForExit));
+      if (process.env.KEEP_RECORDS === undefined) {
+        rmSync(folder, { recursive: true, force: true });
+      }
+    },
+  };
+  await waitUntilServed(cluster);
+  return cluster;
+
+  function startNode(name: string, ...args: readonly string[]): ChildProcess {
+    return track(
+      spawn(process.execPath, [`build/${name}.cjs`, ...args], { stdio: ["ignore", output, output] }),
+    );
+  }
+
+  function startDaemon(daemon: DaemonProcess): ChildProcess {
+    const args = ["daemon", "--settings", daemon.settingsFile];
+    return track(spawn(EXECUTABLE, args, { stdio: ["ignore", output, output] }));
+  }
+
+  function track(child: ChildProcess): ChildProcess {
+    children.add(child);
+    return child;
+  }
+
+  async function startServer(server: ServerPlan): Promise<ServerProcess> {
+    const port = await findFreePort();
+    return { ...server, port, process: startServerProcess(server, port) };
+  }
+
+  function startServerProcess(server: ServerPlan, port: number): ChildProcess {
+    return startNode(
+      "backendServer",
+      ...["--name", server.name, "--port", String(port), "--record", recordFile],
+      ...[
+        "--slots",
+        String(server.slots),
+        "--work",
+        String(server.workMs ?? 2),
+        "--cold",
+        String(server.coldMs ?? 300),
+      ],
+      ...(server.isFenced ? ["--fenced"] : []),
+    );
+  }
+
+  async function planDaemons(): Promise<DaemonProcess[]> {
+    const names = plan.dataCentres.flatMap((dataCentre, entrance) =>
+      Array.from({ length: plan.daemonsPerDataCentre }, (_unused, index) => ({
+        name: `${dataCentre}-d${index + 1}`,
+        dataCentre,
+        entrance,
+      })),
+    );
+    const planned = await Promise.all(
+      names.map(async (each) => ({
+        ...each,
+        callersPort: await findFreePort(),
+        peersPort: await findFreePort(),
+        adminPort: await findFreePort(),
+      })),
+    );
+    const seeds = planned.map((each) => ({
+      daemon: each.name,
+      data_centre: each.dataCentre,
+      host: HOST,
+      port: each.peersPort,
+    }));
+    return planned.map((each) => {
+      const settingsFile = join(folder, `${each.name}.toml`);
+      const settings = {
+        cluster: "demo",
+        daemon: each.name,
+        data_centre: each.dataCentre,
+        platform: { url: `http://${HOST}:${platformPorts[each.entrance] ?? 0}` },
+        callers: { host: HOST, port: each.callersPort },
+        peers: { host: HOST, port: each.peersPort },
+        admin: { host: HOST, port: each.adminPort },
+        seeds,
+      };
+      writeFileSync(settingsFile, stringify(settings));
+      return {
+        name: each.name,
+        dataCentre: each.dataCentre,
+        callers: `http://${HOST}:${each.callersPort}`,
+        admin: `${HOST}:${each.adminPort}`,
+        peersPort: each.peersPort,
+        settingsFile,
+        process: undefined as unknown as ChildProcess,
+      };
+    });
+  }
+
+  async function applyConfiguration(): Promise<void> {
+    const file = join(folder, "configuration.toml");
+    const configuration = {
+      data_centres: Object.fromEntries(plan.dataCentres.map((name) => [name, { state: "in" }])),
+      services: plan.services,
+      servers: Object.fromEntries(
+        servers.map((server) => [
+          server.name,
+          {
+            service: server.service,
+            data_centre: server.dataCentre,
+            host: HOST,
+            port: server.port,
+            slots: server.slots,
+            fenced: server.isFenced,
+          },
+        ]),
+      ),
+    };
+    writeFileSync(file, stringify(configuration));
+    await runFile(EXECUTABLE, ["config", "apply", file, "--platform", platformUrl]);
+  }
+
+  async function waitUntilServed(target: Cluster): Promise<void> {
+    for (const daemon of daemons) {
+      await target.waitFor("backend servers up", daemon.name, (status) => {
+        const up = status.servers.filter((server) => server.state === "up" || server.state === "cold");
+        return status.ready && up.length === servers.length && status.members.length === daemons.length;
+      });
+    }
+  }
+
+  async function waitFor(
+    what: string,
+    daemon: string,
+    isTrue: (status: DaemonStatus) => boolean,
+    timeoutMs: number = START_TIMEOUT_MS,
+  ): Promise<number> {
+    const startedAt = machineTime();
+    for (;;) {
+      const status = await readStatus(daemon).catch(() => undefined);
+      if (status !== undefined && isTrue(status)) {
+        return machineTime() - startedAt;
+      }
+      if (machineTime() - startedAt > timeoutMs) {
+        throw new Error(`${daemon}: no ${what} after ${timeoutMs} ms: ${JSON.stringify(status)}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async function readStatus(daemon: string): Promise<DaemonStatus> {
+    const response = await request(`http://${findDaemon(daemon).admin}/status`, {
+      signal: AbortSignal.timeout(2000),
+    });
+    return (await response.body.json()) as DaemonStatus;
+  }
+
+  function findDaemon(name: string): DaemonProcess {
+    return require(daemons.find((daemon) => daemon.name === name), name);
+  }
+
+  function findServer(name: string): ServerProcess {
+    return require(servers.find((server) => server.name === name), name);
+  }
+}
+
+function require<Item>(item: Item | undefined, name: string): Item {
+  if (item === undefined) {
+    throw new Error(`no process ${name}`);
+  }
+  return item;
+}
+
+function toVm(port: number, dataCentre: string): VmEntry {
+  return { host: HOST, port, dataCentre, state: "live" };
+}
+
+function waitForExit(child: ChildProcess): Promise<void> {
+  return new Promise((resolve) => {
+    if (child.exitCode !== null || child.signalCode !== null) {
+      resolve();
+      return;
+    }
+    child.once("exit", () => {
+      resolve();
+    });
+  });
+}
+
+async function sendJson(url: string, body: object): Promise<void> {
+  const response = await request(url, { method: "POST", body: JSON.stringify(body) });
+  await response.body.dump();
+}
+
+async function retry(what: string, call: () => Promise<void>): Promise<void> {
+  const startedAt = machineTime();
+  for (;;) {
+    try {
+      await call();
+      return;
+    } catch (error) {
+      if (machineTime() - startedAt > START_TIMEOUT_MS) {
+        throw new Error(`${what} does not answer`, { cause: error });
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+}
+
+function findFreePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, HOST, () => {
+      const address = server.address();
+      server.close(() => {
+        resolve(typeof address === "object" && address !== null ? address.port : 0);
+      });
+    });
+  });
+}
