--- /dev/null
+++ b/standins/scenarios/demo.ts
@@ -0,0 +1,188 @@
+/** The demo: a whole deployment, load, one backend server and one daemon killed, and what became of the promises. */
+import { formatTable } from "../../src/cli/output";
+import { type Cluster, type ServerPlan, startCluster } from "./cluster";
+import { type CallerResult, createCallers, createRandom } from "./callers";
+import { groupBy } from "./groupBy";
+import { readRecords } from "./records";
+
+const DATA_CENTRES = ["north", "south", "west"];
+const RATE = 250;
+const LOAD_MS = 16_000;
+const KILL_SERVER_AT_MS = 4000;
+const KILL_DAEMON_AT_MS = 9000;
+const KEYS = 600;
+const DOWNLOAD_BYTES = 8 * 1024 * 1024;
+const LIMIT_MS = 2000;
+
+const fencedServers: readonly ServerPlan[] = DATA_CENTRES.flatMap((dataCentre) =>
+  [1, 2].map((number) => ({
+    name: `desk-${dataCentre}-${number}`,
+    service: "loan-desk",
+    dataCentre,
+    isFenced: true,
+    slots: 4,
+  })),
+);
+const unfencedServers: readonly ServerPlan[] = ["north", "south"].map((dataCentre) => ({
+  name: `vault-${dataCentre}`,
+  service: "docvault",
+  dataCentre,
+  isFenced: false,
+  slots: 4,
+}));
+
+void main().then(
+  (code) => {
+    process.exitCode = code;
+  },
+  (error: unknown) => {
+    process.stderr.write(`${String(error)}\n`);
+    process.exitCode = 1;
+  },
+);
+
+async function main(): Promise<number> {
+  showProgress("starting 1 platform stand-in, 8 backend servers and 6 daemons");
+  const cluster = await startCluster({
+    dataCentres: DATA_CENTRES,
+    daemonsPerDataCentre: 2,
+    services: {
+      "loan-desk": { divided_by_key: true, slot_count: 256, cold_start_ramp: "300ms" },
+      docvault: { divided_by_key: false, cold_start_ramp: "300ms" },
+    },
+    servers: [...fencedServers, ...unfencedServers],
+  });
+  try {
+    return await runLoad(cluster);
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function runLoad(cluster: Cluster): Promise<number> {
+  const random = createRandom(7);
+  const callers = createCallers();
+  const killedServer = "desk-north-1";
+  const killedDaemon = await findLeaseholder(cluster, "desk-south-1");
+  const entries = cluster.daemons.filter((daemon) => daemon.name !== killedDaemon);
+  const keysOfServer = await findKeys(cluster, "desk-north-1");
+  const keysOfDaemon = await findKeys(cluster, "desk-south-1");
+  const startedAt = performance.now();
+  let serverKilledAt = 0;
+  let daemonKilledAt = 0;
+  setTimeout(() => {
+    showProgress(`killing backend server ${killedServer}`);
+    serverKilledAt = performance.now();
+    cluster.killServer(killedServer);
+  }, KILL_SERVER_AT_MS);
+  setTimeout(() => {
+    showProgress(`killing daemon ${killedDaemon}`);
+    daemonKilledAt = performance.now();
+    cluster.signalDaemon(killedDaemon, "SIGKILL");
+  }, KILL_DAEMON_AT_MS);
+  const progress = setInterval(() => {
+    showProgress(
+      `${callers.results().length} requests ended after ${Math.round((performance.now() - startedAt) / 1000)} s`,
+    );
+  }, 1000);
+  const keyOf = new Map<string, string>();
+  await callers.send(RATE, LOAD_MS, (index) => {
+    const entry = entries[index % entries.length]?.callers ?? "";
+    const callerId = `c${index}`;
+    if (index % 100 === 0) {
+      const url = `${entry}/docvault/bundle-${index}?bytes=${DOWNLOAD_BYTES}&caller=${callerId}`;
+      return { url, method: "GET", callerId, bytes: DOWNLOAD_BYTES };
+    }
+    const key = `key-${Math.floor(random() * KEYS)}`;
+    keyOf.set(callerId, key);
+    return {
+      url: `${entry}/loan-desk/${key}/status?caller=${callerId}`,
+      method: index % 4 === 0 ? "POST" : "GET",
+      callerId,
+    };
+  });
+  clearInterval(progress);
+  await callers.close();
+  const results = callers.results();
+  const outageOf = (keys: ReadonlySet<string>, killedAt: number) =>
+    measureOutage(results, keyOf, keys, killedAt);
+  const serverOutage = outageOf(keysOfServer, serverKilledAt);
+  const daemonOutage = outageOf(keysOfDaemon, daemonKilledAt);
+  return printSummary(cluster, results, serverOutage, daemonOutage);
+}
+
+async function findLeaseholder(cluster: Cluster, server: string): Promise<string> {
+  const status = await cluster.status(cluster.daemons[0]?.name ?? "");
+  return status.servers.find((entry) => entry.server === server)?.leaseholder ?? "";
+}
+
+async function findKeys(cluster: Cluster, server: string): Promise<ReadonlySet<string>> {
+  const admin = cluster.daemons[0]?.admin ?? "";
+  const keys = Array.from({ length: KEYS }, (_unused, index) => `key-${index}`);
+  const owners = await Promise.all(
+    keys.map(async (key) => {
+      const response = await fetch(`http://${admin}/owner?service=loan-desk&key=${key}`);
+      return (await response.json()) as { server: string };
+    }),
+  );
+  return new Set(keys.filter((_key, index) => owners[index]?.server === server));
+}
+
+/** Time from a loss until every later request for the lost keys was answered without waiting for the change. */
+function measureOutage(
+  results: readonly CallerResult[],
+  keyOf: ReadonlyMap<string, string>,
+  keys: ReadonlySet<string>,
+  killedAt: number,
+): number {
+  const affected = results.filter(
+    (result) => keys.has(keyOf.get(result.callerId) ?? "") && result.startedAt >= killedAt,
+  );
+  const firstServed = affected
+    .filter((result) => result.end === "whole")
+    .map((result) => result.startedAt + result.latencyMs - killedAt);
+  return firstServed.length === 0 ? Number.POSITIVE_INFINITY : Math.round(Math.min(...firstServed));
+}
+
+function printSummary(
+  cluster: Cluster,
+  results: readonly CallerResult[],
+  serverOutage: number,
+  daemonOutage: number,
+): number {
+  const facts = readRecords(cluster.recordFile);
+  const started = new Set(facts.runs.map((run) => run.callerId));
+  const untrue = results.filter((result) => result.outcome === "not-run" && started.has(result.callerId));
+  const lost = results.filter((result) => result.end === "whole" && !started.has(result.callerId));
+  const wrong = results.filter((result) => result.end === "wrong content");
+  const ends = [
+    ...groupBy(results, (result) => `${result.end}${result.end === "whole" ? "" : ` (${result.outcome})`}`),
+  ];
+  const promises = [
+    ["run twice", facts.runTwice.length],
+    ["two owners at once", facts.doubleOwners.length],
+    ["called not run, but ran", untrue.length],
+    ["called done, but not run", lost.length],
+    ["wrong or cut answers", wrong.length],
+  ] as const;
+  const rows = [
+    ["requests", results.length],
+    ...ends
+      .sort()
+      .map(([end, same]) => [end === "whole" ? "whole answers" : `refused: ${end}`, same.length] as const),
+    ...promises,
+    [`keys of the killed backend server served again (limit ${LIMIT_MS} ms)`, `${serverOutage} ms`],
+    [`keys of the killed daemon served again (limit ${LIMIT_MS} ms)`, `${daemonOutage} ms`],
+  ] as const;
+  process.stdout.write(`${formatTable(["", "result"], rows)}\n`);
+  const isBroken =
+    promises.some(([, count]) => count > 0) || serverOutage > LIMIT_MS || daemonOutage > LIMIT_MS;
+  process.stdout.write(isBroken ? "A promise was broken.\n" : "All promises held.\n");
+  return isBroken ? 1 : 0;
+}
+
+function showProgress(text: string): void {
+  if (process.stderr.isTTY) {
+    process.stderr.write(`\r\u001b[K${text}`);
+  }
+}
--- /dev/null
+++ b/standins/scenarios/groupBy.ts
@@ -0,0 +1,22 @@
+/** Groups items, as Map.groupBy of later Node.js releases does. */
+
+/**
+ * Groups items by a key.
+ *
+ * @param items - The items.
+ * @param keyOf - Gives the key of an item.
+ * @returns Items by key, in order.
+ */
+export function groupBy<Item, Key>(items: readonly Item[], keyOf: (item: Item) => Key): Map<Key, Item[]> {
+  const groups = new Map<Key, Item[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group === undefined) {
+      groups.set(key, [item]);
+    } else {
+      group.push(item);
+    }
+  }
+  return groups;
+}
--- /dev/null
+++ b/standins/scenarios/records.ts
@@ -0,0 +1,93 @@
+/** Reads the backend servers' records and finds broken promises in them. */
+import { readFileSync } from "node:fs";
+import type { RunRecord } from "../backendServer/runLog";
+import { groupBy } from "./groupBy";
+
+type Line = RunRecord | { readonly kind: "killed"; readonly server: string; readonly at: number };
+
+/** One run of a request at a backend server. */
+export interface RecordedRun {
+  readonly server: string;
+  readonly key: string;
+  readonly slot: number;
+  readonly method: string;
+  readonly callerId: string;
+  readonly startedAt: number;
+  readonly endedAt: number;
+}
+
+/** What the records show. */
+export interface RecordedFacts {
+  readonly runs: readonly RecordedRun[];
+  /** Pairs of runs for one key at two servers at the same time. */
+  readonly doubleOwners: readonly (readonly [RecordedRun, RecordedRun])[];
+  /** Non-idempotent requests that were started more than once. */
+  readonly runTwice: readonly string[];
+  /** Times that a server got more than it could bear. */
+  readonly overloads: number;
+}
+
+/**
+ * Reads all records.
+ *
+ * @param file - Path of the record file.
+ * @returns What they show.
+ */
+export function readRecords(file: string): RecordedFacts {
+  const lines = readFileSync(file, "utf8")
+    .split("\n")
+    .filter((line) => line !== "")
+    .map((line) => JSON.parse(line) as Line);
+  const runs = collectRuns(lines);
+  return {
+    runs,
+    doubleOwners: findDoubleOwners(runs),
+    runTwice: findRunTwice(runs),
+    overloads: lines.filter((line) => line.kind === "overload").length,
+  };
+}
+
+function collectRuns(lines: readonly Line[]): readonly RecordedRun[] {
+  const ends = new Map(lines.flatMap((line) => (line.kind === "end" ? [[line.run, line.at] as const] : [])));
+  const kills = lines.filter((line) => line.kind === "killed");
+  return lines.flatMap((line) => {
+    if (line.kind !== "start") {
+      return [];
+    }
+    const killedAt = kills.find((kill) => kill.server === line.server && kill.at >= line.at)?.at;
+    const endedAt = ends.get(line.run) ?? killedAt ?? Number.POSITIVE_INFINITY;
+    const { server, key, slot, method, callerId, at: startedAt } = line;
+    return [{ server, key, slot, method, callerId, startedAt, endedAt }];
+  });
+}
+
+/** Requests of services without keys have no slot; any server may run them. */
+function findDoubleOwners(runs: readonly RecordedRun[]): readonly (readonly [RecordedRun, RecordedRun])[] {
+  const byKey = groupBy(
+    runs.filter((run) => run.slot >= 0),
+    (run) => run.key,
+  );
+  return [...byKey.values()].flatMap(findOverlaps);
+}
+
+function findOverlaps(runs: readonly RecordedRun[]): readonly (readonly [RecordedRun, RecordedRun])[] {
+  const ordered = [...runs].sort((left, right) => left.startedAt - right.startedAt);
+  const overlaps: (readonly [RecordedRun, RecordedRun])[] = [];
+  ordered.forEach((run, index) => {
+    for (const later of ordered.slice(index + 1)) {
+      if (later.startedAt >= run.endedAt) {
+        break;
+      }
+      if (later.server !== run.server) {
+        overlaps.push([run, later]);
+      }
+    }
+  });
+  return overlaps;
+}
+
+function findRunTwice(runs: readonly RecordedRun[]): readonly string[] {
+  const bookings = runs.filter((run) => run.method === "POST" && run.callerId !== "");
+  const byCaller = groupBy(bookings, (run) => run.callerId);
+  return [...byCaller].filter(([, same]) => same.length > 1).map(([callerId]) => callerId);
+}
