Add failure scenarios with real processes

Data centre killed: keys of its unfenced server stayed unreachable and one request was called not-run after an earlier attempt had run. Steady state: 0.2 writes/s from balancing on sampling noise. One run did not start because a free port was taken by an outgoing connection. Conclusion: causes are searched one by one; fixes follow.

--- a/standins/backendServer/backendServer.ts
+++ b/standins/backendServer/backendServer.ts
@@ -240,7 +240,10 @@
     run.stop.abort();
     runs.delete(run);
     slotByRun.delete(run.id);
-    options.log({ kind: "end", run: run.id, end, at: machineTime() });
+    // Whatever a run did after its lease had lapsed took no effect.
+    const hasLapsed = options.isFenced && grants.lapses() !== run.startLapses;
+    const at = hasLapsed ? Math.min(machineTime(), grants.lapsedAt()) : machineTime();
+    options.log({ kind: "end", run: run.id, end: hasLapsed ? "lapsed" : end, at });
   }
 
   async function runWork(
--- a/standins/backendServer/grantTable.ts
+++ b/standins/backendServer/grantTable.ts
@@ -14,6 +14,8 @@
   mayStart(slot: number, epoch: number, generation: number): boolean;
   /** Number that changes when the lease lapses; a run that sees it change must not take effect. */
   lapses(): number;
+  /** Time of the last lapse. */
+  lapsedAt(): number;
   /** The grants that hold now. */
   granted(): readonly SlotEpoch[];
 }
@@ -30,6 +32,7 @@
   let sequence = 0;
   let validUntilMs = 0;
   let lapses = 0;
+  let lapsedAt = 0;
 
   return {
     apply: (call, bootId) => {
@@ -56,6 +59,7 @@
       dropLapsedGrants();
       return lapses;
     },
+    lapsedAt: () => lapsedAt,
     granted: () => [...grants].map(([slot, epoch]) => ({ slot, epoch })),
   };
 
@@ -76,6 +80,7 @@
   function dropLapsedGrants(): void {
     if (validUntilMs > 0 && now() > validUntilMs) {
       grants.clear();
+      lapsedAt = validUntilMs;
       validUntilMs = 0;
       lapses += 1;
     }
--- a/standins/scenarios/prove.ts
+++ b/standins/scenarios/prove.ts
@@ -0,0 +1,340 @@
+/** Failure scenarios with real processes, real kills and stops. Prints one line a scenario. */
+import { readRecords } from "./records";
+import { type Scenario, type ScenarioContext, type ScenarioResult, runScenario } from "./scenario";
+
+const OUTAGE_LIMIT_MS = 2000;
+const NEW_WORK_LIMIT_MS = 3000;
+const ROLLOUT_LIMIT_MS = 5000;
+const DOWNLOAD_BYTES = 48 * 1024 * 1024;
+
+const scenarios: readonly Scenario[] = [
+  {
+    name: "backend server killed",
+    loadMs: 6000,
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: ({ cluster, fail }) => {
+      fail();
+      cluster.killServer("desk-north-1");
+      return Promise.resolve();
+    },
+  },
+  {
+    name: "leaseholder killed",
+    loadMs: 6000,
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: async (context) => {
+      const daemon = await context.leaseholderOf("desk-north-1");
+      leave(context, daemon);
+      context.fail();
+      context.cluster.signalDaemon(daemon, "SIGKILL");
+    },
+  },
+  {
+    name: "backend server and its leaseholder killed",
+    loadMs: 7000,
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: async (context) => {
+      const daemon = await context.leaseholderOf("desk-south-1");
+      leave(context, daemon);
+      context.fail();
+      context.cluster.killServer("desk-south-1");
+      context.cluster.signalDaemon(daemon, "SIGKILL");
+    },
+  },
+  {
+    name: "data centre killed",
+    loadMs: 9000,
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: (context) => {
+      context.fail();
+      for (const daemon of context.cluster.daemons.filter((each) => each.dataCentre === "west")) {
+        leave(context, daemon.name);
+        context.cluster.signalDaemon(daemon.name, "SIGKILL");
+      }
+      for (const server of context.cluster.servers.filter((each) => each.dataCentre === "west")) {
+        context.cluster.killServer(server.name);
+      }
+      return Promise.resolve();
+    },
+  },
+  {
+    name: "all daemons killed and started again",
+    loadMs: 9000,
+    allowsRefusals: true,
+    run: async (context) => {
+      const { cluster } = context;
+      const before = await readOwners(context);
+      context.fail();
+      for (const daemon of cluster.daemons) {
+        cluster.signalDaemon(daemon.name, "SIGKILL");
+      }
+      await context.wait(300);
+      for (const daemon of cluster.daemons) {
+        cluster.restartDaemon(daemon.name);
+      }
+      await cluster.waitFor("owners", cluster.daemons[0]?.name ?? "", (status) => status.ready);
+      await context.wait(2500);
+      const after = await readOwners(context);
+      const changed = [...before].filter(([server, slots]) => after.get(server) !== slots);
+      if (changed.length > 0) {
+        context.breakPromise(`slots changed at ${changed.map(([server]) => server).join(", ")}`);
+      }
+    },
+  },
+  {
+    name: "fenced backend server stopped for 4 s, then continued",
+    loadMs: 9000,
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: async (context) => {
+      context.fail();
+      context.cluster.signalServer("desk-north-2", "SIGSTOP");
+      await context.wait(4000);
+      context.cluster.signalServer("desk-north-2", "SIGCONT");
+    },
+  },
+  {
+    name: "unfenced backend server stopped for 4 s, then continued",
+    loadMs: 9000,
+    allowsRefusals: true,
+    run: async (context) => {
+      context.fail();
+      context.cluster.signalServer("open-north", "SIGSTOP");
+      await context.wait(4000);
+      context.cluster.signalServer("open-north", "SIGCONT");
+    },
+  },
+  {
+    name: "daemon stopped for 4 s, then continued",
+    loadMs: 9000,
+    allowsRefusals: true,
+    run: async (context) => {
+      const daemon = await context.leaseholderOf("open-north");
+      leave(context, daemon);
+      context.fail();
+      context.cluster.signalDaemon(daemon, "SIGSTOP");
+      await context.wait(4000);
+      context.cluster.signalDaemon(daemon, "SIGCONT");
+    },
+  },
+  {
+    name: "backend server restarted cold",
+    loadMs: 7000,
+    plan: {},
+    outageLimitMs: OUTAGE_LIMIT_MS,
+    allowsRefusals: true,
+    run: async (context) => {
+      context.fail();
+      context.cluster.killServer("desk-west-1");
+      await context.cluster.restartServer("desk-west-1");
+    },
+  },
+  {
+    name: "platform down for 4 s, a backend server killed meanwhile",
+    loadMs: 10_000,
+    allowsRefusals: true,
+    run: async (context) => {
+      await setPlatformDown(context, true);
+      await context.wait(1000);
+      context.cluster.killServer("desk-north-1");
+      await context.wait(3000);
+      context.fail();
+      await setPlatformDown(context, false);
+    },
+  },
+  {
+    name: "answers of the platform lost while a backend server is killed",
+    loadMs: 7000,
+    allowsRefusals: true,
+    run: async (context) => {
+      for (const dataCentre of ["north", "south", "west"]) {
+        await context.cluster.setPlatformFaults(dataCentre, { lostAnswers: 2 });
+      }
+      context.fail();
+      context.cluster.killServer("desk-south-2");
+    },
+  },
+  {
+    name: "data centre out and in",
+    loadMs: 12_000,
+    allowsRefusals: false,
+    run: async (context) => {
+      const { cluster } = context;
+      context.fail();
+      const outAt = machineNow();
+      await cluster.run("dc", "out", "south", "--platform", cluster.platformUrl);
+      await context.wait(5000);
+      const servers = new Set(cluster.servers.filter((each) => each.dataCentre === "south").map((each) => each.name));
+      reportLastWork(context, servers, outAt);
+      await cluster.run("dc", "in", "south", "--platform", cluster.platformUrl);
+    },
+  },
+  {
+    name: "data centre out while it is cut off from the platform",
+    loadMs: 9000,
+    allowsRefusals: true,
+    run: async (context) => {
+      const { cluster } = context;
+      await cluster.setPlatformFaults("south", { isDown: true });
+      await context.wait(1000);
+      const outAt = machineNow();
+      await cluster.run("dc", "out", "south", "--platform", cluster.platformUrl);
+      await context.wait(5500);
+      const servers = new Set(cluster.servers.filter((each) => each.dataCentre === "south").map((each) => each.name));
+      reportLastWork(context, servers, outAt);
+    },
+  },
+  {
+    name: "backend servers drained: by an operator, by their own report, by the VM list",
+    loadMs: 9000,
+    allowsRefusals: false,
+    run: async (context) => {
+      const { cluster } = context;
+      const at = machineNow();
+      await cluster.run("server", "drain", "desk-north-1", "--platform", cluster.platformUrl);
+      await cluster.controlServer("desk-south-1", "behaviour", { isDraining: true });
+      const leaving = cluster.servers.find((each) => each.name === "desk-west-1")?.port;
+      await cluster.setVms((vms) => vms.map((vm) => (vm.port === leaving ? { ...vm, state: "leaving" } : vm)));
+      await context.wait(6000);
+      reportLastWork(context, new Set(["desk-north-1", "desk-south-1"]), at);
+      const facts = readRecords(cluster.recordFile);
+      const last = Math.max(...facts.runs.filter((run) => run.server === "desk-west-1").map((run) => run.startedAt));
+      context.note(`VM leaving (list lags 2 s): last work after ${last - at} ms`);
+    },
+  },
+  {
+    name: "daemon shut down gracefully with a large download in flight",
+    loadMs: 8000,
+    allowsRefusals: false,
+    run: async (context) => {
+      const daemon = await context.leaseholderOf("desk-north-1");
+      const entry = context.cluster.daemons.find((each) => each.name === daemon)?.callers ?? "";
+      const download = context.callers.sendOne({
+        url: `${entry}/desk/archive?bytes=${DOWNLOAD_BYTES}&caller=download`,
+        method: "GET",
+        callerId: "download",
+        bytes: DOWNLOAD_BYTES,
+      });
+      await context.wait(30);
+      context.cluster.signalDaemon(daemon, "SIGTERM");
+      // The balancer sees the health page within the time that the daemon leaves for it.
+      await context.wait(500);
+      leave(context, daemon);
+      const result = await download;
+      context.note(`download ${result.end} after ${Math.round(result.latencyMs)} ms`);
+    },
+  },
+  {
+    name: "two operators race, and a configuration in force everywhere",
+    loadMs: 7000,
+    allowsRefusals: true,
+    run: async (context) => {
+      const { cluster } = context;
+      const drain = (server: string) =>
+        cluster.run("server", "drain", server, "--platform", cluster.platformUrl).then(
+          () => true,
+          () => false,
+        );
+      const startedAt = machineNow();
+      const accepted = await Promise.all([drain("desk-north-1"), drain("desk-south-1"), drain("desk-west-1")]);
+      const number = 1 + accepted.filter(Boolean).length;
+      for (const daemon of cluster.daemons) {
+        await cluster.waitFor(
+          "configuration in force",
+          daemon.name,
+          (status) => status.configurationNumber === number,
+          ROLLOUT_LIMIT_MS,
+        );
+      }
+      context.note(`${number - 1} of 3 accepted; in force everywhere after ${machineNow() - startedAt} ms`);
+    },
+  },
+  {
+    name: "steady state",
+    loadMs: 12_000,
+    allowsRefusals: false,
+    run: async (context) => {
+      const before = await context.cluster.countPlatformCalls();
+      await context.wait(10_000);
+      const after = await context.cluster.countPlatformCalls();
+      const perSecond = (first: number, last: number) => (last - first) / 10;
+      const writes = perSecond(before.writes, after.writes);
+      context.note(`platform: ${writes} writes/s, ${perSecond(before.reads, after.reads)} reads/s`);
+      if (writes > 0) {
+        context.breakPromise("writes in steady state");
+      }
+    },
+  },
+];
+
+void main().then((code) => {
+  process.exitCode = code;
+});
+
+async function main(): Promise<number> {
+  const wanted = process.argv.slice(2).join(" ");
+  let isBroken = false;
+  for (const scenario of scenarios.filter((each) => each.name.includes(wanted))) {
+    const result = await runSafely(scenario);
+    isBroken ||= result.broken.length > 0;
+    print(result);
+  }
+  return isBroken ? 1 : 0;
+}
+
+async function runSafely(scenario: Scenario): Promise<ScenarioResult> {
+  try {
+    return await runScenario(scenario);
+  } catch (error) {
+    const broken = [`did not finish: ${String(error)}`];
+    return { name: scenario.name, requests: 0, whole: 0, refusals: "", outageMs: 0, notes: [], broken };
+  }
+}
+
+function print(result: ScenarioResult): void {
+  const state = result.broken.length === 0 ? "held  " : "BROKEN";
+  const parts = [
+    `${state} ${result.name}`,
+    `${result.whole} of ${result.requests} whole`,
+    `outage ${result.outageMs} ms`,
+    ...(result.refusals === "" ? [] : [`refused ${result.refusals}`]),
+    ...result.notes,
+    ...result.broken,
+  ];
+  process.stdout.write(`${parts.join("; ")}\n`);
+}
+
+/** Takes a daemon out of the entries, as a balancer would. */
+function leave(context: ScenarioContext, daemon: string): void {
+  const address = context.cluster.daemons.find((each) => each.name === daemon)?.callers;
+  context.entries = context.entries.filter((entry) => entry !== address);
+}
+
+async function setPlatformDown(context: ScenarioContext, isDown: boolean): Promise<void> {
+  for (const dataCentre of ["north", "south", "west"]) {
+    await context.cluster.setPlatformFaults(dataCentre, { isDown });
+  }
+}
+
+async function readOwners(context: ScenarioContext): Promise<ReadonlyMap<string, number>> {
+  const status = await context.cluster.status(context.cluster.daemons[0]?.name ?? "");
+  return new Map(status.servers.map((server) => [server.server, server.slots]));
+}
+
+function reportLastWork(context: ScenarioContext, servers: ReadonlySet<string>, since: number): void {
+  const facts = readRecords(context.cluster.recordFile);
+  const starts = facts.runs.filter((run) => servers.has(run.server)).map((run) => run.startedAt - since);
+  const last = Math.max(...starts);
+  context.note(`last new work after ${last} ms`);
+  if (last > NEW_WORK_LIMIT_MS) {
+    context.breakPromise(`new work after ${last} ms`);
+  }
+}
+
+function machineNow(): number {
+  return Number(process.hrtime.bigint() / 1_000_000n);
+}
