--- a/standins/scenarios/prove.ts
+++ b/standins/scenarios/prove.ts
@@ -13,9 +13,9 @@
     loadMs: 6000,
     outageLimitMs: OUTAGE_LIMIT_MS,
     allowsRefusals: true,
-    run: ({ cluster, fail }) => {
-      fail();
-      cluster.killServer("desk-north-1");
+    run: (context) => {
+      context.fail();
+      context.cluster.killServer("desk-north-1");
       return Promise.resolve();
     },
   },
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -38,6 +38,7 @@
     const moves = planBalance(assignment, listCandidates(assignment), new Map(), {
       tolerance: 1.1,
       maxMoves: 100,
+      windowSeconds: 3600,
     });
     expect(moves).toEqual([]);
   });
@@ -47,6 +48,7 @@
     const moves = planBalance(assignment, listCandidates(assignment), new Map(), {
       tolerance: 1.1,
       maxMoves: 100,
+      windowSeconds: 3600,
     });
     expect(moves.every((move) => move.target === "server-7")).toBe(true);
     expect(moves.length).toBeLessThanOrEqual(SLOT_COUNT / 8);
