Prove ownership, membership, platform and configuration over fakes

Found and mended: statements about servers had no order within one generation, so an old one could come back over a second connection (in the test world two daemons exchanged them without end); they carry a sequence number now. A wrong name in a configuration was refused without saying what is wrong with it. Ruled out as a product fault: an operator who declares a server stopped that is only frozen makes two owners; that word is trusted, the operators' page must say so.

--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -136,6 +136,7 @@
   let foreignInFlight = 0;
   let countedSince = clock.now();
   let state: ServerState = ServerState.Unknown;
+  let statusSequence = 0;
   let serverLost = new AbortController();
   let wakeUp = new AbortController();
   let lastReachedAt = clock.now();
@@ -510,8 +511,19 @@
     if (state !== next && next === ServerState.Up) {
       logger.log(Event.ServerUp, { server, service });
     }
+    if (state === next && statusSequence > 0) {
+      return;
+    }
     state = next;
-    statuses.offer({ service, server, generation, state, reporter: options.self.daemon });
+    statusSequence += 1;
+    statuses.offer({
+      service,
+      server,
+      generation,
+      sequence: statusSequence,
+      state,
+      reporter: options.self.daemon,
+    });
   }
 
   function currentConfiguration(): ConfigurationDocument["configuration"] | undefined {
--- a/src/ownership/statusView.ts
+++ b/src/ownership/statusView.ts
@@ -15,6 +15,12 @@
   all(): readonly ServerStatus[];
 }
 
+function isNewer(next: ServerStatus, known: ServerStatus): boolean {
+  return next.generation === known.generation
+    ? next.sequence > known.sequence
+    : next.generation > known.generation;
+}
+
 /**
  * Creates an empty view.
  *
@@ -27,9 +33,7 @@
     events,
     offer: (status) => {
       const known = statuses.get(status.server);
-      const isOld = known !== undefined && known.generation > status.generation;
-      const isSame = known?.generation === status.generation && known.state === status.state;
-      if (isOld || isSame) {
+      if (known !== undefined && !isNewer(status, known)) {
         return false;
       }
       statuses.set(status.server, status);
--- a/src/ownership/types.ts
+++ b/src/ownership/types.ts
@@ -71,6 +71,8 @@
   readonly service: ServiceName;
   readonly server: ServerName;
   readonly generation: Generation;
+  /** Rises with each statement of one generation, since statements may arrive out of order. */
+  readonly sequence: number;
   readonly state: ServerState;
   readonly reporter: DaemonName;
 }
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -46,10 +46,16 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.map((issue) => `${formatPath(issue.path)}: ${issue.message}`);
+  const problems = result.error.issues.map((issue) => `${formatPath(issue.path)}: ${describeIssue(issue)}`);
   throw new InputError(`check ${source}: ${problems.join("; ")}`, { props: { step: `check ${source}` } });
 }
 
+/** For a wrong name the library's message lacks what is wrong with it. */
+function describeIssue(issue: z.core.$ZodIssue): string {
+  const [inner] = issue.code === "invalid_key" ? issue.issues : [];
+  return inner === undefined ? issue.message : `the name ${inner.message}`;
+}
+
 function readText(file: string): string {
   try {
     return readFileSync(file, "utf8");
--- /dev/null
+++ b/test/support/world.ts
@@ -0,0 +1,439 @@
+/** Daemons' ownership subsystems over fakes at the ports: object API, backend servers, membership, clock. */
+import Emittery from "emittery";
+import { configurationSchema, CONFIGURATION_PATH } from "../../src/configuration";
+import type { Member, Membership, MembershipEvents } from "../../src/membership";
+import { createCounters, silentLogger } from "../../src/observability";
+import {
+  type LeaseManager,
+  type ServerLease,
+  type StatusView,
+  createAssignmentStore,
+  createLeaseManager,
+  createPauseGuard,
+  createPlanner,
+  createStatusView,
+  createStopEvidence,
+  ownerOf,
+} from "../../src/ownership";
+import { openEnvelope } from "../../src/platform";
+import { type SnapshotStore, createSnapshotStore } from "../../src/snapshots";
+import { type DaemonRun, isSameRun } from "../../src/types";
+import { type ObjectTable, createObjectTable } from "../../standins/platform/objectTable";
+import { type FakeClock, type ProcessClock, createFakeClock, createProcessClock } from "./fakeClock";
+import { type PlatformWay, createFakeObjectStore, createWay } from "./fakePlatform";
+import { type FakeServer, createFakeServer } from "./fakeServer";
+import { keyTable } from "./keys";
+
+const WATCH_MS = 100;
+const SUSPICION_MS = 700;
+
+/** What a world is made of. */
+export interface WorldPlan {
+  /** Data centre of each daemon. */
+  readonly daemons: Readonly<Record<string, string>>;
+  readonly servers: Readonly<Record<string, { readonly dataCentre: string; readonly isFenced: boolean }>>;
+  readonly slotCount: number;
+}
+
+/** A daemon of the world. */
+export interface WorldDaemon extends DaemonRun {
+  readonly dataCentre: string;
+  readonly clock: ProcessClock;
+  readonly way: PlatformWay;
+  readonly snapshots: SnapshotStore;
+  readonly statuses: StatusView;
+  readonly leases: LeaseManager;
+  isAlive: boolean;
+  isCutFromPeers: boolean;
+  silentSince: number | undefined;
+  readonly stop: AbortController;
+}
+
+/** The world. */
+export interface World {
+  readonly clock: FakeClock;
+  readonly table: ObjectTable;
+  readonly servers: readonly FakeServer[];
+  daemon(name: string): WorldDaemon;
+  server(name: string): FakeServer;
+  kill(daemon: string): void;
+  restart(daemon: string): void;
+  pause(daemon: string): void;
+  resume(daemon: string): void;
+  cutFromPeers(daemon: string, isCut: boolean): void;
+  setLeavingServers(names: readonly string[]): void;
+  /** Changes the configuration as an operator would. */
+  configure(change: (source: WorldConfiguration) => void): void;
+  /** Sends a request for a slot through the entry of a daemon. */
+  request(entry: string, slot: number, workMs: number): Promise<"done" | "refused">;
+  /** Owner of each slot in the object API. */
+  owners(): readonly string[];
+  /** The lease of a server, wherever it is held. */
+  leaseOf(server: string): { readonly daemon: WorldDaemon; readonly lease: ServerLease } | undefined;
+  totalWrites(): number;
+}
+
+/** The configuration that tests change. */
+export interface WorldConfiguration {
+  readonly data_centres: Record<string, { state: string }>;
+  readonly services: Record<string, object>;
+  readonly servers: Record<string, { state: string; [field: string]: unknown }>;
+}
+
+/**
+ * Creates a world with a configuration in force; advance its clock to let it settle.
+ *
+ * @param plan - Daemons and servers.
+ * @returns The world.
+ */
+export function createWorld(plan: WorldPlan): World {
+  const clock = createFakeClock();
+  const table = createObjectTable();
+  const servers = Object.entries(plan.servers).map(([name, { isFenced }]) =>
+    createFakeServer(name, isFenced, clock),
+  );
+  const daemons = new Map<string, WorldDaemon>();
+  const ways = new Map<string, PlatformWay>();
+  const configuration = createConfiguration(plan);
+  let leavingServers: readonly string[] = [];
+  let lastIncarnation = 0;
+  let lastRequestId = 0;
+  writeConfiguration();
+  for (const name of Object.keys(plan.daemons)) {
+    startDaemon(name);
+  }
+
+  return {
+    clock,
+    table,
+    servers,
+    daemon,
+    server,
+    kill: (name) => {
+      const killed = daemon(name);
+      killed.isAlive = false;
+      killed.silentSince = clock.now();
+      killed.clock.stop();
+      killed.stop.abort();
+    },
+    restart: startDaemon,
+    pause: (name) => {
+      daemon(name).clock.pause();
+      daemon(name).silentSince = clock.now();
+    },
+    resume: (name) => {
+      daemon(name).silentSince = undefined;
+      daemon(name).clock.resume();
+    },
+    cutFromPeers: (name, isCut) => {
+      daemon(name).isCutFromPeers = isCut;
+      daemon(name).silentSince = isCut ? clock.now() : undefined;
+    },
+    setLeavingServers: (names) => {
+      leavingServers = names;
+    },
+    configure: (change) => {
+      change(configuration);
+      writeConfiguration();
+    },
+    request,
+    owners: () => {
+      const stored = table.read("assignments/desk");
+      const assignment =
+        stored === undefined ? undefined : (openEnvelope(stored).value as Parameters<typeof ownerOf>[0]);
+      return assignment === undefined
+        ? []
+        : assignment.owners.map((_owner, slot) => ownerOf(assignment, slot)?.name ?? "");
+    },
+    leaseOf,
+    totalWrites: () => [...ways.values()].reduce((sum, way) => sum + way.writes, 0),
+  };
+
+  function daemon(name: string): WorldDaemon {
+    const found = daemons.get(name);
+    if (found === undefined) {
+      throw new Error(`no daemon ${name}`);
+    }
+    return found;
+  }
+
+  function server(name: string): FakeServer {
+    const found = servers.find((each) => each.name === name);
+    if (found === undefined) {
+      throw new Error(`no server ${name}`);
+    }
+    return found;
+  }
+
+  function writeConfiguration(): void {
+    const number = (table.read(CONFIGURATION_PATH)?.version ?? 0) + 1;
+    const value = { number, author: "test", source: structuredClone(configuration) };
+    table.write(
+      CONFIGURATION_PATH,
+      { writeId: `c${number}`, value },
+      table.read(CONFIGURATION_PATH)?.version ?? 0,
+    );
+  }
+
+  function startDaemon(name: string): void {
+    lastIncarnation += 1;
+    const run = { daemon: name, incarnation: lastIncarnation };
+    const processClock = createProcessClock(clock);
+    const way = ways.get(name) ?? createWay();
+    ways.set(name, way);
+    const objects = createFakeObjectStore(table, way, processClock);
+    const counters = createCounters(name);
+    const snapshots = createSnapshotStore(silentLogger, counters);
+    const statuses = createStatusView();
+    const assignments = createAssignmentStore(objects, snapshots);
+    const membership = createFakeMembership(run);
+    const stop = new AbortController();
+    const evidence = createStopEvidence({
+      membership,
+      snapshots,
+      vms: { list: () => Promise.resolve([]) },
+      identifyPeer: (address) => identify(address.host),
+      clock: processClock,
+    });
+    const pauseGuard = createPauseGuard(processClock, silentLogger, () => {
+      void assignments.refresh("desk").then(
+        () => {
+          pauseGuard.confirm();
+        },
+        () => undefined,
+      );
+    });
+    const leases = createLeaseManager({
+      self: run,
+      assignments,
+      snapshots,
+      statuses,
+      membership,
+      evidence,
+      clock: processClock,
+      logger: silentLogger,
+      counters,
+      isFresh: () => pauseGuard.isFresh(),
+      createControl: (serverName) => server(serverName).controlFor(name, processClock),
+      isVmLeaving: (address) => leavingServers.includes(serverAt(address.port)),
+      sendHandover: () => undefined,
+    });
+    const planner = createPlanner({
+      membership,
+      snapshots,
+      assignments,
+      statuses,
+      evidence,
+      clock: processClock,
+      logger: silentLogger,
+      collectLoads: () => Promise.resolve(new Map()),
+      refusesConnections: (address) => Promise.resolve(!server(serverAt(address.port)).isRunning()),
+    });
+    daemons.set(name, {
+      ...run,
+      dataCentre: plan.daemons[name] ?? "",
+      clock: processClock,
+      way,
+      snapshots,
+      statuses,
+      leases,
+      isAlive: true,
+      isCutFromPeers: false,
+      silentSince: undefined,
+      stop,
+    });
+    snapshots.events.on("changed", (raw) => {
+      leases.follow();
+      forPeersOf(name, (peer) => peer.snapshots.offer(raw));
+    });
+    statuses.events.on("changed", (status) => {
+      forPeersOf(name, (peer) => peer.statuses.offer(status));
+    });
+    void planner.run(stop.signal);
+    watch();
+
+    /** Stands for the watcher and for the digests in pings. */
+    function watch(): void {
+      if (stop.signal.aborted) {
+        return;
+      }
+      objects.list("", 1).then(
+        ({ objects: stored }) => {
+          for (const object of stored) {
+            snapshots.offer({
+              path: object.path,
+              version: object.version,
+              value: openEnvelope(object).value,
+            });
+          }
+        },
+        () => undefined,
+      );
+      forPeersOf(name, (peer) => {
+        for (const raw of snapshots.newerThan(peer.snapshots.versions())) {
+          peer.snapshots.offer(raw);
+        }
+        for (const status of statuses.all()) {
+          peer.statuses.offer(status);
+        }
+      });
+      processClock.schedule(WATCH_MS, watch);
+    }
+  }
+
+  function forPeersOf(name: string, call: (peer: WorldDaemon) => void): void {
+    const self = daemon(name);
+    for (const peer of daemons.values()) {
+      if (peer !== self && !peer.isCutFromPeers && !self.isCutFromPeers && peer.isAlive) {
+        void peer.clock.gate().then(() => {
+          call(peer);
+        });
+      }
+    }
+  }
+
+  function identify(
+    name: string,
+  ): Promise<{ kind: "refused" } | { kind: "run"; run: DaemonRun } | { kind: "silent" }> {
+    const target = daemon(name);
+    if (!target.isAlive) {
+      return Promise.resolve({ kind: "refused" });
+    }
+    return Promise.resolve(
+      target.silentSince === undefined ? { kind: "run", run: target } : { kind: "silent" },
+    );
+  }
+
+  /** A member that has been silent for a while is taken for dead, rightly or not. */
+  function isPresent(run: DaemonRun): boolean {
+    const target = daemons.get(run.daemon);
+    const isSilent = target?.silentSince !== undefined && clock.now() - target.silentSince > SUSPICION_MS;
+    return target !== undefined && isSameRun(target, run) && !isSilent;
+  }
+
+  function createFakeMembership(self: DaemonRun): Membership {
+    const toMember = (target: DaemonRun): Member => ({
+      daemon: target.daemon,
+      incarnation: target.incarnation,
+      dataCentre: plan.daemons[target.daemon] ?? "",
+      address: { host: target.daemon, port: 1 },
+      status: "alive",
+      refutation: 0,
+      platformReachable: ways.get(target.daemon)?.isDown !== true,
+      configurationVersion: 0,
+      leaving: false,
+    });
+    return {
+      events: new Emittery<MembershipEvents>(),
+      self: () => toMember(self),
+      present: () =>
+        [...daemons.values()].filter((each) => isSameRun(each, self) || isVisible(self, each)).map(toMember),
+      get: (name) => {
+        const found = daemons.get(name);
+        return found === undefined ? undefined : toMember(found);
+      },
+      isPresent: (run) => isSameRun(run, self) || isVisible(self, run),
+      check: () => undefined,
+      declareDead: () => undefined,
+      setPlatformReachable: () => undefined,
+      setConfigurationVersion: () => undefined,
+      setLeaving: () => undefined,
+      leave: () => undefined,
+      stop: () => undefined,
+    };
+  }
+
+  function isVisible(self: DaemonRun, run: DaemonRun): boolean {
+    return isPresent(run) && daemons.get(self.daemon)?.isCutFromPeers !== true;
+  }
+
+  function serverAt(port: number): string {
+    return Object.keys(plan.servers)[port - 1] ?? "";
+  }
+
+  async function request(entry: string, slot: number, workMs: number): Promise<"done" | "refused"> {
+    lastRequestId += 1;
+    const assignment = daemon(entry).snapshots.assignment("desk")?.value;
+    const owner = assignment === undefined ? undefined : ownerOf(assignment, slot);
+    const holder = owner?.leaseholder;
+    const target = holder === undefined || holder === null ? undefined : daemons.get(holder.daemon);
+    if (owner === undefined || target?.isAlive !== true) {
+      return "refused";
+    }
+    await target.clock.gate();
+    const lease = target.leases.get(owner.name);
+    const result = await lease?.beginWork(
+      keyOfSlot(slot),
+      target.clock.now() + 5000,
+      new AbortController().signal,
+    );
+    if (lease === undefined || result?.kind !== "permitted") {
+      return "refused";
+    }
+    const { permit } = result;
+    const marks = {
+      slot,
+      epoch: permit.epoch ?? -1,
+      generation: lease.generation,
+      requestId: lastRequestId,
+      workMs,
+    };
+    // A process may be paused after its last check and before the bytes leave.
+    await target.clock.gate();
+    const end = await Promise.race([
+      server(owner.name).send(target.daemon, marks),
+      whenAborted(permit.serverLost),
+    ]);
+    await target.clock.gate();
+    permit.end(workEnds[end], end === "done" ? workMs : undefined);
+    return end === "done" ? "done" : "refused";
+  }
+
+  function leaseOf(name: string): { readonly daemon: WorldDaemon; readonly lease: ServerLease } | undefined {
+    for (const each of daemons.values()) {
+      const lease = each.isAlive ? each.leases.get(name) : undefined;
+      if (lease !== undefined) {
+        return { daemon: each, lease };
+      }
+    }
+    return undefined;
+  }
+
+  function keyOfSlot(slot: number): string {
+    return keyTable(plan.slotCount)[slot] ?? "";
+  }
+}
+
+const workEnds = { done: "answered", refused: "notSent", lost: "unresolved" } as const;
+
+function whenAborted(signal: AbortSignal): Promise<"lost"> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => {
+      resolve("lost");
+    });
+  });
+}
+
+function createConfiguration(plan: WorldPlan): WorldConfiguration {
+  const dataCentres = [...new Set(Object.values(plan.daemons))];
+  const source = {
+    data_centres: Object.fromEntries(dataCentres.map((name) => [name, { state: "in" }])),
+    services: { desk: { divided_by_key: true, slot_count: plan.slotCount, request_timeout: "5s" } },
+    servers: Object.fromEntries(
+      Object.entries(plan.servers).map(([name, { dataCentre, isFenced }], index) => [
+        name,
+        {
+          service: "desk",
+          data_centre: dataCentre,
+          host: "10.0.0.1",
+          port: index + 1,
+          slots: 4,
+          fenced: isFenced,
+          state: "active",
+        },
+      ]),
+    ),
+  };
+  configurationSchema.parse(source);
+  return source;
+}
