--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -13,7 +13,6 @@
   MissingKey: "missing-key",
   InvalidRequest: "invalid-request",
   HeadersTooLarge: "headers-too-large",
-  BodyTooLarge: "body-too-large",
   NotReady: "not-ready",
   NoOwner: "no-owner",
   NoLeaseholder: "no-leaseholder",
--- /dev/null
+++ b/test/callers.test.ts
@@ -0,0 +1,200 @@
+/** The entry for callers: bad input gets a clear error; broken answers look broken. */
+import { connect } from "node:net";
+import { Readable } from "node:stream";
+import { request } from "undici";
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { CONFIGURATION_PATH } from "../src/configuration";
+import { createCounters, silentLogger } from "../src/observability";
+import { type CallerServer, type Router, createCallerServer } from "../src/routing";
+import { createSnapshotStore } from "../src/snapshots";
+import { type WorkResult, emptyBody, systemClock } from "../src/types";
+
+const load = { inFlight: 0, queued: 0, limit: 1, latencyMs: 1 };
+const source = {
+  data_centres: {},
+  services: {
+    desk: { divided_by_key: true },
+    book: { divided_by_key: true, key_from: "header", key_name: "X-Member" },
+    stock: { divided_by_key: true, key_from: "query", key_name: "id" },
+    vault: { divided_by_key: false, host: "vault.example" },
+  },
+  servers: {},
+};
+
+let server: CallerServer;
+let base: string;
+let port: number;
+let seen: { readonly key: string | undefined; readonly target: string; readonly service: string }[];
+let respond: () => WorkResult;
+
+beforeEach(async () => {
+  seen = [];
+  respond = () => answer(200, { content: "ok" });
+  await start(true);
+});
+
+afterEach(async () => {
+  await server.close();
+});
+
+interface BadInput {
+  readonly name: string;
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly status: number;
+  readonly reason: string;
+}
+
+const badInputs: readonly BadInput[] = [
+  { name: "unknown service", path: "/nothing/k", status: 404, reason: "unknown-service" },
+  {
+    name: "name of an object's own property",
+    path: "/constructor/k",
+    status: 404,
+    reason: "unknown-service",
+  },
+  { name: "missing key in the path", path: "/desk", status: 400, reason: "missing-key" },
+  { name: "broken escape in the key", path: "/desk/%E0%A4%A", status: 400, reason: "missing-key" },
+  { name: "missing header", path: "/book/x", status: 400, reason: "missing-key" },
+  { name: "missing query parameter", path: "/stock/x?other=1", status: 400, reason: "missing-key" },
+  { name: "key that is too long", path: `/desk/${"k".repeat(2000)}`, status: 400, reason: "invalid-request" },
+  {
+    name: "timeout that is no number",
+    path: "/desk/k",
+    headers: { "x-hemlockbank-timeout-ms": "soon" },
+    status: 400,
+    reason: "invalid-request",
+  },
+  {
+    name: "oversized header",
+    path: "/desk/k",
+    headers: { "x-large": "y".repeat(20_000) },
+    status: 431,
+    reason: "headers-too-large",
+  },
+];
+
+describe("callers' entry", () => {
+  test.each(badInputs)(
+    "$name: $status, not run, and the next request is served",
+    async ({ path, headers, status, reason }) => {
+      const response = await request(`${base}${path}`, { headers: headers ?? {} });
+      expect(response.statusCode).toBe(status);
+      expect(response.headers["x-hemlockbank-outcome"]).toBe("not-run");
+      expect(await response.body.json()).toMatchObject({ reason, outcome: "not-run" });
+      expect((await request(`${base}/desk/k`)).statusCode).toBe(200);
+    },
+  );
+
+  test("bytes that are no HTTP get an answer, not silence", async () => {
+    const text = await new Promise<string>((resolve) => {
+      const socket = connect(port, "127.0.0.1", () => socket.write("gibberish\r\n\r\n"));
+      let received = "";
+      socket.on("data", (chunk) => (received += chunk.toString()));
+      socket.on("close", () => {
+        resolve(received);
+      });
+    });
+    expect(text).toContain("400 Bad Request");
+    expect(text).toContain("x-hemlockbank-outcome: not-run");
+  });
+
+  const keys: readonly (readonly [string, string, Record<string, string>, string | undefined, string])[] = [
+    ["path", "/desk/a%20b/status?x=1", {}, "a b", "/a%20b/status?x=1"],
+    ["header", "/book/sheet", { "x-member": "m7" }, "m7", "/sheet"],
+    ["query", "/stock/list?id=9", {}, "9", "/list?id=9"],
+    ["host without key", "/bundle", { host: "vault.example:80" }, undefined, "/bundle"],
+  ];
+
+  test.each(keys)("key from %s", async (_name, path, headers, key, target) => {
+    await request(`${base}${path}`, { headers });
+    expect(seen[0]).toMatchObject({ key, target });
+  });
+
+  test("a refusal names outcome, reason, step and peer", async () => {
+    respond = () => ({
+      kind: "failure",
+      failure: { outcome: "unknown", reason: "server-connection-lost", step: "send", peer: "one" },
+    });
+    const response = await request(`${base}/desk/k`, { headers: { "x-request-id": "r1" } });
+    expect(response.statusCode).toBe(502);
+    expect(await response.body.json()).toMatchObject({
+      outcome: "unknown",
+      step: "send",
+      peer: "one",
+      requestId: "r1",
+    });
+  });
+
+  test("an answer that breaks half way is broken for the caller too", async () => {
+    respond = () => {
+      const stream = new Readable({ read: () => undefined });
+      stream.push("half");
+      setImmediate(() => stream.destroy(new Error("broken")));
+      return answer(200, { stream, length: "100" });
+    };
+    const response = await request(`${base}/desk/k`).catch(() => undefined);
+    await expect(
+      response === undefined ? Promise.reject(new Error("broken")) : response.body.text(),
+    ).rejects.toThrow();
+  });
+
+  test("before the first configuration requests are refused as not run", async () => {
+    await server.close();
+    await start(false);
+    const response = await request(`${base}/desk/k`);
+    expect(response.statusCode).toBe(503);
+    expect(response.headers["x-hemlockbank-reason"]).toBe("not-ready");
+  });
+});
+
+async function start(hasConfiguration: boolean): Promise<void> {
+  const counters = createCounters("test");
+  const snapshots = createSnapshotStore(silentLogger, counters);
+  if (hasConfiguration) {
+    snapshots.offer({ path: CONFIGURATION_PATH, version: 1, value: { number: 1, author: "a", source } });
+  }
+  const router: Router = (callerRequest) => {
+    seen.push(callerRequest);
+    return Promise.resolve(respond());
+  };
+  port = await findFreePort();
+  base = `http://127.0.0.1:${port}`;
+  server = await createCallerServer({
+    address: { host: "127.0.0.1", port },
+    router,
+    snapshots,
+    clock: systemClock,
+    logger: silentLogger,
+    counters,
+  });
+}
+
+function answer(
+  status: number,
+  content: { content?: string; stream?: Readable; length?: string },
+): WorkResult {
+  const headers = content.length === undefined ? {} : { "content-length": content.length };
+  const body =
+    content.stream === undefined
+      ? { kind: "buffer" as const, content: Buffer.from(content.content ?? "") }
+      : { kind: "stream" as const, stream: content.stream };
+  return {
+    kind: "answer",
+    answer: { status, headers, body: content.content === "" ? emptyBody : body, load },
+  };
+}
+
+function findFreePort(): Promise<number> {
+  return new Promise((resolve) => {
+    void import("node:net").then(({ createServer }) => {
+      const probe = createServer();
+      probe.listen(0, "127.0.0.1", () => {
+        const address = probe.address();
+        probe.close(() => {
+          resolve(typeof address === "object" && address !== null ? address.port : 0);
+        });
+      });
+    });
+  });
+}
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,231 @@
+/** Requests between daemons: streams, broken connections, malformed messages, at most one run. */
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import { type PeerMessage, type Hello } from "../src/peers";
+import { WINDOW_BYTES } from "../src/peers/bodyStreams";
+import { decodeMessage, encodeMessage } from "../src/peers/codec";
+import { type WorkChannel, type WorkMessage, createWorkChannel } from "../src/peers/workChannel";
+import { createWorkRegistry } from "../src/routing";
+import { type Body, type WorkHandler, type WorkRequest, type WorkResult, emptyBody } from "../src/types";
+import { createFakeClock } from "./support/fakeClock";
+import { createByteStream, createLinkPair } from "./support/fakeLinks";
+
+const SEED = 20_261_204;
+const load = { inFlight: 0, queued: 0, limit: 1, latencyMs: 1 };
+
+const work: WorkRequest = {
+  id: "w1",
+  service: "desk",
+  server: "one",
+  key: "k",
+  method: "POST",
+  target: "/k",
+  headers: { accept: "a", "set-cookie": ["b", "c"] },
+  timeoutMs: 1000,
+  isIdempotent: false,
+  idempotencyKey: null,
+  relayTo: null,
+};
+
+describe("work channel", () => {
+  test("request and answer pass unchanged", async () => {
+    const { forward } = connect((request, body) =>
+      Promise.resolve(answer({ kind: "buffer", content: Buffer.from(`${request.id}:${textOf(body)}`) })),
+    );
+    const result = await forward(work, { kind: "buffer", content: Buffer.from("hi") });
+    expect(result).toMatchObject({ kind: "answer", answer: { status: 200, headers: { a: "1" } } });
+    expect(result.kind === "answer" && textOf(result.answer.body)).toBe("w1:hi");
+  });
+
+  test("long bodies stream in both directions and stay whole", async () => {
+    const { forward } = connect(async (_request, body) => {
+      const size = await sizeOf(body);
+      return answer({ kind: "stream", stream: createByteStream(size * 2) });
+    });
+    const result = await forward(work, { kind: "stream", stream: createByteStream(1_000_000) });
+    expect(result.kind === "answer" && (await sizeOf(result.answer.body))).toBe(2_000_000);
+  });
+
+  test("a reader that stops reading stops the sender within its window", async () => {
+    const { forward, pair } = connect(() =>
+      Promise.resolve(answer({ kind: "stream", stream: createByteStream(20_000_000) })),
+    );
+    await forward(work, emptyBody);
+    await settle();
+    const sent = pair.answerBytes();
+    expect(sent).toBeLessThanOrEqual(2 * WINDOW_BYTES);
+  });
+
+  test("a small request is answered while a large answer waits for its reader", async () => {
+    const { forward } = connect((request) =>
+      Promise.resolve(
+        answer(request.id === "large" ? { kind: "stream", stream: createByteStream(20_000_000) } : emptyBody),
+      ),
+    );
+    await forward({ ...work, id: "large" }, emptyBody);
+    expect((await forward({ ...work, id: "small" }, emptyBody)).kind).toBe("answer");
+  });
+
+  test("cancelling stops the work at the other side", async () => {
+    let wasCancelled = false;
+    const { channel } = connect(
+      (_request, _body, signal) =>
+        new Promise(() => {
+          signal.addEventListener("abort", () => {
+            wasCancelled = true;
+          });
+        }),
+    );
+    const cancel = new AbortController();
+    const result = channel.forward(work, emptyBody, cancel.signal);
+    await settle();
+    cancel.abort();
+    expect(await result).toMatchObject({ kind: "failure", failure: { reason: "caller-gone" } });
+    await settle();
+    expect(wasCancelled).toBe(true);
+  });
+
+  test("a connection that breaks in an answer breaks the reader's stream", async () => {
+    const { forward, pair } = connect(() =>
+      Promise.resolve(answer({ kind: "stream", stream: createByteStream(5_000_000) })),
+    );
+    const result = await forward(work, emptyBody);
+    const size = result.kind === "answer" ? sizeOf(result.answer.body) : Promise.resolve(0);
+    pair.breakBoth();
+    await expect(size).rejects.toThrow("peer connection lost");
+  });
+
+  const breaks: readonly (readonly [string, PeerMessage["kind"] | "after", boolean])[] = [
+    ["before the request arrives", "request", false],
+    ["while the request runs", "after", true],
+  ];
+
+  test.each(breaks)(
+    "broken %s: unknown, and the query tells whether it was seen",
+    async (_name, kind, wasSeen) => {
+      const registry = createWorkRegistry(createFakeClock());
+      let runs = 0;
+      const { forward, pair } = connect((request) => {
+        if (registry.admitAttempt(request.id)) {
+          runs += 1;
+        }
+        setImmediate(() => {
+          pair.breakBoth();
+        });
+        return new Promise(() => undefined);
+      });
+      if (kind !== "after") {
+        pair.breakBefore(kind);
+      }
+      const result = await forward(work, emptyBody);
+      expect(result).toMatchObject({
+        kind: "failure",
+        failure: { outcome: "unknown", reason: "peer-connection-lost" },
+      });
+      expect(registry.wasSeen(work.id)).toBe(wasSeen);
+      expect(runs).toBe(wasSeen ? 1 : 0);
+      // A copy that arrives after the query must not run.
+      expect(registry.admitAttempt(work.id)).toBe(false);
+    },
+  );
+});
+
+describe("codec", () => {
+  test("random bytes never throw and never pass", () => {
+    fc.assert(
+      fc.property(fc.uint8Array({ maxLength: 200 }), (content) => {
+        expect(decodeMessage(content)).toBeUndefined();
+      }),
+      { seed: SEED, numRuns: 1000 },
+    );
+  });
+
+  test("a valid message with one field lost or of another type is refused", () => {
+    const hello: Hello = {
+      kind: "hello",
+      protocol: 1,
+      cluster: "c",
+      daemon: "d",
+      incarnation: 1,
+      dataCentre: "n",
+      release: "0",
+    };
+    for (const name of Object.keys(hello)) {
+      const broken = { ...hello, [name]: null };
+      expect(decodeMessage(encodeMessage(broken)), name).toBeUndefined();
+    }
+    expect(decodeMessage(encodeMessage(hello))).toEqual(hello);
+  });
+
+  test("a request without a complete description is refused", () => {
+    for (const name of [
+      "id",
+      "service",
+      "server",
+      "method",
+      "target",
+      "headers",
+      "timeoutMs",
+      "isIdempotent",
+    ]) {
+      const broken = {
+        kind: "request",
+        id: 1,
+        work: { ...work, [name]: null },
+        body: null,
+      } as unknown as PeerMessage;
+      expect(decodeMessage(encodeMessage(broken)), name).toBeUndefined();
+    }
+  });
+});
+
+function connect(handleWork: WorkHandler) {
+  const pair = createLinkPair();
+  let answerBytes = 0;
+  const channel: WorkChannel = createWorkChannel(pair.left, () => Promise.reject(new Error("unexpected")));
+  const remote = createWorkChannel(pair.right, handleWork);
+  pair.left.receive((message) => {
+    answerBytes += message.kind === "answerBody" ? message.chunk.byteLength : 0;
+    channel.receive(message as WorkMessage);
+  });
+  pair.right.receive((message) => {
+    remote.receive(message as WorkMessage);
+  });
+  pair.left.onClose(() => {
+    channel.breakAll();
+  });
+  pair.right.onClose(() => {
+    remote.breakAll();
+  });
+  return {
+    channel,
+    pair: { ...pair, answerBytes: () => answerBytes },
+    forward: (request: WorkRequest, body: Body) =>
+      channel.forward(request, body, new AbortController().signal),
+  };
+}
+
+function answer(body: Body): WorkResult {
+  return { kind: "answer", answer: { status: 200, headers: { a: "1" }, body, load } };
+}
+
+function textOf(body: Body): string {
+  return body.kind === "buffer" ? Buffer.from(body.content).toString() : "stream";
+}
+
+async function sizeOf(body: Body): Promise<number> {
+  if (body.kind === "buffer") {
+    return body.content.byteLength;
+  }
+  let size = 0;
+  for await (const chunk of body.stream as AsyncIterable<Uint8Array>) {
+    size += chunk.byteLength;
+  }
+  return size;
+}
+
+async function settle(): Promise<void> {
+  for (let round = 0; round < 100; round += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -406,12 +406,20 @@
 
 const workEnds = { done: "answered", refused: "notSent", lost: "unresolved" } as const;
 
+const abortions = new WeakMap<AbortSignal, Promise<"lost">>();
+
 function whenAborted(signal: AbortSignal): Promise<"lost"> {
-  return new Promise((resolve) => {
+  const known = abortions.get(signal);
+  if (known !== undefined) {
+    return known;
+  }
+  const abortion = new Promise<"lost">((resolve) => {
     signal.addEventListener("abort", () => {
       resolve("lost");
     });
   });
+  abortions.set(signal, abortion);
+  return abortion;
 }
 
 function createConfiguration(plan: WorldPlan): WorldConfiguration {
