--- /dev/null
+++ b/src/cli/commands/questionnaire.ts
@@ -0,0 +1,45 @@
+/** `hemlockbank questionnaire`: generates configuration and settings from answers. */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { stringify } from "smol-toml";
+import { type Answers, answersSchema, askAnswers, generateFiles } from "../../questionnaire";
+import { loadToml } from "../../settings";
+import { type Command, ExitCode, textFlag } from "../command";
+import { printLine } from "../output";
+
+const ANSWERS_FILE = "answers.toml";
+
+export const questionnaireCommand: Command = {
+  name: "questionnaire",
+  arguments: [],
+  summary: "Generate the configuration and each daemon's settings from your answers.",
+  flags: {
+    out: { type: "string", isRequired: true, help: "folder for the generated files" },
+    answers: { type: "string", help: "TOML file with answers; without it, you are asked" },
+  },
+  run: async (_input, flags) => {
+    const out = textFlag(flags, "out");
+    const file = textFlag(flags, "answers");
+    const answers = file === "" ? await askAndKeep(out) : loadToml(file, answersSchema);
+    const files = generateFiles(answers, file === "" ? ANSWERS_FILE : file);
+    for (const { path, content } of files) {
+      writeInto(out, path, content);
+    }
+    printLine(
+      `${files.length} files in ${out}. Next: hemlockbank config check ${join(out, "configuration.toml")}`,
+    );
+    return ExitCode.Success;
+  },
+};
+
+async function askAndKeep(out: string): Promise<Answers> {
+  const answers = await askAnswers();
+  writeInto(out, ANSWERS_FILE, stringify(answers));
+  return answers;
+}
+
+function writeInto(folder: string, path: string, content: string): void {
+  const file = join(folder, path);
+  mkdirSync(dirname(file), { recursive: true });
+  writeFileSync(file, content);
+}
--- /dev/null
+++ b/src/cli/commands/reference.ts
@@ -0,0 +1,46 @@
+/** `hemlockbank reference …`: prints the reference page of a file. */
+import { configurationSchema } from "../../configuration";
+import { createReference, settingsSchema } from "../../settings";
+import { type Command, ExitCode } from "../command";
+import { printLine } from "../output";
+
+/** The page on the settings of a daemon. */
+export function createSettingsReference(): string {
+  return createReference(
+    "Settings of a daemon",
+    "A TOML file for each daemon. Durations are whole numbers with a unit, such as `250ms` or `2s`; defaults are in milliseconds.",
+    settingsSchema,
+  );
+}
+
+/** The page on the configuration. */
+export function createConfigurationReference(): string {
+  return createReference(
+    "Configuration",
+    "One TOML file for the cluster, applied with `hemlockbank config apply`. Durations are whole numbers with a unit, such as `250ms` or `2s`; defaults are in milliseconds.",
+    configurationSchema,
+  );
+}
+
+/** The commands that print the pages. */
+export const referenceCommands: readonly Command[] = [
+  {
+    name: "reference settings",
+    arguments: [],
+    summary: "Print the reference of a daemon's settings file.",
+    flags: {},
+    run: () => print(createSettingsReference()),
+  },
+  {
+    name: "reference configuration",
+    arguments: [],
+    summary: "Print the reference of the configuration file.",
+    flags: {},
+    run: () => print(createConfigurationReference()),
+  },
+];
+
+function print(page: string): Promise<number> {
+  printLine(page.trimEnd());
+  return Promise.resolve(ExitCode.Success);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,9 +13,12 @@
 import { daemonCommand } from "./commands/daemon";
 import { keyOwnerCommand, statusCommand } from "./commands/inspect";
 import { stateCommands, stoppedDaemonCommand, stoppedServerCommand } from "./commands/operate";
+import { questionnaireCommand } from "./commands/questionnaire";
+import { referenceCommands } from "./commands/reference";
 import { printLine } from "./output";
 
 const commands: readonly Command[] = [
+  questionnaireCommand,
   daemonCommand,
   configCheckCommand,
   configPlanCommand,
@@ -27,10 +30,12 @@
   ...stateCommands,
   stoppedDaemonCommand,
   stoppedServerCommand,
+  ...referenceCommands,
 ];
 
 void main(process.argv.slice(2)).then((code) => {
-  process.exitCode = code;
+  // A connection that a library keeps open must not keep a stopped daemon's process alive.
+  process.exit(code);
 });
 
 async function main(args: readonly string[]): Promise<number> {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,7 +18,14 @@
   refusesConnections,
 } from "../ownership";
 import { PEER_PROTOCOL, type Peers, createPeers } from "../peers";
-import { createHttpPlatform } from "../platform";
+import {
+  CallPriority,
+  type ObjectAnswer,
+  type ObjectCall,
+  carryOutObjectCall,
+  createHttpPlatform,
+  createRelayedObjectStore,
+} from "../platform";
 import {
   createCallerServer,
   createLeaseholderDispatcher,
@@ -78,6 +85,7 @@
   let hasPlatformAnswered = false;
   let hasSyncedWithSeeds = false;
 
+  const transport = await createUdpTransport(settings.peers);
   const membership = createMembership({
     cluster: settings.cluster,
     self: { ...run, dataCentre: settings.data_centre, address: settings.peers },
@@ -86,7 +94,7 @@
       address: { host: seed.host, port: seed.port },
     })),
     clock,
-    transport: await createUdpTransport(settings.peers),
+    transport,
     logger,
     counters,
     random,
@@ -95,7 +103,12 @@
   const pauseGuard = createPauseGuard(clock, logger, () => {
     void catchUpAfterPause();
   });
-  const assignments = createAssignmentStore(platform.objects, snapshots);
+  const objects = createRelayedObjectStore({
+    direct: platform.objects,
+    isReachable: () => membership.self().platformReachable,
+    relay: callObjectThroughOther,
+  });
+  const assignments = createAssignmentStore(objects, snapshots);
   const evidence = createStopEvidence({
     membership,
     snapshots,
@@ -175,6 +188,7 @@
     handlers: {
       handleWork: dispatcher.handleWork,
       wasSeen: (workId) => registry.wasSeen(workId),
+      handleObjectCall: (call) => carryOutObjectCall(platform.objects, call, CallPriority.Ownership),
       newerThan: (versions) => snapshots.newerThan(versions),
       versions: () => snapshots.versions(),
       takeSnapshots: (received) => {
@@ -257,6 +271,23 @@
     return peers;
   }
 
+  /** A daemon that is cut off from the platform alone asks one that is not. */
+  async function callObjectThroughOther(call: ObjectCall): Promise<ObjectAnswer | undefined> {
+    const helpers = membership
+      .present()
+      .filter((member) => member.platformReachable && member.daemon !== settings.daemon);
+    const helper = helpers[Math.floor(random() * helpers.length)];
+    if (helper === undefined) {
+      return undefined;
+    }
+    counters.increment("platform.relayed", call.kind);
+    try {
+      return await (await openPeers().connect(helper.daemon)).callObject(call);
+    } catch {
+      return { kind: "unavailable" };
+    }
+  }
+
   function isReady(): boolean {
     return !isLeaving && hasStartedFromNewest() && snapshots.configuration() !== undefined;
   }
@@ -370,6 +401,7 @@
     membership.leave();
     await sleep(clock, IDLE_CHECK_MS);
     membership.stop();
+    transport.close();
     pauseGuard.stop();
     dispatcher.close();
     admin.close();
--- a/src/ownership/assignmentStore.ts
+++ b/src/ownership/assignmentStore.ts
@@ -48,12 +48,16 @@
     change: (current: Assignment | undefined) => Assignment | undefined,
   ): Promise<Assignment | undefined> {
     const path = assignmentPath(service);
+    const cached = snapshots.assignment(service);
+    if (cached !== undefined && change(cached.value) === undefined) {
+      return cached.value;
+    }
     const result = await updateObject(
       objects,
       path,
       CallPriority.Ownership,
       (current) => change(current === undefined ? undefined : parseAssignment(current.value)),
-      snapshots.assignment(service),
+      cached,
     );
     const newest = result.kind === "updated" ? result : result.current;
     if (newest !== undefined) {
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -137,11 +137,14 @@
     return rankCandidates(subject, names)[0] === membership.self().daemon;
   }
 
+  /** Daemons that reach the platform; where none does, all of them, since calls are passed on. */
   function listEligible(dataCentre?: DataCentreName): readonly Member[] {
-    return membership
+    const staying = membership
       .present()
-      .filter((member) => !member.leaving && member.platformReachable)
+      .filter((member) => !member.leaving)
       .filter((member) => dataCentre === undefined || member.dataCentre === dataCentre);
+    const reaching = staying.filter((member) => member.platformReachable);
+    return reaching.length > 0 ? reaching : staying;
   }
 
   /** Leaseholders that are not present, and the servers that they alone could reach, with what is proved of them. */
--- a/src/peers/codec.ts
+++ b/src/peers/codec.ts
@@ -27,6 +27,8 @@
   answerAborted: { id: "number" },
   query: { id: "number", workId: "string" },
   queryAnswer: { id: "number", wasSeen: "boolean" },
+  objectCall: { id: "number", call: "object" },
+  objectAnswer: { id: "number", answer: "object" },
   snapshotSync: { id: "number", versions: "object" },
   snapshots: { id: "number", snapshots: "array", versions: "object" },
   snapshotPush: { snapshots: "array" },
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between daemons. docs/INTERFACES.md describes each one. */
 import type { Handover, ServerStatus } from "../ownership";
+import type { ObjectAnswer, ObjectCall } from "../platform";
 import type { RawSnapshot, SnapshotVersions } from "../snapshots";
 import type {
   Address,
@@ -65,6 +66,9 @@
   /** Asks whether a request was seen; if not, it is refused from then on. */
   | { readonly kind: "query"; readonly id: number; readonly workId: string }
   | { readonly kind: "queryAnswer"; readonly id: number; readonly wasSeen: boolean }
+  /** Asks the receiver to call the object API, which the sender cannot reach. */
+  | { readonly kind: "objectCall"; readonly id: number; readonly call: ObjectCall }
+  | { readonly kind: "objectAnswer"; readonly id: number; readonly answer: ObjectAnswer }
   | { readonly kind: "snapshotSync"; readonly id: number; readonly versions: SnapshotVersions }
   | {
       readonly kind: "snapshots";
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -4,6 +4,7 @@
 import type { Membership } from "../membership";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Handover, PeerIdentity, ServerStatus, SlotLoads } from "../ownership";
+import type { ObjectAnswer, ObjectCall, ObjectCallHandler } from "../platform";
 import type { RawSnapshot, SnapshotVersions } from "../snapshots";
 import {
   type Address,
@@ -18,6 +19,7 @@
 import { type WorkChannel, createWorkChannel } from "./workChannel";
 
 const QUERY_TIMEOUT_MS = 500;
+const OBJECT_CALL_TIMEOUT_MS = 1500;
 const REDIAL_PAUSE_MS = 150;
 
 /** What other daemons may ask of this one. */
@@ -25,6 +27,8 @@
   readonly handleWork: WorkHandler;
   /** Whether a request was seen; if not, it must be refused from now on. */
   readonly wasSeen: (workId: string) => boolean;
+  /** Carries out a call to the object API for a daemon that cannot reach it. */
+  readonly handleObjectCall: ObjectCallHandler;
   /** Snapshots that are newer here. */
   readonly newerThan: (versions: SnapshotVersions) => readonly RawSnapshot[];
   readonly versions: () => SnapshotVersions;
@@ -55,6 +59,8 @@
   query(workId: string): Promise<boolean>;
   /** Exchanges newer snapshots in both directions. */
   sync(): Promise<void>;
+  /** Passes a call to the object API on. */
+  callObject(call: ObjectCall): Promise<ObjectAnswer>;
   /** Asks for the load of the peer's slots. */
   queryLoads(service: ServiceName): Promise<readonly SlotLoad[]>;
   /** Sends a message without an answer. */
@@ -222,6 +228,10 @@
           }
         }
       },
+      callObject: async (call) => {
+        const answer = await ask((id) => ({ kind: "objectCall", id, call }), OBJECT_CALL_TIMEOUT_MS);
+        return answer.kind === "objectAnswer" ? answer.answer : { kind: "unavailable" };
+      },
       queryLoads: async (service) => {
         const answer = await ask((id) => ({ kind: "loadQuery", id, service }));
         return answer.kind === "loadAnswer" ? answer.loads : [];
@@ -231,11 +241,14 @@
       },
     };
 
-    function ask(createMessage: (id: number) => PeerMessage): Promise<PeerMessage> {
+    function ask(
+      createMessage: (id: number) => PeerMessage,
+      timeoutMs: number = QUERY_TIMEOUT_MS,
+    ): Promise<PeerMessage> {
       lastQueryId += 1;
       const id = lastQueryId;
       return new Promise<PeerMessage>((resolve, reject) => {
-        const cancel = clock.schedule(QUERY_TIMEOUT_MS, () => {
+        const cancel = clock.schedule(timeoutMs, () => {
           reject(new PeerError("no answer in time", { props: { step: "query", peer: link.remote.daemon } }));
         });
         pending.set(id, {
@@ -280,6 +293,12 @@
           loads: [...handlers.takeSlotLoads(message.service)],
         });
         break;
+      case "objectCall":
+        void handlers.handleObjectCall(message.call).then((answer) => {
+          link.send({ kind: "objectAnswer", id: message.id, answer });
+        });
+        break;
+      case "objectAnswer":
       case "queryAnswer":
       case "snapshots":
       case "loadAnswer":
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -2,4 +2,5 @@
 export * from "./budget";
 export * from "./conditionalUpdate";
 export * from "./httpPlatform";
+export * from "./relayedObjectStore";
 export * from "./types";
--- /dev/null
+++ b/src/questionnaire/ask.ts
@@ -0,0 +1,118 @@
+/** Asks the questions at a terminal. Each answer is checked at once. */
+import { confirm, input, number, select } from "@inquirer/prompts";
+import { z } from "zod";
+import { type Answers, answersSchema } from "./answers";
+
+const ipNumbers = z.array(z.union([z.ipv4(), z.ipv6()])).min(1);
+
+/**
+ * Asks everything.
+ *
+ * @returns The answers.
+ */
+export async function askAnswers(): Promise<Answers> {
+  const cluster = await input({ message: "Name of the cluster", default: "hemlockbank", required: true });
+  const platform = await input({ message: "URL of the platform", validate: isUrl });
+  const dataCentres = await askWhile("Another data centre?", askDataCentre);
+  const services = await askWhile("Another service?", askService);
+  const servers = await askWhile("More backend servers?", () =>
+    askServers(
+      services.map((service) => service.name),
+      dataCentres.map((dataCentre) => dataCentre.name),
+    ),
+  );
+  return answersSchema.parse({ cluster, platform, data_centres: dataCentres, services, servers });
+}
+
+async function askDataCentre() {
+  return {
+    name: await input({ message: "Name of the data centre", validate: isName }),
+    region: await input({ message: "Its region", default: "default", validate: isName }),
+    entry_vms: splitList(
+      await input({ message: "IP numbers of its entry VMs, with commas between", validate: areIpNumbers }),
+    ),
+  };
+}
+
+async function askService() {
+  const name = await input({ message: "Name of the service", validate: isName });
+  const dividedByKey = await confirm({ message: "Has each key one owner?", default: true });
+  const keyFrom = dividedByKey ? await askKeyPlace() : "path";
+  const keyName =
+    keyFrom === "path"
+      ? "x-key"
+      : await input({ message: "Name of the header or query parameter", default: "x-key" });
+  const timeout = await input({
+    message: "Longest time for a request",
+    default: "10s",
+    validate: isDuration,
+  });
+  return {
+    name,
+    divided_by_key: dividedByKey,
+    key_from: keyFrom,
+    key_name: keyName,
+    request_timeout: timeout,
+  };
+}
+
+function askKeyPlace() {
+  return select({
+    message: "Where does the key stand in a request?",
+    choices: [
+      { value: "path", name: "first part of the path" },
+      { value: "header", name: "a header" },
+      { value: "query", name: "a query parameter" },
+    ] as const,
+  });
+}
+
+async function askServers(services: readonly string[], dataCentres: readonly string[]) {
+  return {
+    service: await select({ message: "Backend servers of which service?", choices: [...services] }),
+    data_centre: await select({ message: "In which data centre?", choices: [...dataCentres] }),
+    hosts: splitList(
+      await input({ message: "Their IP numbers, with commas between", validate: areIpNumbers }),
+    ),
+    port: await number({ message: "Their port", default: 8080, min: 1, max: 65_535, required: true }),
+    slots: await number({ message: "Requests that each runs at once", default: 4, min: 1, required: true }),
+    fenced: await confirm({
+      message: "Do they check who gives them orders (fenced grants)?",
+      default: false,
+    }),
+  };
+}
+
+async function askWhile<Item>(more: string, ask: () => Promise<Item>): Promise<Item[]> {
+  const items = [await ask()];
+  while (await confirm({ message: more, default: false })) {
+    items.push(await ask());
+  }
+  return items;
+}
+
+function splitList(text: string): string[] {
+  return text
+    .split(",")
+    .map((part) => part.trim())
+    .filter((part) => part !== "");
+}
+
+function areIpNumbers(text: string): boolean | string {
+  return (
+    ipNumbers.safeParse(splitList(text)).success ||
+    "must be IP numbers with commas between, such as 10.0.0.1, 10.0.0.2"
+  );
+}
+
+function isName(text: string): boolean | string {
+  return /^[a-z0-9][a-z0-9-]{0,62}$/.test(text) || "must be 1 to 63 lower-case letters, digits or hyphens";
+}
+
+function isUrl(text: string): boolean | string {
+  return z.url().safeParse(text).success || "must be a URL such as http://10.0.0.5:8000";
+}
+
+function isDuration(text: string): boolean | string {
+  return /^\d+(ms|s)$/.test(text) || "must be a whole number with the unit ms or s, such as 10s";
+}
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -14,9 +14,11 @@
   type ServerName,
   type ServiceName,
   type WorkResult,
+  emptyBody,
   sleep,
 } from "../types";
 import type { PeerForwarder } from "./peerForwarder";
+import { createRangeHeaders, createResumableBody, findDownload, openRest } from "./resumableBody";
 import type { Route, RouteTable } from "./routeTable";
 
 const RETRY_PAUSE_MS = 25;
@@ -83,6 +85,31 @@
   const { table, clock, counters, budget } = options;
 
   return async (request, body, signal) => {
+    const result = await route(request, body, signal);
+    return makeResumable(request, result, signal);
+  };
+
+  /** A long download that breaks goes on from where it was, at the owner of that moment. */
+  function makeResumable(request: CallerRequest, result: WorkResult, signal: AbortSignal): WorkResult {
+    if (result.kind === "failure" || result.answer.body.kind === "buffer") {
+      return result;
+    }
+    const download = findDownload(request.method, request.headers, result.answer);
+    if (download === undefined) {
+      return result;
+    }
+    const stream = createResumableBody(result.answer.body.stream, download, async (offset) => {
+      if (signal.aborted || !takeRetry()) {
+        return undefined;
+      }
+      counters.increment("route.resumed");
+      const headers = createRangeHeaders(request.headers, download, offset);
+      return openRest(await route({ ...request, headers }, emptyBody, signal), download, offset);
+    });
+    return { kind: "answer", answer: { ...result.answer, body: { kind: "stream", stream } } };
+  }
+
+  async function route(request: CallerRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
     budget.recordRequest();
     const avoided = new Set<ServerName>();
     let failure: Failure | undefined;
@@ -112,7 +139,7 @@
     const last = failure ?? refusal(chooseEndReason(signal), request);
     // A later attempt that was refused says nothing about an earlier one.
     return { kind: "failure", failure: mayHaveRun ? { ...last, outcome: Outcome.Unknown } : last };
-  };
+  }
 
   function chooseEndReason(signal: AbortSignal): RefusalReason {
     return signal.aborted ? RefusalReason.CallerGone : RefusalReason.DeadlineExceeded;
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,3 +1,4 @@
 /** The settings file of one daemon. */
 export * from "./load";
+export * from "./reference";
 export * from "./schema";
--- /dev/null
+++ b/src/settings/reference.ts
@@ -0,0 +1,65 @@
+/** Makes the reference page of a file from its schema. */
+import { z } from "zod";
+
+/** The parts of a JSON schema that the page shows. */
+interface Node {
+  readonly type?: string;
+  readonly description?: string;
+  readonly default?: unknown;
+  readonly enum?: readonly unknown[];
+  readonly properties?: Readonly<Record<string, Node>>;
+  readonly required?: readonly string[];
+  readonly items?: Node;
+  readonly additionalProperties?: Node | boolean;
+}
+
+interface Row {
+  readonly path: string;
+  readonly type: string;
+  readonly fallback: string;
+  readonly description: string;
+}
+
+/**
+ * Makes the page.
+ *
+ * @param title - Title of the page.
+ * @param introduction - Text before the table.
+ * @param schema - Schema of the file.
+ * @returns The page as Markdown.
+ */
+export function createReference(title: string, introduction: string, schema: z.ZodType): string {
+  const root = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" }) as Node;
+  const rows = listRows("", root, true);
+  const lines = rows.map(
+    ({ path, type, fallback, description }) => `| \`${path}\` | ${type} | ${fallback} | ${description} |`,
+  );
+  const head = ["| Name | Type | Default | Meaning |", "| --- | --- | --- | --- |"];
+  return [`# ${title}`, "", introduction, "", ...head, ...lines, ""].join("\n");
+}
+
+function listRows(path: string, node: Node, isRequired: boolean): readonly Row[] {
+  if (node.properties !== undefined) {
+    return Object.entries(node.properties).flatMap(([name, child]) =>
+      listRows(path === "" ? name : `${path}.${name}`, child, node.required?.includes(name) ?? false),
+    );
+  }
+  if (typeof node.additionalProperties === "object") {
+    return listRows(`${path}.NAME`, node.additionalProperties, true);
+  }
+  if (node.items?.properties !== undefined) {
+    return listRows(`${path}[]`, node.items, true);
+  }
+  const type =
+    node.enum === undefined
+      ? (node.type ?? "text")
+      : node.enum.map((value) => `\`${String(value)}\``).join(", ");
+  return [{ path, type, fallback: describeDefault(node, isRequired), description: node.description ?? "" }];
+}
+
+function describeDefault(node: Node, isRequired: boolean): string {
+  if (node.default !== undefined) {
+    return `\`${JSON.stringify(node.default)}\``;
+  }
+  return isRequired ? "required" : "none";
+}
--- a/standins/scenarios/prove.ts
+++ b/standins/scenarios/prove.ts
@@ -5,6 +5,7 @@
 const OUTAGE_LIMIT_MS = 2000;
 const NEW_WORK_LIMIT_MS = 3000;
 const ROLLOUT_LIMIT_MS = 5000;
+const EXIT_LIMIT_MS = 5000;
 const DOWNLOAD_BYTES = 48 * 1024 * 1024;
 
 const scenarios: readonly Scenario[] = [
@@ -234,6 +235,15 @@
       leave(context, daemon);
       const result = await download;
       context.note(`download ${result.end} after ${Math.round(result.latencyMs)} ms`);
+      const stopped = context.cluster.daemons.find((each) => each.name === daemon);
+      const exitCode = await Promise.race([
+        new Promise((resolve) => stopped?.process.once("exit", resolve)),
+        context.wait(EXIT_LIMIT_MS).then(() => "none"),
+      ]);
+      context.note(`exit code ${String(exitCode)}`);
+      if (exitCode !== 0) {
+        context.breakPromise("the process did not end");
+      }
     },
   },
   {
--- a/test/documents.test.ts
+++ b/test/documents.test.ts
@@ -1,6 +1,8 @@
 /** Pages that must agree with the code. */
 import { readFileSync } from "node:fs";
+import { format } from "prettier";
 import { describe, expect, test } from "vitest";
+import { createConfigurationReference, createSettingsReference } from "../src/cli/commands/reference";
 import { Event } from "../src/observability";
 import { RefusalReason } from "../src/types";
 
@@ -20,6 +22,16 @@
     expect(new Set(numbers).size).toBe(numbers.length);
   });
 
+  const references: readonly (readonly [string, () => string])[] = [
+    ["docs/operators/settings.md", createSettingsReference],
+    ["docs/operators/configuration.md", createConfigurationReference],
+  ];
+
+  test.each(references)("%s is what the schema says", async (file, create) => {
+    const formatted = await format(create(), { parser: "markdown", printWidth: 110 });
+    expect(readFileSync(file, "utf8")).toBe(formatted);
+  });
+
   test("the operators' page explains every refusal reason", () => {
     const explained = new Set(
       readTable("docs/operators/refusals.md").map(([reason]) => reason?.replaceAll("`", "")),
