Split planner and lease, ask for evidence once, count the grace from its start

The planner asked for evidence on each server of a silent leaseholder in turn (400 ms each); now once for each daemon, all at the same time. countLeases stood twice. Change: election, stopFindings, leaseholderPlan, ownerPlan, slotMover, workTracker; slots of a server are collected once for each assignment; one controller for a request's ends.

--- a/src/cli/commands/reference.ts
+++ b/src/cli/commands/reference.ts
@@ -8,7 +8,7 @@
 export function createSettingsReference(): string {
   return createReference(
     "Settings of a daemon",
-    "A TOML file for each daemon. Durations are whole numbers with a unit, such as `250ms` or `2s`; defaults are in milliseconds.",
+    "A TOML file for each daemon. Durations are whole numbers with a unit, such as `250ms` or `2s`.",
     settingsSchema,
   );
 }
@@ -17,7 +17,7 @@
 export function createConfigurationReference(): string {
   return createReference(
     "Configuration",
-    "One TOML file for the cluster, applied with `hemlockbank config apply`. Durations are whole numbers with a unit, such as `250ms` or `2s`; defaults are in milliseconds.",
+    "One TOML file for the cluster, applied with `hemlockbank config apply`. Durations are whole numbers with a unit, such as `250ms` or `2s`.",
     configurationSchema,
   );
 }
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -33,15 +33,17 @@
     .default(["GET", "HEAD", "OPTIONS"])
     .describe("methods that may run more than once"),
   request_timeout: durationSchema
-    .default(10_000)
+    .prefault("10s")
     .describe("longest time for one request without its own deadline"),
-  queue_timeout: durationSchema.default(500).describe("longest wait for a free place at a backend server"),
+  queue_timeout: durationSchema
+    .prefault("500ms")
+    .describe("longest wait for a free place at a backend server"),
   queue_length: z.int().min(0).default(256).describe("requests that may wait for one backend server"),
   hedge_after: durationSchema
     .optional()
     .describe("sends a second copy of an idempotent request after this time; only without keys"),
   cold_start_ramp: durationSchema
-    .default(3000)
+    .prefault("3s")
     .describe("time in which a cold backend server takes up full load"),
 });
 
--- a/src/ownership/assignment.ts
+++ b/src/ownership/assignment.ts
@@ -113,6 +113,17 @@
  * @returns Its slots with their epochs.
  */
 export function slotsOf(assignment: Assignment, name: ServerName): readonly SlotEpoch[] {
+  const known = slotsByServer.get(assignment) ?? new Map<ServerName, readonly SlotEpoch[]>();
+  slotsByServer.set(assignment, known);
+  const slots = known.get(name) ?? collectSlots(assignment, name);
+  known.set(name, slots);
+  return slots;
+}
+
+/** Assignments never change, and each exchange with a server asks for its slots. */
+const slotsByServer = new WeakMap<Assignment, Map<ServerName, readonly SlotEpoch[]>>();
+
+function collectSlots(assignment: Assignment, name: ServerName): readonly SlotEpoch[] {
   const index = assignment.servers.findIndex((server) => server.name === name);
   return assignment.owners.flatMap((owner, slot) =>
     owner === index && index !== NO_OWNER ? [{ slot, epoch: epochOf(assignment, slot) }] : [],
--- a/src/ownership/leaseBalancing.ts
+++ b/src/ownership/leaseBalancing.ts
@@ -1,9 +1,8 @@
 /** Evens out the number of leases between the daemons of a data centre, one lease at a time. */
 import type { Membership } from "../membership";
 import type { SnapshotStore } from "../snapshots";
-import type { DaemonName } from "../types";
 import type { LeaseManager } from "./leaseManager";
-import { chooseMember, toLeaseholder } from "./planner";
+import { chooseMember, countLeases, toLeaseholder } from "./leaseholderPlan";
 import type { AssignedServer, Leaseholder } from "./types";
 
 /** A daemon gives a lease away when it has this many more than the one with the fewest. */
@@ -33,7 +32,7 @@
     .present()
     .filter((member) => member.dataCentre === server.dataCentre && !member.leaving)
     .filter((member) => member.daemon !== membership.self().daemon);
-  const member = chooseMember(server, eligible, countLeases(options));
+  const member = chooseMember(server, eligible, countLeases(options.snapshots));
   return member === undefined ? undefined : toLeaseholder(member);
 }
 
@@ -45,7 +44,7 @@
  */
 export async function balanceLeases(options: LeaseBalancingOptions): Promise<void> {
   const { leases, membership } = options;
-  const counts = countLeases(options);
+  const counts = countLeases(options.snapshots);
   const own = leases.all();
   const others = membership
     .present()
@@ -59,15 +58,3 @@
     await leases.handOver([lease.server], (server) => chooseSuccessor(options, server));
   }
 }
-
-function countLeases(options: LeaseBalancingOptions): ReadonlyMap<DaemonName, number> {
-  const counts = new Map<DaemonName, number>();
-  for (const { value } of options.snapshots.assignments()) {
-    for (const { leaseholder } of value.servers) {
-      if (leaseholder !== null) {
-        counts.set(leaseholder.daemon, (counts.get(leaseholder.daemon) ?? 0) + 1);
-      }
-    }
-  }
-  return counts;
-}
--- /dev/null
+++ b/src/ownership/ownerPlan.ts
@@ -0,0 +1,122 @@
+/** Plans owners of slots: new services, lost data centres, and balance. */
+import type { Configuration } from "../configuration";
+import type { Membership } from "../membership";
+import type { Clock, ServiceName } from "../types";
+import { clearPredecessors, commitMoves, setLeaseholder, slotsOf, syncServers } from "./assignment";
+import { listCandidates } from "./candidates";
+import { listEligible } from "./election";
+import { type SlotLoads, listFreeSlots, placeSlots, planBalance } from "./placement";
+import type { StatusView } from "./statusView";
+import type { StopFindings, StopSearch } from "./stopFindings";
+import type { AssignedServer, Assignment } from "./types";
+
+/** Longest wait for all servers before the keys of a new service are placed. */
+const FIRST_PLACEMENT_WAIT_MS = 2000;
+const BALANCE_TOLERANCE = 1.1;
+const BALANCE_MAX_MOVES = 32;
+const BALANCE_WINDOW_SECONDS = 10;
+
+/** Views that the plan reads. */
+export interface OwnerPlanViews {
+  readonly membership: Membership;
+  readonly statuses: StatusView;
+  readonly search: StopSearch;
+  readonly clock: Clock;
+}
+
+/** Plans the owners of one service. */
+export type OwnerPlan = (
+  assignment: Assignment,
+  configuration: Configuration,
+  stopped: StopFindings,
+  loads: SlotLoads | undefined,
+) => Assignment;
+
+/**
+ * Creates the plan.
+ *
+ * @param views - Views to read.
+ * @returns The plan; it returns the assignment unchanged when nothing differs.
+ */
+export function createOwnerPlan(views: OwnerPlanViews): OwnerPlan {
+  const { membership, statuses, search, clock } = views;
+  const firstCandidateAt = new Map<ServiceName, number>();
+
+  return planOwners;
+
+  function planOwners(
+    assignment: Assignment,
+    configuration: Configuration,
+    stopped: StopFindings,
+    loads: SlotLoads | undefined,
+  ): Assignment {
+    let next = syncServers(assignment, configuration);
+    next = replaceLostDataCentres(next, configuration, stopped);
+    next = dropUselessMoves(next, configuration);
+    const candidates = listCandidates(next, configuration, statuses, membership);
+    const free = isReadyToPlace(next, configuration, candidates.length) ? listFreeSlots(next) : [];
+    const placed = placeSlots(next, free, candidates, loads ?? new Map());
+    next = placed.length === 0 ? next : commitMoves(next, placed);
+    const planned =
+      loads === undefined
+        ? []
+        : planBalance(next, candidates, loads, {
+            tolerance: BALANCE_TOLERANCE,
+            maxMoves: BALANCE_MAX_MOVES,
+            windowSeconds: BALANCE_WINDOW_SECONDS,
+          });
+    return planned.length === 0 ? next : { ...next, moves: [...next.moves, ...planned] };
+  }
+
+  /** The first servers to answer must not get all keys of a service that is just starting. */
+  function isReadyToPlace(
+    assignment: Assignment,
+    configuration: Configuration,
+    candidateCount: number,
+  ): boolean {
+    if (candidateCount === 0) {
+      return false;
+    }
+    const firstAt = firstCandidateAt.get(assignment.service) ?? clock.now();
+    firstCandidateAt.set(assignment.service, firstAt);
+    const servers = Object.values(configuration.servers).filter(
+      (server) => server.service === assignment.service,
+    );
+    return candidateCount === servers.length || clock.now() - firstAt > FIRST_PLACEMENT_WAIT_MS;
+  }
+
+  function dropUselessMoves(assignment: Assignment, configuration: Configuration): Assignment {
+    if (assignment.moves.length === 0) {
+      return assignment;
+    }
+    const usable = new Set(
+      listCandidates(assignment, configuration, statuses, membership).map((candidate) => candidate.name),
+    );
+    const moves = assignment.moves.filter((move) => usable.has(move.target));
+    return moves.length === assignment.moves.length ? assignment : { ...assignment, moves };
+  }
+
+  /** Servers of a data centre without any daemon: their slots move once every grant has lapsed. */
+  function replaceLostDataCentres(
+    assignment: Assignment,
+    configuration: Configuration,
+    stopped: StopFindings,
+  ): Assignment {
+    let next = assignment;
+    for (const server of assignment.servers) {
+      if (isServedFromItsDataCentre(server) || !search.hasLapsed(server, configuration, stopped)) {
+        continue;
+      }
+      next = server.leaseholder === null ? next : setLeaseholder(next, server.name, null);
+      const slots = slotsOf(next, server.name).map((owned) => owned.slot);
+      const candidates = listCandidates(next, configuration, statuses, membership, server.name);
+      const moves = placeSlots(next, slots, candidates, new Map());
+      next = moves.length === 0 ? next : clearPredecessors(commitMoves(next, moves), server.name);
+    }
+    return next;
+  }
+
+  function isServedFromItsDataCentre(server: AssignedServer): boolean {
+    return listEligible(membership, server.dataCentre).length > 0;
+  }
+}
--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -7,7 +7,6 @@
   type RampPosition,
 } from "../balancing";
 import type { ConfigurationDocument, Server, Service } from "../configuration";
-import { PlatformUnavailableError, describeError } from "../errors";
 import type { Membership } from "../membership";
 import { type Counters, Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
@@ -23,15 +22,17 @@
   type Slot,
   sleep,
 } from "../types";
-import { clearPredecessors, commitMoves, findServer, holdsLease, slotsOf } from "./assignment";
+import { findServer } from "./assignment";
 import type { AssignmentStore } from "./assignmentStore";
-import { findLeavingReason, listCandidates } from "./candidates";
-import { type SlotLoads, placeSlots } from "./placement";
+import { findLeavingReason } from "./candidates";
+import type { SlotLoads } from "./placement";
 import { createFencedSession, createUnfencedSession } from "./serverSession";
+import { createSlotMover } from "./slotMover";
 import { computeSlot } from "./slots";
 import type { StatusView } from "./statusView";
 import type { StopEvidence } from "./stopEvidence";
-import { type Assignment, type Move, type ServerControl, type ServerReport, ServerState } from "./types";
+import { type Assignment, type ServerControl, type ServerReport, ServerState } from "./types";
+import { createWorkTracker } from "./workTracker";
 
 const EXCHANGE_INTERVAL_MS = 200;
 const INCOMPLETE_INTERVAL_MS = 2;
@@ -42,7 +43,6 @@
 const SILENCE_MS = 700;
 /** Time that keys may still be served by a server that leaves, until they have moved. */
 const LEAVING_GRACE_MS = 1500;
-const MILLISECONDS_PER_SECOND = 1000;
 
 /** What a lease is made from. */
 export interface ServerLeaseOptions {
@@ -128,13 +128,15 @@
     queueLength: options.serviceSettings.queue_length,
     queueTimeoutMs: options.serviceSettings.queue_timeout,
   });
+  const work = createWorkTracker(clock);
+  const mover = createSlotMover({
+    ...options,
+    work,
+    session: () => session,
+    isLeaving: (configuration) => findLeaving(configuration) !== undefined,
+  });
   const session = options.serverSettings.fenced ? createFenced() : createUnfenced();
-  const working = new Map<Slot, number>();
-  const stoppingSlots = new Set<Slot>();
-  const slotRequests = new Map<Slot, number>();
-  let inFlight = 0;
   let foreignInFlight = 0;
-  let countedSince = clock.now();
   let state: ServerState = ServerState.Unknown;
   let statusSequence = 0;
   let serverLost = new AbortController();
@@ -142,7 +144,6 @@
   let lastReachedAt = clock.now();
   let leavingSince: number | undefined;
   let isClosed = false;
-  let needsSettling = false;
   let hasReportedDoubt = false;
 
   return {
@@ -167,7 +168,7 @@
     },
     rampPosition: () => ramp.position(),
     load: () => admission.load(),
-    takeSlotLoads,
+    takeSlotLoads: () => work.takeSlotLoads(),
     state: () => state,
   };
 
@@ -195,13 +196,13 @@
         return followSilence(result.error);
       case "reached":
         followReport(result.report, result.hasRestarted);
-        if (!(await settle())) {
+        if (!(await mover.settle())) {
           return EXCHANGE_INTERVAL_MS;
         }
         if (result.isIncomplete) {
           return INCOMPLETE_INTERVAL_MS;
         }
-        return (await moveSlots()) ? MOVE_RETRY_INTERVAL_MS : EXCHANGE_INTERVAL_MS;
+        return (await mover.moveSlots()) ? MOVE_RETRY_INTERVAL_MS : EXCHANGE_INTERVAL_MS;
       default:
         return result satisfies never;
     }
@@ -223,6 +224,7 @@
     }
     updateForeignInFlight(report);
     setState(chooseState(report));
+    noteLeaving();
     admission.refresh();
   }
 
@@ -235,7 +237,7 @@
 
   /** Requests of earlier leaseholders end one by one; their number never rises. */
   function updateForeignInFlight(report: ServerReport): void {
-    const others = Math.max(0, report.running - inFlight);
+    const others = Math.max(0, report.running - work.inFlight());
     const isFirstReport = state === ServerState.Unknown && generation > 1;
     setForeignInFlight(isFirstReport ? Math.max(foreignInFlight, others) : Math.min(foreignInFlight, others));
   }
@@ -259,7 +261,7 @@
       }
     }
     if (state === ServerState.Lost) {
-      await moveSlotsOfLostServer();
+      await mover.moveAllOfLostServer();
       return LOST_RETRY_INTERVAL_MS;
     }
     return RETRY_INTERVAL_MS;
@@ -280,124 +282,6 @@
     }
   }
 
-  async function moveSlotsOfLostServer(): Promise<void> {
-    const owned = currentSlots();
-    if (owned.length > 0) {
-      await commit(owned);
-    }
-  }
-
-  /** Moves what must leave the server. Returns true while some of it still waits for running requests. */
-  async function moveSlots(): Promise<boolean> {
-    const moving = listMovingSlots();
-    if (moving.length === 0 || !(await canChangeAssignment())) {
-      stoppingSlots.clear();
-      return false;
-    }
-    for (const slot of moving) {
-      stoppingSlots.add(slot);
-    }
-    const idle = moving.filter((slot) => !working.has(slot));
-    const stopped = idle.length === 0 ? [] : await session.revoke(idle);
-    if (stopped.length > 0) {
-      await commit(stopped);
-    }
-    return stopped.length < moving.length;
-  }
-
-  function listMovingSlots(): readonly Slot[] {
-    const configuration = currentConfiguration();
-    const assignment = currentAssignment();
-    if (configuration === undefined || assignment === undefined) {
-      return [];
-    }
-    const owned = currentSlots();
-    if (findLeaving(configuration) !== undefined) {
-      leavingSince ??= clock.now();
-      return listOthers(assignment, configuration).length > 0 ? owned : [];
-    }
-    leavingSince = undefined;
-    const usable = new Set(listOthers(assignment, configuration).map((candidate) => candidate.name));
-    const planned = new Set(
-      assignment.moves.filter((move) => usable.has(move.target)).map((move) => move.slot),
-    );
-    return owned.filter((slot) => planned.has(slot));
-  }
-
-  /** Asks the platform before work is stopped, so that an outage leaves keys where they are served. */
-  async function canChangeAssignment(): Promise<boolean> {
-    try {
-      await options.assignments.refresh(service);
-      return true;
-    } catch {
-      return false;
-    }
-  }
-
-  /** Gives stopped slots to other servers. Only the holder of this generation may do so. */
-  async function commit(slots: readonly Slot[]): Promise<void> {
-    needsSettling = true;
-    try {
-      await options.assignments.update(service, (current) => {
-        if (current === undefined || !holdsLease(current, server, generation, options.self)) {
-          return undefined;
-        }
-        const owned = new Set(slotsOf(current, server).map((owner) => owner.slot));
-        const moves = chooseTargets(
-          current,
-          slots.filter((slot) => owned.has(slot)),
-        );
-        return moves.length === 0 ? undefined : clearPredecessors(commitMoves(current, moves), server);
-      });
-      needsSettling = false;
-      logger.log(Event.SlotsMoved, { server, service, slots: slots.length });
-    } catch (error) {
-      handlePlatformError(error);
-    }
-    for (const slot of slots) {
-      stoppingSlots.delete(slot);
-    }
-  }
-
-  function chooseTargets(assignment: Assignment, slots: readonly Slot[]): readonly Move[] {
-    const configuration = currentConfiguration();
-    if (configuration === undefined) {
-      return [];
-    }
-    const candidates = listOthers(assignment, configuration);
-    const usable = new Set(candidates.map((candidate) => candidate.name));
-    const planned = assignment.moves.filter((move) => slots.includes(move.slot) && usable.has(move.target));
-    const plannedSlots = new Set(planned.map((move) => move.slot));
-    const others = slots.filter((slot) => !plannedSlots.has(slot));
-    return [...planned, ...placeSlots(assignment, others, candidates, new Map())];
-  }
-
-  function listOthers(assignment: Assignment, configuration: ConfigurationDocument["configuration"]) {
-    return listCandidates(assignment, configuration, statuses, options.membership, server);
-  }
-
-  /** After a lost answer nothing is granted again until it is known what took effect. */
-  async function settle(): Promise<boolean> {
-    if (!needsSettling) {
-      return true;
-    }
-    try {
-      await options.assignments.settle(service);
-      needsSettling = false;
-      return true;
-    } catch (error) {
-      handlePlatformError(error);
-      return false;
-    }
-  }
-
-  function handlePlatformError(error: unknown): void {
-    if (!(error instanceof PlatformUnavailableError)) {
-      throw error;
-    }
-    logger.log(Event.PlanFailed, { server, service, error: describeError(error) });
-  }
-
   async function beginWork(
     key: string | undefined,
     deadlineAt: number,
@@ -432,7 +316,7 @@
       return leaving;
     }
     const slot = slotOf(key);
-    if (slot === undefined || stoppingSlots.has(slot)) {
+    if (slot === undefined || mover.isStopping(slot)) {
       return RefusalReason.OwnershipMoving;
     }
     return session.epochToSend(slot) === undefined ? RefusalReason.LeaseNotHeld : undefined;
@@ -460,53 +344,43 @@
       : findLeavingReason(configuration, server, state);
   }
 
-  function createPermit(slot: Slot | undefined, deadlineAt: number, place: Place): WorkPermit {
-    inFlight += 1;
-    if (slot !== undefined) {
-      working.set(slot, (working.get(slot) ?? 0) + 1);
-      slotRequests.set(slot, (slotRequests.get(slot) ?? 0) + 1);
+  /** The grace counts from when the server began to leave, not from the next request. */
+  function noteLeaving(): void {
+    const configuration = currentConfiguration();
+    if (configuration !== undefined && findLeaving(configuration) !== undefined) {
+      leavingSince ??= clock.now();
+    } else {
+      leavingSince = undefined;
     }
+  }
+
+  function createPermit(slot: Slot | undefined, deadlineAt: number, place: Place): WorkPermit {
+    work.start(slot);
     return {
       slot,
       epoch: slot === undefined ? undefined : session.epochToSend(slot),
       serverLost: serverLost.signal,
       end: (end, latencyMs) => {
-        inFlight -= 1;
         if (end === "unresolved") {
           session.recordUnresolved(slot, deadlineAt);
         }
         if (latencyMs !== undefined) {
           ramp.recordAnswer(latencyMs);
         }
-        endSlotWork(slot);
+        work.end(slot);
+        wakeIfIdle(slot);
         place.release(latencyMs);
       },
     };
   }
 
-  function endSlotWork(slot: Slot | undefined): void {
-    if (slot === undefined) {
-      return;
-    }
-    const remaining = (working.get(slot) ?? 0) - 1;
-    if (remaining > 0) {
-      working.set(slot, remaining);
-      return;
-    }
-    working.delete(slot);
-    if (stoppingSlots.has(slot)) {
+  /** The move of a slot waits for the end of its requests. */
+  function wakeIfIdle(slot: Slot | undefined): void {
+    if (slot !== undefined && mover.isStopping(slot) && !work.isWorking(slot)) {
       wake();
     }
   }
 
-  function takeSlotLoads(): SlotLoads {
-    const seconds = Math.max((clock.now() - countedSince) / MILLISECONDS_PER_SECOND, 1);
-    const loads = new Map([...slotRequests].map(([slot, count]) => [slot, count / seconds]));
-    slotRequests.clear();
-    countedSince = clock.now();
-    return loads;
-  }
-
   function setState(next: ServerState): void {
     if (state !== next && next === ServerState.Up) {
       logger.log(Event.ServerUp, { server, service });
@@ -534,11 +408,6 @@
     return snapshots.assignment(service)?.value;
   }
 
-  function currentSlots(): readonly Slot[] {
-    const assignment = currentAssignment();
-    return assignment === undefined ? [] : slotsOf(assignment, server).map((owned) => owned.slot);
-  }
-
   function slotOf(key: string | undefined): Slot | undefined {
     const assignment = currentAssignment();
     return key === undefined || assignment === undefined
@@ -546,25 +415,12 @@
       : computeSlot(key, assignment.owners.length);
   }
 
-  /** Slots to grant: those owned in the newest assignment, unless they are stopping or a change is unsettled. */
-  function desiredSlots() {
-    const assignment = currentAssignment();
-    if (
-      assignment === undefined ||
-      needsSettling ||
-      !holdsLease(assignment, server, generation, options.self)
-    ) {
-      return [];
-    }
-    return slotsOf(assignment, server).filter(({ slot }) => !stoppingSlots.has(slot));
-  }
-
   function createFenced() {
     return createFencedSession({
       control: options.control,
       clock,
       generation,
-      desiredSlots,
+      desiredSlots: () => mover.desiredSlots(),
       predecessorsStoppedAt: findPredecessorsStop,
     });
   }
@@ -573,9 +429,9 @@
     return createUnfencedSession({
       control: options.control,
       clock,
-      desiredSlots,
+      desiredSlots: () => mover.desiredSlots(),
       predecessorDeadlineMs: generation > 1 ? options.serviceSettings.request_timeout : 0,
-      inFlight: () => inFlight,
+      inFlight: () => work.inFlight(),
       isDeclaredStopped: () =>
         snapshots
           .stopNotice()
--- /dev/null
+++ b/src/ownership/slotMover.ts
@@ -0,0 +1,213 @@
+/** Moves slots away from one backend server, each after its work there has provably stopped. */
+import type { Configuration } from "../configuration";
+import { PlatformUnavailableError, describeError } from "../errors";
+import type { Membership } from "../membership";
+import { Event, type Logger } from "../observability";
+import type { SnapshotStore } from "../snapshots";
+import type { DaemonRun, Generation, ServerName, ServiceName, Slot } from "../types";
+import { clearPredecessors, commitMoves, holdsLease, slotsOf } from "./assignment";
+import type { AssignmentStore } from "./assignmentStore";
+import { listCandidates } from "./candidates";
+import { placeSlots } from "./placement";
+import type { ServerSession } from "./serverSession";
+import type { StatusView } from "./statusView";
+import type { Assignment, Move, SlotEpoch } from "./types";
+import type { WorkTracker } from "./workTracker";
+
+/** What a mover is made from. */
+export interface SlotMoverOptions {
+  readonly service: ServiceName;
+  readonly server: ServerName;
+  readonly generation: Generation;
+  readonly self: DaemonRun;
+  readonly assignments: AssignmentStore;
+  readonly snapshots: SnapshotStore;
+  readonly statuses: StatusView;
+  readonly membership: Membership;
+  readonly logger: Logger;
+  readonly work: WorkTracker;
+  /** The server's session; read at use, since the session asks the mover which slots to grant. */
+  readonly session: () => ServerSession;
+  /** Whether the server must get no new work. */
+  readonly isLeaving: (configuration: Configuration) => boolean;
+}
+
+/** Moves slots of one server. */
+export interface SlotMover {
+  /** Moves what must leave the server. Returns true while some of it still waits for running requests. */
+  moveSlots(): Promise<boolean>;
+  /** Moves all slots of a server that has provably stopped. */
+  moveAllOfLostServer(): Promise<void>;
+  /** Finds out whether a change with a lost answer took effect. Returns false while that is unknown. */
+  settle(): Promise<boolean>;
+  /** Whether a slot takes no new requests, since it is about to move. */
+  isStopping(slot: Slot): boolean;
+  /** Slots to grant: those owned in the newest assignment, unless they are stopping or a change is unsettled. */
+  desiredSlots(): readonly SlotEpoch[];
+}
+
+/**
+ * Creates a mover.
+ *
+ * @param options - Lease, ports and views.
+ * @returns The mover.
+ */
+export function createSlotMover(options: SlotMoverOptions): SlotMover {
+  const { service, server, generation, snapshots, statuses, logger, work } = options;
+  const stoppingSlots = new Set<Slot>();
+  let needsSettling = false;
+
+  return {
+    moveSlots,
+    moveAllOfLostServer,
+    settle,
+    isStopping: (slot) => stoppingSlots.has(slot),
+    desiredSlots,
+  };
+
+  async function moveAllOfLostServer(): Promise<void> {
+    const owned = currentSlots();
+    if (owned.length > 0) {
+      await commit(owned);
+    }
+  }
+
+  /** Moves what must leave the server. Returns true while some of it still waits for running requests. */
+  async function moveSlots(): Promise<boolean> {
+    const moving = listMovingSlots();
+    if (moving.length === 0 || !(await canChangeAssignment())) {
+      stoppingSlots.clear();
+      return false;
+    }
+    for (const slot of moving) {
+      stoppingSlots.add(slot);
+    }
+    const idle = moving.filter((slot) => !work.isWorking(slot));
+    const stopped = idle.length === 0 ? [] : await options.session().revoke(idle);
+    if (stopped.length > 0) {
+      await commit(stopped);
+    }
+    return stopped.length < moving.length;
+  }
+
+  function listMovingSlots(): readonly Slot[] {
+    const configuration = currentConfiguration();
+    const assignment = currentAssignment();
+    if (configuration === undefined || assignment === undefined) {
+      return [];
+    }
+    const isLeaving = options.isLeaving(configuration);
+    if (!isLeaving && assignment.moves.length === 0) {
+      return [];
+    }
+    const owned = currentSlots();
+    if (isLeaving) {
+      return listOthers(assignment, configuration).length > 0 ? owned : [];
+    }
+    const usable = new Set(listOthers(assignment, configuration).map((candidate) => candidate.name));
+    const planned = new Set(
+      assignment.moves.filter((move) => usable.has(move.target)).map((move) => move.slot),
+    );
+    return owned.filter((slot) => planned.has(slot));
+  }
+
+  /** Asks the platform before work is stopped, so that an outage leaves keys where they are served. */
+  async function canChangeAssignment(): Promise<boolean> {
+    try {
+      await options.assignments.refresh(service);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Gives stopped slots to other servers. Only the holder of this generation may do so. */
+  async function commit(slots: readonly Slot[]): Promise<void> {
+    needsSettling = true;
+    try {
+      await options.assignments.update(service, (current) => {
+        if (current === undefined || !holdsLease(current, server, generation, options.self)) {
+          return undefined;
+        }
+        const owned = new Set(slotsOf(current, server).map((owner) => owner.slot));
+        const moves = chooseTargets(
+          current,
+          slots.filter((slot) => owned.has(slot)),
+        );
+        return moves.length === 0 ? undefined : clearPredecessors(commitMoves(current, moves), server);
+      });
+      needsSettling = false;
+      logger.log(Event.SlotsMoved, { server, service, slots: slots.length });
+    } catch (error) {
+      handlePlatformError(error);
+    }
+    for (const slot of slots) {
+      stoppingSlots.delete(slot);
+    }
+  }
+
+  function chooseTargets(assignment: Assignment, slots: readonly Slot[]): readonly Move[] {
+    const configuration = currentConfiguration();
+    if (configuration === undefined) {
+      return [];
+    }
+    const candidates = listOthers(assignment, configuration);
+    const usable = new Set(candidates.map((candidate) => candidate.name));
+    const planned = assignment.moves.filter((move) => slots.includes(move.slot) && usable.has(move.target));
+    const plannedSlots = new Set(planned.map((move) => move.slot));
+    const others = slots.filter((slot) => !plannedSlots.has(slot));
+    return [...planned, ...placeSlots(assignment, others, candidates, new Map())];
+  }
+
+  function listOthers(assignment: Assignment, configuration: Configuration) {
+    return listCandidates(assignment, configuration, statuses, options.membership, server);
+  }
+
+  /** After a lost answer nothing is granted again until it is known what took effect. */
+  async function settle(): Promise<boolean> {
+    if (!needsSettling) {
+      return true;
+    }
+    try {
+      await options.assignments.settle(service);
+      needsSettling = false;
+      return true;
+    } catch (error) {
+      handlePlatformError(error);
+      return false;
+    }
+  }
+
+  function handlePlatformError(error: unknown): void {
+    if (!(error instanceof PlatformUnavailableError)) {
+      throw error;
+    }
+    logger.log(Event.PlanFailed, { server, service, error: describeError(error) });
+  }
+
+  function desiredSlots(): readonly SlotEpoch[] {
+    const assignment = currentAssignment();
+    if (
+      assignment === undefined ||
+      needsSettling ||
+      !holdsLease(assignment, server, generation, options.self)
+    ) {
+      return [];
+    }
+    const owned = slotsOf(assignment, server);
+    return stoppingSlots.size === 0 ? owned : owned.filter(({ slot }) => !stoppingSlots.has(slot));
+  }
+
+  function currentConfiguration(): Configuration | undefined {
+    return snapshots.configuration()?.value.configuration;
+  }
+
+  function currentAssignment(): Assignment | undefined {
+    return snapshots.assignment(service)?.value;
+  }
+
+  function currentSlots(): readonly Slot[] {
+    const assignment = currentAssignment();
+    return assignment === undefined ? [] : slotsOf(assignment, server).map((owned) => owned.slot);
+  }
+}
--- /dev/null
+++ b/src/ownership/stopFindings.ts
@@ -0,0 +1,126 @@
+/** Collects what is proved of leaseholders and servers that are gone. */
+import type { Configuration } from "../configuration";
+import type { Membership } from "../membership";
+import type { SnapshotStore } from "../snapshots";
+import {
+  type Address,
+  type Clock,
+  type DataCentreName,
+  type ServerName,
+  type ServiceName,
+  formatRun,
+} from "../types";
+import { listEligible } from "./election";
+import { GRANT_VALIDITY_MS } from "./serverSession";
+import type { StopEvidence } from "./stopEvidence";
+import type { AssignedServer, Leaseholder } from "./types";
+
+/** Grants lapse by the server's clock; this covers the bound on its rate. */
+const LAPSE_MARGIN_MS = 20;
+
+/** What is proved of daemons and servers that are gone. */
+export interface StopFindings {
+  /** Stopped daemon runs, by name. */
+  readonly runs: ReadonlySet<string>;
+  /** Stopped servers among those that check no grants. */
+  readonly servers: ReadonlySet<ServerName>;
+}
+
+/** What a search reads. */
+export interface StopSearchOptions {
+  readonly membership: Membership;
+  readonly snapshots: SnapshotStore;
+  readonly evidence: StopEvidence;
+  readonly clock: Clock;
+  /** Whether an address refuses connections, which only a stopped process does. */
+  readonly refusesConnections: (address: Address) => Promise<boolean>;
+}
+
+/** Searches for proofs. */
+export interface StopSearch {
+  /** Looks at the servers of a service, all of them or those of some data centres. */
+  find(service: ServiceName, dataCentres: readonly DataCentreName[] | "all"): Promise<StopFindings>;
+  /** Whether nothing runs at a server any more: all its leaseholders have stopped and its lease has lapsed. */
+  hasLapsed(server: AssignedServer, configuration: Configuration, findings: StopFindings): boolean;
+}
+
+/**
+ * Creates a search.
+ *
+ * @param options - Views and evidence.
+ * @returns The search.
+ */
+export function createStopSearch(options: StopSearchOptions): StopSearch {
+  const { membership, snapshots, evidence, clock } = options;
+
+  return {
+    find: async (service, dataCentres) => {
+      const servers = (snapshots.assignment(service)?.value.servers ?? []).filter(
+        (server) => dataCentres === "all" || dataCentres.includes(server.dataCentre),
+      );
+      const runs = await findStoppedRuns(servers);
+      const stoppedServers = dataCentres === "all" ? await findStoppedServers(servers, runs) : [];
+      return { runs, servers: new Set(stoppedServers) };
+    },
+    hasLapsed: (server, configuration, findings) => {
+      const settings = configuration.servers[server.name];
+      const holders = listHolders(server);
+      if (settings === undefined || !isAbandoned(server, findings.runs)) {
+        return false;
+      }
+      const stopTimes = holders.map((holder) => evidence.stoppedAt(holder) ?? Number.POSITIVE_INFINITY);
+      // A server without grants may be frozen and still run what it was sent.
+      const isEnded = settings.fenced || findings.servers.has(server.name);
+      return isEnded && clock.now() > Math.max(...stopTimes) + GRANT_VALIDITY_MS + LAPSE_MARGIN_MS;
+    },
+  };
+
+  /** Each run is asked for once, all at the same time: a silent address takes a while. */
+  async function findStoppedRuns(servers: readonly AssignedServer[]): Promise<ReadonlySet<string>> {
+    const absent = new Map<string, Leaseholder>();
+    for (const holder of servers.flatMap(listHolders)) {
+      if (!membership.isPresent(holder)) {
+        absent.set(formatRun(holder), holder);
+      }
+    }
+    const found = await Promise.all(
+      [...absent].map(async ([name, holder]) => ((await evidence.find(holder)) ? [name] : [])),
+    );
+    return new Set(found.flat());
+  }
+
+  async function findStoppedServers(
+    servers: readonly AssignedServer[],
+    runs: ReadonlySet<string>,
+  ): Promise<readonly ServerName[]> {
+    const found = await Promise.all(
+      servers.map(async (server) => ((await isServerStopped(server, runs)) ? [server.name] : [])),
+    );
+    return found.flat();
+  }
+
+  /** Asked only where no daemon is left that could hold the lease. */
+  async function isServerStopped(server: AssignedServer, runs: ReadonlySet<string>): Promise<boolean> {
+    const settings = snapshots.configuration()?.value.configuration.servers[server.name];
+    const isServed = listEligible(membership, server.dataCentre).length > 0;
+    if (settings === undefined || settings.fenced || isServed || !isAbandoned(server, runs)) {
+      return false;
+    }
+    return isDeclaredStopped(server) || (await options.refusesConnections(settings));
+  }
+
+  function isDeclaredStopped(server: AssignedServer): boolean {
+    return snapshots
+      .stopNotice()
+      .servers.some((stopped) => stopped.server === server.name && stopped.generation === server.generation);
+  }
+}
+
+function isAbandoned(server: AssignedServer, runs: ReadonlySet<string>): boolean {
+  const holders = listHolders(server);
+  return holders.length > 0 && holders.every((holder) => runs.has(formatRun(holder)));
+}
+
+function listHolders(server: AssignedServer): readonly Leaseholder[] {
+  return server.leaseholder === null ? server.predecessors : [...server.predecessors, server.leaseholder];
+}
--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -145,11 +145,7 @@
   }
 
   async function send(response: ServerResponse, requestId: string, workAnswer: WorkAnswer): Promise<void> {
-    response.statusCode = workAnswer.status;
-    for (const [name, value] of Object.entries(workAnswer.headers)) {
-      response.setHeader(name, value);
-    }
-    response.setHeader(HeaderName.RequestId, requestId);
+    response.writeHead(workAnswer.status, { ...workAnswer.headers, [HeaderName.RequestId]: requestId });
     if (workAnswer.body.kind === "buffer") {
       response.end(workAnswer.body.content);
       return;
--- a/src/routing/headers.ts
+++ b/src/routing/headers.ts
@@ -29,6 +29,8 @@
   "expect",
 ]);
 
+const noFields: ReadonlySet<string> = new Set();
+
 /** Fields that only hemlockbank may set on requests. */
 const reserved = new Set<string>([
   HeaderName.Slot,
@@ -58,7 +60,10 @@
 }
 
 function listConnectionFields(connection: string | undefined): ReadonlySet<string> {
-  return new Set((connection ?? "").split(",").map((name) => name.trim().toLowerCase()));
+  if (connection === undefined || connection === "keep-alive" || connection === "close") {
+    return noFields;
+  }
+  return new Set(connection.split(",").map((name) => name.trim().toLowerCase()));
 }
 
 /**
--- a/src/routing/serverClient.ts
+++ b/src/routing/serverClient.ts
@@ -91,12 +91,22 @@
   async function send(permitted: PermittedWork): Promise<WorkResult> {
     const { work, permit, signal, deadlineAt } = permitted;
     const startedAt = clock.now();
-    const deadline = new AbortController();
+    const stop = new AbortController();
+    const abort = () => {
+      stop.abort();
+    };
+    let isLate = false;
+    let hasEnded = false;
     const cancelDeadline = clock.schedule(deadlineAt - startedAt, () => {
-      deadline.abort();
+      isLate = true;
+      abort();
     });
-    const stop = AbortSignal.any([signal, permit.serverLost, deadline.signal]);
-    let hasEnded = false;
+    // Plain listeners that are removed again, since the server's signal outlives many requests.
+    signal.addEventListener("abort", abort);
+    permit.serverLost.addEventListener("abort", abort);
+    if (signal.aborted || permit.serverLost.aborted) {
+      abort();
+    }
 
     try {
       const response = await pool.request({
@@ -104,7 +114,7 @@
         path: work.target,
         headers: createHeaders(permitted),
         body: createRequestBody(permitted.body),
-        signal: stop,
+        signal: stop.signal,
       });
       return await receive(response);
     } catch (error) {
@@ -160,7 +170,7 @@
       if (isUnsent || permit.serverLost.aborted) {
         return RefusalReason.ServerUnreachable;
       }
-      if (deadline.signal.aborted) {
+      if (isLate) {
         return RefusalReason.DeadlineExceeded;
       }
       return signal.aborted ? RefusalReason.CallerGone : RefusalReason.ServerConnectionLost;
@@ -175,6 +185,8 @@
       if (!hasEnded) {
         hasEnded = true;
         cancelDeadline();
+        signal.removeEventListener("abort", abort);
+        permit.serverLost.removeEventListener("abort", abort);
         permit.end(workEnd, latencyMs);
       }
     }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -19,7 +19,7 @@
   data_centre: z.string().min(1).describe("data centre of this daemon's VM"),
   platform: z.strictObject({
     url: z.url().describe("base URL of the object API and VM list"),
-    timeout: duration.default(1000).describe("longest wait for one call"),
+    timeout: duration.prefault("1s").describe("longest wait for one call"),
     writes_per_second: z.int().min(1).default(20).describe("writes that this daemon may send each second"),
     reads_per_second: z
       .int()
@@ -38,7 +38,7 @@
     .describe("other daemons to contact at start"),
   log_level: z.enum(["debug", "info", "warn", "error"]).default("info").describe("lowest severity written"),
   statsd: address.optional().describe("receiver of metrics"),
-  shutdown_timeout: duration.default(30_000).describe("longest graceful shutdown"),
+  shutdown_timeout: duration.prefault("30s").describe("longest graceful shutdown"),
 });
 
 /** Checked settings of one daemon. */
