Start a server whose connection broke with one request again; forget old latencies

A refused or broken connection is an earlier sign. Apart from that, a server that was slow once and was not chosen again kept its old latency for ever. Ruled out: a faster exchange (costs every daemon all the time). Change: a broken connection sets the ramp back to one request (one more with each answer); a latency report older than a second loses half its weight every 2 s.

--- a/src/balancing/loadView.ts
+++ b/src/balancing/loadView.ts
@@ -4,6 +4,9 @@
 /** A load report older than this says little; only the own requests in flight count then. */
 const REPORT_AGE_MS = 1000;
 const DEFAULT_LATENCY_MS = 10;
+const LATENCY_HALF_LIFE_MS = 2000;
+/** Two draws spread load nearly as well as a full search, without herds. */
+const DRAWS = 2;
 /** Cost factor of a server in another data centre. */
 const REMOTE_COST = 1.5;
 
@@ -54,12 +57,18 @@
       };
     },
     choose: (candidates, dataCentre) => {
-      const first = pickRandom(candidates);
-      const second = pickRandom(candidates.filter((candidate) => candidate !== first));
-      if (first === undefined || second === undefined) {
-        return first;
+      const left = [...candidates];
+      let best: ServerChoice | undefined;
+      let bestCost = Number.POSITIVE_INFINITY;
+      for (let draw = 0; draw < DRAWS && left.length > 0; draw += 1) {
+        const [drawn] = left.splice(Math.floor(random() * left.length), 1);
+        const drawnCost = drawn === undefined ? bestCost : cost(drawn, dataCentre);
+        if (drawnCost < bestCost) {
+          best = drawn;
+          bestCost = drawnCost;
+        }
       }
-      return cost(second, dataCentre) < cost(first, dataCentre) ? second : first;
+      return best;
     },
   };
 
@@ -81,10 +90,13 @@
     const ahead = Math.max(reported, view.ownInFlight);
     const places = isFresh && view.report.limit > 0 ? view.report.limit : choice.slots;
     const distance = choice.dataCentre === dataCentre ? 1 : REMOTE_COST;
-    return ((ahead + 1) / places) * Math.max(view.report.latencyMs, 1) * distance;
+    return ((ahead + 1) / places) * expectedLatencyMs(view) * distance;
   }
 
-  function pickRandom<Item>(items: readonly Item[]): Item | undefined {
-    return items[Math.floor(random() * items.length)];
+  /** An old report loses weight, so that a server that was slow once is tried again. */
+  function expectedLatencyMs(view: ServerView): number {
+    const ageMs = Math.max(0, clock.now() - view.reportedAt - REPORT_AGE_MS);
+    const weight = 0.5 ** (ageMs / LATENCY_HALF_LIFE_MS);
+    return Math.max(1, DEFAULT_LATENCY_MS + (view.report.latencyMs - DEFAULT_LATENCY_MS) * weight);
   }
 }
--- a/src/balancing/ramp.ts
+++ b/src/balancing/ramp.ts
@@ -36,6 +36,8 @@
   recordReport(isCold: boolean): boolean;
   /** Takes note that the server's process is a new one, which is cold. */
   startCold(): void;
+  /** Starts with one request again, unless a cold start is in progress, since the server may be a new process. */
+  relearn(): void;
   /** Continues where the previous leaseholder was. */
   resume(position: RampPosition): void;
   /** Gives the position for a successor. */
@@ -77,6 +79,11 @@
     },
     recordReport,
     startCold,
+    relearn: () => {
+      if (state.kind !== "cold") {
+        state = { kind: "learning", answers: 0 };
+      }
+    },
     resume: (position) => {
       state = position.isCold
         ? { kind: "cold", since: clock.now() - position.coldForMs, answers: position.answers }
--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -97,6 +97,8 @@
   beginWork(key: string | undefined, deadlineAt: number, signal: AbortSignal): Promise<WorkAdmission>;
   /** Takes the server's word in an answer that it is cold or has shed the request. */
   recordCold(): void;
+  /** Takes note of a broken or refused connection, which is the first sign of a restart. */
+  recordBrokenConnection(): void;
   /** Wakes the loop, for example after a new assignment. */
   wake(): void;
   /** Stops new work, as the lease passes to another daemon. */
@@ -157,6 +159,9 @@
         logger.log(Event.ServerCold, { server, service });
       }
     },
+    recordBrokenConnection: () => {
+      ramp.relearn();
+    },
     wake,
     close: () => {
       isClosed = true;
--- a/src/routing/leaseholderDispatcher.ts
+++ b/src/routing/leaseholderDispatcher.ts
@@ -168,6 +168,9 @@
       connections: Math.min(settings.connections, settings.slots),
       clock,
       load: () => lease.load(),
+      onBrokenConnection: () => {
+        lease.recordBrokenConnection();
+      },
       onCold: () => {
         lease.recordCold();
       },
--- a/src/routing/serverClient.ts
+++ b/src/routing/serverClient.ts
@@ -35,6 +35,8 @@
   readonly clock: Clock;
   /** Load at the time of an answer. */
   readonly load: () => LoadReport;
+  /** Called when a connection was refused or broke. */
+  readonly onBrokenConnection: () => void;
   /** Called when an answer says that the server is cold. */
   readonly onCold: () => void;
 }
@@ -162,7 +164,11 @@
     function fail(error: unknown): WorkResult {
       const isUnsent = CONNECT_ERRORS.has((error as NodeJS.ErrnoException).code ?? "");
       const outcome = isUnsent ? Outcome.NotRun : Outcome.Unknown;
-      const failure = failureOf(outcome, chooseReason(isUnsent), work, describeError(error));
+      const reason = chooseReason(isUnsent);
+      if (reason === RefusalReason.ServerUnreachable || reason === RefusalReason.ServerConnectionLost) {
+        options.onBrokenConnection();
+      }
+      const failure = failureOf(outcome, reason, work, describeError(error));
       return finish(isUnsent ? "notSent" : "unresolved", { kind: "failure", failure });
     }
 
--- a/test/balancing.test.ts
+++ b/test/balancing.test.ts
@@ -64,6 +64,15 @@
     expect(ramp.limit()).toBe(1);
   });
 
+  test("a broken connection starts with one request again, but shortens no cold start", () => {
+    const ramp = createWarmRamp();
+    ramp.relearn();
+    expect(ramp.limit()).toBe(1);
+    ramp.startCold();
+    ramp.relearn();
+    expect(ramp.isCold()).toBe(true);
+  });
+
   test("one slow answer does not", () => {
     const ramp = createWarmRamp();
     ramp.recordAnswer(400);
@@ -175,6 +184,24 @@
   });
 });
 
+describe("load view over time", () => {
+  test("a server that was slow is tried again after a while", async () => {
+    const clock = createFakeClock();
+    const view = createLoadView(clock, createRandom(3));
+    const choices = ["a", "b", "c"].map((name) => ({ name, dataCentre: "north", slots: 4 }));
+    const countSlow = () =>
+      Array.from({ length: 50 }, () => view.choose(choices, "north")?.name === "a").filter(Boolean).length;
+    view.record("a", { inFlight: 0, queued: 0, limit: 4, latencyMs: 200 });
+    view.record("b", { inFlight: 0, queued: 0, limit: 4, latencyMs: 12 });
+    view.record("c", { inFlight: 0, queued: 0, limit: 4, latencyMs: 12 });
+    expect(countSlow()).toBe(0);
+    await clock.advance(30_000);
+    view.record("b", { inFlight: 0, queued: 0, limit: 4, latencyMs: 12 });
+    view.record("c", { inFlight: 0, queued: 0, limit: 4, latencyMs: 12 });
+    expect(countSlow()).toBeGreaterThan(0);
+  });
+});
+
 function createWarmRamp(): Ramp {
   const ramp = createRamp(createFakeClock(), SLOTS, RAMP_MS);
   for (let answers = 0; answers < 20; answers += 1) {
--- a/test/serverClient.test.ts
+++ b/test/serverClient.test.ts
@@ -220,6 +220,7 @@
     connections: 4,
     clock,
     load: () => ({ inFlight: 0, queued: 0, limit: 4, latencyMs: 1 }),
+    onBrokenConnection: () => undefined,
     onCold: () => undefined,
   });
 }
