--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,7 +6,6 @@
 import {
   type SlotLoads,
   balanceLeases,
-  chooseSuccessor,
   createAssignmentStore,
   createHttpServerControl,
   createLeaseManager,
@@ -36,8 +35,9 @@
 } from "../routing";
 import type { Settings } from "../settings";
 import { createSnapshotStore, watchPlatform } from "../snapshots";
-import { type ServiceName, repeat, sleep, systemClock } from "../types";
+import { type ServiceName, chooseRandom, repeat, sleep, systemClock } from "../types";
 import { createAdminServer } from "./adminServer";
+import { shutDownGracefully } from "./gracefulShutdown";
 import { RELEASE } from "./release";
 import { type Spread, createSpread } from "./spread";
 import { describeOwner, describeStatus } from "./status";
@@ -46,10 +46,7 @@
 const LEASE_BALANCE_INTERVAL_MS = 2000;
 const START_CHECK_MS = 50;
 const START_ATTEMPTS = 20;
-const HANDOVER_RETRY_MS = 500;
-/** Time for balancers to see that the daemon is not ready any more. */
-const LAME_DUCK_MS = 1000;
-const IDLE_CHECK_MS = 20;
+const CATCH_UP_RETRY_MS = 500;
 const RETRY_RATIO = 0.1;
 const RETRY_CAPACITY = 100;
 
@@ -276,7 +273,7 @@
     const helpers = membership
       .present()
       .filter((member) => member.platformReachable && member.daemon !== settings.daemon);
-    const helper = helpers[Math.floor(random() * helpers.length)];
+    const helper = chooseRandom(random, helpers);
     if (helper === undefined) {
       return undefined;
     }
@@ -341,7 +338,7 @@
         pauseGuard.confirm();
         return;
       } catch {
-        await sleep(clock, HANDOVER_RETRY_MS, stop.signal);
+        await sleep(clock, CATCH_UP_RETRY_MS, stop.signal);
       }
     }
   }
@@ -386,20 +383,23 @@
   }
 
   async function shutDown(): Promise<void> {
-    const deadlineAt = clock.now() + settings.shutdown_timeout;
     isLeaving = true;
-    logger.log(Event.ShutdownStarted);
-    membership.setLeaving();
-    callers.drain();
-    await handLeasesOver(deadlineAt);
-    await sleep(clock, LAME_DUCK_MS);
-    await waitUntilIdle(deadlineAt);
-    await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
-    await waitUntilIdle(deadlineAt);
+    await shutDownGracefully({
+      clock,
+      logger,
+      membership,
+      snapshots,
+      leases,
+      callers,
+      dispatcher,
+      timeoutMs: settings.shutdown_timeout,
+      reportPlatformError,
+      stopRest,
+    });
+  }
+
+  async function stopRest(): Promise<void> {
     stop.abort();
-    await leases.stop();
-    membership.leave();
-    await sleep(clock, IDLE_CHECK_MS);
     membership.stop();
     transport.close();
     pauseGuard.stop();
@@ -408,32 +408,5 @@
     await openPeers().close();
     await platform.close();
     counters.close();
-    logger.log(Event.ShutdownFinished);
-  }
-
-  /** While the platform is silent the daemon keeps its leases and serves on, until its deadline. */
-  async function handLeasesOver(deadlineAt: number): Promise<void> {
-    while (clock.now() < deadlineAt) {
-      const servers = leases.all().map((lease) => lease.server);
-      try {
-        await leases.handOver(servers, (server) =>
-          chooseSuccessor({ leases, membership, snapshots }, server),
-        );
-        return;
-      } catch (error) {
-        reportPlatformError(error);
-        await sleep(clock, HANDOVER_RETRY_MS);
-      }
-    }
-  }
-
-  async function waitUntilIdle(deadlineAt: number): Promise<void> {
-    while (callers.inFlight() > 0 || dispatcher.inFlight() > 0) {
-      if (clock.now() > deadlineAt) {
-        logger.log(Event.ShutdownDeadline, { callers: callers.inFlight(), requests: dispatcher.inFlight() });
-        return;
-      }
-      await sleep(clock, IDLE_CHECK_MS);
-    }
   }
 }
--- /dev/null
+++ b/src/daemon/gracefulShutdown.ts
@@ -0,0 +1,78 @@
+/** Shuts a daemon down without cutting off a request: leases first, then requests, then the process. */
+import { Event, type Logger } from "../observability";
+import type { Membership } from "../membership";
+import { type LeaseManager, chooseSuccessor } from "../ownership";
+import type { CallerServer, LeaseholderDispatcher } from "../routing";
+import type { SnapshotStore } from "../snapshots";
+import { type Clock, sleep } from "../types";
+
+const HANDOVER_RETRY_MS = 500;
+/** Time for balancers to see that the daemon is not ready any more. */
+const LAME_DUCK_MS = 1000;
+const IDLE_CHECK_MS = 20;
+
+/** What a shutdown needs. */
+export interface ShutdownParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly membership: Membership;
+  readonly snapshots: SnapshotStore;
+  readonly leases: LeaseManager;
+  readonly callers: CallerServer;
+  readonly dispatcher: LeaseholderDispatcher;
+  /** Longest duration in milliseconds. */
+  readonly timeoutMs: number;
+  readonly reportPlatformError: (error: unknown) => void;
+  /** Ends everything that is left; called when no request is in flight. */
+  readonly stopRest: () => Promise<void>;
+}
+
+/**
+ * Shuts a daemon down.
+ *
+ * @param parts - What takes part.
+ */
+export async function shutDownGracefully(parts: ShutdownParts): Promise<void> {
+  const { clock, logger, membership, callers } = parts;
+  const deadlineAt = clock.now() + parts.timeoutMs;
+  logger.log(Event.ShutdownStarted);
+  membership.setLeaving();
+  callers.drain();
+  await handLeasesOver(parts, deadlineAt);
+  await sleep(clock, LAME_DUCK_MS);
+  await waitUntilIdle(parts, deadlineAt);
+  await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
+  await waitUntilIdle(parts, deadlineAt);
+  await parts.leases.stop();
+  membership.leave();
+  // The last datagrams leave before the socket closes.
+  await sleep(clock, IDLE_CHECK_MS);
+  await parts.stopRest();
+  logger.log(Event.ShutdownFinished);
+}
+
+/** While the platform is silent the daemon keeps its leases and serves on, until its deadline. */
+async function handLeasesOver(parts: ShutdownParts, deadlineAt: number): Promise<void> {
+  const { clock, leases, membership, snapshots } = parts;
+  while (clock.now() < deadlineAt) {
+    const servers = leases.all().map((lease) => lease.server);
+    try {
+      await leases.handOver(servers, (server) => chooseSuccessor({ leases, membership, snapshots }, server));
+      return;
+    } catch (error) {
+      parts.reportPlatformError(error);
+      await sleep(clock, HANDOVER_RETRY_MS);
+    }
+  }
+}
+
+async function waitUntilIdle(parts: ShutdownParts, deadlineAt: number): Promise<void> {
+  const { clock, callers, dispatcher, logger } = parts;
+  while (callers.inFlight() > 0 || dispatcher.inFlight() > 0) {
+    if (clock.now() > deadlineAt) {
+      logger.log(Event.ShutdownDeadline, { callers: callers.inFlight(), requests: dispatcher.inFlight() });
+      return;
+    }
+    await sleep(clock, IDLE_CHECK_MS);
+  }
+}
--- a/src/daemon/spread.ts
+++ b/src/daemon/spread.ts
@@ -4,7 +4,7 @@
 import type { StatusView } from "../ownership";
 import type { Peers } from "../peers";
 import type { RawSnapshot, SnapshotStore } from "../snapshots";
-import { type Address, type Clock, type DaemonName, formatAddress, repeat } from "../types";
+import { type Address, type Clock, type DaemonName, formatAddress, repeat, shuffle } from "../types";
 
 /** Up to this many daemons, whoever learns something first tells all of them. */
 const DIRECT_SPREAD_LIMIT = 16;
@@ -88,7 +88,7 @@
     if (isSmall && isFromPeer) {
       return;
     }
-    const targets = isSmall ? others : pickRandom(others, FANOUT);
+    const targets = isSmall ? others : shuffle(random, others).slice(0, FANOUT);
     peers.broadcast({ kind: "snapshotPush", snapshots: [raw] }, targets);
   }
 
@@ -143,14 +143,6 @@
       .map((member) => member.daemon)
       .filter((daemon) => daemon !== membership.self().daemon);
   }
-
-  function pickRandom(names: readonly DaemonName[], count: number): readonly DaemonName[] {
-    return names
-      .map((name) => ({ name, order: random() }))
-      .sort((left, right) => left.order - right.order)
-      .slice(0, count)
-      .map((entry) => entry.name);
-  }
 }
 
 function snapshotKey(raw: RawSnapshot): string {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -9,8 +9,11 @@
   type DaemonRun,
   type DataCentreName,
   type Version,
+  chooseRandom,
   isSameRun,
+  shuffle,
 } from "../types";
+import { createAckTracker } from "./ackTracker";
 import { MEMBERSHIP_PROTOCOL, decodeDatagram, encodeDatagram } from "./codec";
 import { createMemberTable } from "./memberTable";
 import { type Datagram, type DatagramTransport, type Member, MemberStatus } from "./types";
@@ -93,7 +96,7 @@
   const { clock, transport, logger, random } = options;
   const events = new Emittery<MembershipEvents>();
   const table = createMemberTable();
-  const pendingAcks = new Map<number, () => void>();
+  const acks = createAckTracker(clock);
   const suspicions = new Map<DaemonName, CancelTimer>();
   const deadSince = new Map<DaemonName, number>();
   let self: Member = {
@@ -189,8 +192,14 @@
   /** One member of this data centre, where leases need fast detection, and one of any. */
   function choosePingTargets(): readonly Member[] {
     const others = table.all().filter((member) => member.daemon !== self.daemon && isPresentMember(member));
-    const local = chooseRandom(others.filter((member) => member.dataCentre === self.dataCentre));
-    const any = chooseRandom(others.filter((member) => member !== local));
+    const local = chooseRandom(
+      random,
+      others.filter((member) => member.dataCentre === self.dataCentre),
+    );
+    const any = chooseRandom(
+      random,
+      others.filter((member) => member !== local),
+    );
     return [local, any].filter((member) => member !== undefined);
   }
 
@@ -199,7 +208,7 @@
     forgetOldMembers();
     const dead = table.all().filter((member) => member.status === MemberStatus.Dead);
     const seeds = options.seeds.filter((seed) => seed.daemon !== self.daemon && !isPresentSeed(seed));
-    const target = chooseRandom([...dead, ...seeds]);
+    const target = chooseRandom(random, [...dead, ...seeds]);
     if (target !== undefined) {
       sendPing(target.address, true);
     }
@@ -231,7 +240,7 @@
       .filter(
         (other) => other.daemon !== self.daemon && other.daemon !== member.daemon && isPresentMember(other),
       );
-    const asked = shuffle(helpers).slice(0, INDIRECT_PINGS);
+    const asked = shuffle(random, helpers).slice(0, INDIRECT_PINGS);
     const requestSequence = nextSequence();
     for (const helper of asked) {
       const request = { ...createBase(requestSequence), kind: "pingRequest", target: member.daemon } as const;
@@ -252,16 +261,11 @@
   }
 
   function awaitAck(awaited: number, timeoutMs: number, onMissing: () => void): void {
-    const cancel = clock.schedule(timeoutMs, () => {
-      pendingAcks.delete(awaited);
+    acks.expect(awaited, timeoutMs, () => {
       if (!stopped && !wasPaused()) {
         onMissing();
       }
     });
-    pendingAcks.set(awaited, () => {
-      pendingAcks.delete(awaited);
-      cancel();
-    });
   }
 
   function wasPaused(): boolean {
@@ -298,7 +302,7 @@
         }
         break;
       case "ack":
-        pendingAcks.get(datagram.sequence)?.();
+        acks.receive(datagram.sequence);
         break;
       case "pingRequest":
         pingOnBehalf(datagram.sender, datagram.target, datagram.sequence);
@@ -337,13 +341,9 @@
       return;
     }
     const pingSequence = sendPing(member.address, false);
-    pendingAcks.set(pingSequence, () => {
-      pendingAcks.delete(pingSequence);
+    acks.onAck(pingSequence, INDIRECT_ACK_TIMEOUT_MS, () => {
       send(requester.address, { ...createBase(requestSequence), kind: "ack" });
     });
-    clock.schedule(INDIRECT_ACK_TIMEOUT_MS, () => {
-      pendingAcks.delete(pingSequence);
-    });
   }
 
   function accept(statement: Member): void {
@@ -422,7 +422,7 @@
   /** Sends the own state to some members at once, not only with the next pings. */
   function announce(): void {
     const others = table.all().filter((member) => member.daemon !== self.daemon && isPresentMember(member));
-    for (const member of shuffle(others).slice(0, GOSSIP_PER_DATAGRAM)) {
+    for (const member of shuffle(random, others).slice(0, GOSSIP_PER_DATAGRAM)) {
       sendPing(member.address, false);
     }
   }
@@ -456,17 +456,6 @@
     sequence += 1;
     return sequence;
   }
-
-  function chooseRandom<Item>(items: readonly Item[]): Item | undefined {
-    return items[Math.floor(random() * items.length)];
-  }
-
-  function shuffle<Item>(items: readonly Item[]): readonly Item[] {
-    return items
-      .map((item) => ({ item, order: random() }))
-      .sort((left, right) => left.order - right.order)
-      .map((entry) => entry.item);
-  }
 }
 
 function isPresentMember(member: Member): boolean {
--- a/src/ownership/leaseBalancing.ts
+++ b/src/ownership/leaseBalancing.ts
@@ -3,6 +3,7 @@
 import type { SnapshotStore } from "../snapshots";
 import type { LeaseManager } from "./leaseManager";
 import { chooseMember, countLeases, toLeaseholder } from "./leaseholderPlan";
+import { rankCandidates } from "./slots";
 import type { AssignedServer, Leaseholder } from "./types";
 
 /** A daemon gives a lease away when it has this many more than the one with the fewest. */
@@ -37,7 +38,8 @@
 }
 
 /**
- * Hands one lease over when this daemon holds clearly more than another one.
+ * Hands one lease over when this daemon holds the most in its data centre, and clearly more than another one.
+ * One daemon at a time gives: if several did, they would all choose the same receiver.
  *
  * @param options - Views to read.
  * @throws PlatformUnavailableError when the platform gives no answer.
@@ -45,15 +47,17 @@
 export async function balanceLeases(options: LeaseBalancingOptions): Promise<void> {
   const { leases, membership } = options;
   const counts = countLeases(options.snapshots);
-  const own = leases.all();
-  const others = membership
+  const holders = membership
     .present()
     .filter((member) => member.dataCentre === membership.self().dataCentre && !member.leaving)
-    .map((member) => counts.get(member.daemon) ?? 0);
-  if (own.length - Math.min(...others) < MINIMUM_DIFFERENCE) {
+    .map((member) => ({ daemon: member.daemon, count: counts.get(member.daemon) ?? 0 }));
+  const most = Math.max(...holders.map((holder) => holder.count));
+  const fewest = Math.min(...holders.map((holder) => holder.count));
+  const givers = holders.filter((holder) => holder.count === most).map((holder) => holder.daemon);
+  if (most - fewest < MINIMUM_DIFFERENCE || rankCandidates("giver", givers)[0] !== membership.self().daemon) {
     return;
   }
-  const lease = own[own.length - 1];
+  const lease = leases.all().at(-1);
   if (lease !== undefined) {
     await leases.handOver([lease.server], (server) => chooseSuccessor(options, server));
   }
--- a/src/routing/peerForwarder.ts
+++ b/src/routing/peerForwarder.ts
@@ -10,6 +10,7 @@
   type WorkHandler,
   type WorkRequest,
   type WorkResult,
+  chooseRandom,
   isSameRun,
 } from "../types";
 
@@ -116,9 +117,7 @@
     const dataCentre = membership.get(leaseholder.daemon)?.dataCentre;
     const near = others.filter((member) => member.dataCentre === dataCentre);
     const eligible = near.length > 0 ? near : others;
-    return membership.isPresent(leaseholder)
-      ? eligible[Math.floor(options.random() * eligible.length)]?.daemon
-      : undefined;
+    return membership.isPresent(leaseholder) ? chooseRandom(options.random, eligible)?.daemon : undefined;
   }
 }
 
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -2,4 +2,5 @@
 export * from "./clock";
 export * from "./identifiers";
 export * from "./outcome";
+export * from "./random";
 export * from "./work";
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -43,6 +43,7 @@
   readonly snapshots: SnapshotStore;
   readonly statuses: StatusView;
   readonly leases: LeaseManager;
+  readonly membership: Membership;
   isAlive: boolean;
   isCutFromPeers: boolean;
   silentSince: number | undefined;
@@ -237,6 +238,7 @@
       snapshots,
       statuses,
       leases,
+      membership,
       isAlive: true,
       isCutFromPeers: false,
       silentSince: undefined,
