--- a/benchmarks/processes.ts
+++ b/benchmarks/processes.ts
@@ -7,6 +7,8 @@
 
 const LOAD_MS = 6000;
 const REST_MS = 10_000;
+/** Leases are evened out one by one after the start. */
+const SETTLE_MS = 25_000;
 const WARM_UP_MS = 2000;
 
 /** Latency and processor time with the key's leaseholder as entry and with another daemon as entry. */
@@ -86,7 +88,7 @@
     servers,
   });
   try {
-    await pause(4000);
+    await pause(SETTLE_MS);
     const cpuBefore = sumCpu(cluster);
     const bytesBefore = await sumBytes(cluster);
     const callsBefore = await cluster.countPlatformCalls();
--- a/src/ownership/index.ts
+++ b/src/ownership/index.ts
@@ -17,3 +17,4 @@
 export * from "./stopEvidence";
 export * from "./stopNotice";
 export * from "./types";
+export * from "./workPermit";
--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -13,7 +13,6 @@
 import {
   type Clock,
   type DaemonRun,
-  type Epoch,
   type Generation,
   type LoadReport,
   RefusalReason,
@@ -32,6 +31,7 @@
 import type { StatusView } from "./statusView";
 import type { StopEvidence } from "./stopEvidence";
 import { type Assignment, type ServerControl, type ServerReport, ServerState } from "./types";
+import type { WorkAdmission, WorkPermit } from "./workPermit";
 import { createWorkTracker } from "./workTracker";
 
 const EXCHANGE_INTERVAL_MS = 200;
@@ -68,24 +68,6 @@
   readonly isFresh: () => boolean;
 }
 
-/** How a request that was sent has ended. */
-export type WorkEnd = "answered" | "notSent" | "unresolved";
-
-/** Permission to send one request. */
-export interface WorkPermit {
-  readonly slot: Slot | undefined;
-  readonly epoch: Epoch | undefined;
-  /** Aborted when the server is proved stopped. */
-  readonly serverLost: AbortSignal;
-  /** Takes note of the end. Call it exactly once. */
-  end(end: WorkEnd, latencyMs: number | undefined): void;
-}
-
-/** Answer to a request for permission. */
-export type WorkAdmission =
-  | { readonly kind: "permitted"; readonly permit: WorkPermit }
-  | { readonly kind: "refused"; readonly reason: RefusalReason };
-
 /** A held lease. */
 export interface ServerLease {
   readonly service: ServiceName;
--- a/standins/backendServer/backendServer.ts
+++ b/standins/backendServer/backendServer.ts
@@ -3,7 +3,9 @@
 import { type IncomingMessage, type ServerResponse, createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { LeaseCall } from "../../src/ownership";
+import { readText, reply } from "../http";
 import { createGrantTable } from "./grantTable";
+import { type Marks, readMarks } from "./marks";
 import type { RunEnd, RunLog } from "./runLog";
 
 const NANOSECONDS_PER_MS = 1_000_000n;
@@ -26,6 +28,8 @@
   /** 0 takes a free port. */
   readonly port: number;
   readonly slots: number;
+  /** Connections that it accepts; further ones are closed. */
+  readonly connections: number;
   readonly isFenced: boolean;
   /** Duration of a cold start in milliseconds. */
   readonly coldMs: number;
@@ -82,6 +86,7 @@
       response.destroy();
     });
   });
+  server.maxConnections = options.connections;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.port, options.host, resolve);
@@ -322,34 +327,6 @@
   }
 }
 
-interface Marks {
-  readonly key: string;
-  readonly slot: number;
-  readonly epoch: number;
-  readonly generation: number;
-  readonly requestId: string;
-  readonly callerId: string;
-  readonly idempotencyKey: string;
-  readonly timeoutMs: number;
-  readonly bytes: number;
-}
-
-function readMarks(request: IncomingMessage): Marks {
-  const url = new URL(request.url ?? "/", "http://server");
-  const header = (name: string) => String(request.headers[name] ?? "");
-  return {
-    key: url.pathname.split("/")[1] ?? "",
-    slot: Number(header("x-hemlockbank-slot") || -1),
-    epoch: Number(header("x-hemlockbank-epoch") || -1),
-    generation: Number(header("x-hemlockbank-generation") || -1),
-    requestId: header("x-request-id"),
-    callerId: url.searchParams.get("caller") ?? "",
-    idempotencyKey: header("idempotency-key"),
-    timeoutMs: Number(header("x-hemlockbank-timeout-ms") || 0),
-    bytes: Number(url.searchParams.get("bytes") ?? 0),
-  };
-}
-
 /**
  * Content of a large download, computable at any offset so that the reader can check it.
  *
@@ -374,16 +351,3 @@
     });
   });
 }
-
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  for await (const chunk of request as AsyncIterable<Uint8Array>) {
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString();
-}
-
-function reply(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
-}
--- a/standins/backendServer/main.ts
+++ b/standins/backendServer/main.ts
@@ -10,6 +10,7 @@
 
   Options
     --slots       requests run at once (default 4)
+    --connections connections accepted (default 130)
     --fenced      checks grants
     --cold        duration of a cold start in milliseconds (default 500)
     --work        duration of a request in milliseconds (default 2)
@@ -23,6 +24,7 @@
       port: { type: "number", isRequired: true },
       record: { type: "string", isRequired: true },
       slots: { type: "number", default: 4 },
+      connections: { type: "number", default: 130 },
       fenced: { type: "boolean", default: false },
       cold: { type: "number", default: 500 },
       work: { type: "number", default: 2 },
@@ -36,6 +38,7 @@
   host: "127.0.0.1",
   port: cli.flags.port,
   slots: cli.flags.slots,
+  connections: cli.flags.connections,
   isFenced: cli.flags.fenced,
   coldMs: cli.flags.cold,
   reportLagMs: cli.flags.reportLag,
--- a/standins/platform/platform.ts
+++ b/standins/platform/platform.ts
@@ -1,6 +1,7 @@
 /** A small stand-in for the platform: object API and VM list over HTTP, with fault switches. */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { readText, reply } from "../http";
 import { createObjectTable } from "./objectTable";
 
 const MAX_VALUE_BYTES = 1024 * 1024;
@@ -217,16 +218,3 @@
 function pathOf(url: URL): string {
   return decodeURIComponent(url.pathname.slice("/objects/".length));
 }
-
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  for await (const chunk of request as AsyncIterable<Uint8Array>) {
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString();
-}
-
-function reply(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
-}
--- a/standins/scenarios/cluster.ts
+++ b/standins/scenarios/cluster.ts
@@ -1,7 +1,6 @@
 /** Starts a whole deployment as separate processes on loopback and switches its faults. */
 import { type ChildProcess, execFile, spawn } from "node:child_process";
 import { appendFileSync, mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { promisify } from "node:util";
@@ -9,15 +8,12 @@
 import { request } from "undici";
 import type { DaemonStatus } from "../../src/daemon";
 import { machineTime } from "../backendServer/backendServer";
+import { HOST, findFreePort } from "./ports";
 
 const EXECUTABLE = "dist/hemlockbank";
-const HOST = "127.0.0.1";
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 20;
-const FIRST_PORT = 12_000;
-const LAST_PORT = 31_000;
 const runFile = promisify(execFile);
-let nextPort = FIRST_PORT + (process.pid % 180) * 100;
 
 /** A backend server of the deployment. */
 export interface ServerPlan {
@@ -396,28 +392,3 @@
     }
   }
 }
-
-/** Takes ports below the range of outgoing connections, which would take them in the meantime. */
-async function findFreePort(): Promise<number> {
-  for (;;) {
-    nextPort = nextPort + 1 > LAST_PORT ? FIRST_PORT : nextPort + 1;
-    const port = nextPort;
-    if (await isFree(port)) {
-      return port;
-    }
-  }
-}
-
-function isFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once("error", () => {
-      resolve(false);
-    });
-    server.listen(port, HOST, () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
