Notice a pause also when the ping loop wakes first; sharpen three proofs

Causes: - After a pause the ping loop could run before a suspicion's timer and reset the sign of the pause, so the woken process took a healthy member for dead. Found because a test passed without the mechanism; the new test failed with it too. A late loop now opens 500 ms in which missing answers prove nothing. - Taking mechanisms out on a scratch copy showed three ownership tests that passed without them: unfenced lease replaced without evidence, slots of an unfenced server moved while requests ran, evidence on predecessors. Cases added; the first two fail now without their mechanism.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -24,6 +24,7 @@
 const SUSPICION_MS = 400;
 /** A loop that is late by this much was paused; its timeouts prove nothing. */
 const PAUSE_MS = 300;
+const RECOVERY_MS = 500;
 const INDIRECT_PINGS = 2;
 const GOSSIP_PER_DATAGRAM = 6;
 const SYNC_MEMBERS_PER_DATAGRAM = 10;
@@ -113,6 +114,7 @@
   let sequence = 0;
   let ticks = 0;
   let lastTickAt = clock.now();
+  let recoveringUntil = Number.NEGATIVE_INFINITY;
   let stopped = false;
   let cancelTick: CancelTimer = () => undefined;
 
@@ -178,6 +180,9 @@
     if (stopped) {
       return;
     }
+    if (clock.now() - lastTickAt > PAUSE_MS) {
+      recoveringUntil = clock.now() + RECOVERY_MS;
+    }
     lastTickAt = clock.now();
     ticks += 1;
     for (const member of choosePingTargets()) {
@@ -268,8 +273,9 @@
     });
   }
 
+  /** True while the process has not run for long enough since a pause to hear from the others. */
   function wasPaused(): boolean {
-    return clock.now() - lastTickAt > PAUSE_MS;
+    return clock.now() - lastTickAt > PAUSE_MS || clock.now() < recoveringUntil;
   }
 
   function handleContent(content: Uint8Array): void {
--- a/standins/scenarios/demo.ts
+++ b/standins/scenarios/demo.ts
@@ -105,10 +105,10 @@
   clearInterval(progress);
   await callers.close();
   const results = callers.results();
-  const outageOf = (keys: ReadonlySet<string>, killedAt: number) =>
-    measureOutage(results, keyOf, keys, killedAt);
-  const serverOutage = outageOf(keysOfServer, serverKilledAt);
-  const daemonOutage = outageOf(keysOfDaemon, daemonKilledAt);
+  const outageOf = (keys: ReadonlySet<string>, from: number, until: number) =>
+    measureOutage(results, keyOf, keys, { from, until });
+  const serverOutage = outageOf(keysOfServer, serverKilledAt, daemonKilledAt);
+  const daemonOutage = outageOf(keysOfDaemon, daemonKilledAt, Number.POSITIVE_INFINITY);
   return printSummary(cluster, results, serverOutage, daemonOutage);
 }
 
@@ -129,22 +129,25 @@
   return new Set(keys.filter((_key, index) => owners[index]?.server === server));
 }
 
-/** Time from a loss until the last request for the lost keys that was refused, or late, has ended. */
+/** Time from a loss until the last request for the lost keys that was refused or late has ended, up to the next loss. */
 function measureOutage(
   results: readonly CallerResult[],
   keyOf: ReadonlyMap<string, string>,
   keys: ReadonlySet<string>,
-  killedAt: number,
+  time: { readonly from: number; readonly until: number },
 ): number {
   const affected = results.filter(
-    (result) => keys.has(keyOf.get(result.callerId) ?? "") && result.startedAt >= killedAt,
+    (result) =>
+      keys.has(keyOf.get(result.callerId) ?? "") &&
+      result.startedAt >= time.from &&
+      result.startedAt < time.until,
   );
   if (affected.length === 0) {
     return Number.POSITIVE_INFINITY;
   }
   const disturbed = affected.filter((result) => result.end !== "whole" || result.latencyMs > LATE_MS);
   return Math.round(
-    Math.max(0, ...disturbed.map((result) => result.startedAt + result.latencyMs - killedAt)),
+    Math.max(0, ...disturbed.map((result) => result.startedAt + result.latencyMs - time.from)),
   );
 }
 
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -53,6 +53,27 @@
     expect(nodes[0]?.membership.get("d1")?.status).toBe("alive");
   });
 
+  test("a suspicion that was running when the process was paused proves nothing when it wakes", async () => {
+    const { clock, nodes } = createCluster(COUNT);
+    await clock.advance(3000);
+    const [observer, suspect] = nodes;
+    const deaths: string[] = [];
+    observer?.membership.events.on("changed", (member) => {
+      deaths.push(...(member.status === "dead" ? [member.daemon] : []));
+    });
+    suspect?.clock.pause();
+    while (observer?.membership.get("d1")?.status !== "suspect") {
+      await clock.advance(10);
+    }
+    observer.clock.pause();
+    suspect?.clock.resume();
+    await clock.advance(3000);
+    observer.clock.resume();
+    await clock.advance(2000);
+    expect(deaths).toEqual([]);
+    expect(observer.membership.get("d1")?.status).toBe("alive");
+  });
+
   test("a broken way between two members is bridged by the others", async () => {
     const { clock, network, nodes } = createCluster(COUNT);
     await clock.advance(3000);
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -27,6 +27,8 @@
   readonly servedAgain?: { readonly server: string; readonly withinMs: number };
   /** Server whose slots must stay with it. */
   readonly staysWith?: string;
+  /** Server whose leaseholder must stay the same. */
+  readonly keepsLeaseholder?: string;
 }
 
 const directedCases: readonly DirectedCase[] = [
@@ -116,6 +118,7 @@
         world.pause(holderOf(world, "open-north"));
       }),
     staysWith: "open-north",
+    keepsLeaseholder: "open-north",
   },
   {
     name: "leaseholder cut off from platform and peers goes on serving",
@@ -127,6 +130,35 @@
       }),
     staysWith: "open-north",
   },
+  {
+    name: "successor that cannot reach a fenced server waits for evidence on the predecessor",
+    fail: (world) =>
+      act(() => {
+        const holder = holderOf(world, "fenced-north");
+        world.cutFromPeers(holder, true);
+        world.daemon(holder).way.isDown = true;
+        for (const name of Object.keys(plan.daemons).filter((each) => each !== holder)) {
+          world.server("fenced-north").cutFrom.add(name);
+        }
+      }),
+    staysWith: "fenced-north",
+  },
+  {
+    name: "unfenced server drained while long requests run",
+    fail: (world) =>
+      act(() => {
+        for (const slot of slotsOf(world.owners(), "open-north")) {
+          void world.request("n1", slot, 900);
+        }
+        world.configure((source) => {
+          const server = source.servers["open-north"];
+          if (server !== undefined) {
+            server.state = "draining";
+          }
+        });
+      }),
+    servedAgain: { server: "open-north", withinMs: 5000 },
+  },
   {
     name: "answer of the conditional update lost",
     fail: (world) =>
@@ -150,11 +182,12 @@
 ];
 
 describe("at most one owner", () => {
-  test.each(directedCases)("$name", async ({ fail, servedAgain, staysWith }) => {
+  test.each(directedCases)("$name", async ({ fail, servedAgain, staysWith, keepsLeaseholder }) => {
     const world = await createSettledWorld();
     const before = world.owners();
     const traffic = startTraffic(world);
     await world.clock.advance(500);
+    const holderBefore = world.storedLeaseholder(keepsLeaseholder ?? "");
     await fail(world);
     await world.clock.advance(servedAgain?.withinMs ?? 3000);
     if (servedAgain !== undefined) {
@@ -165,6 +198,7 @@
     if (staysWith !== undefined) {
       expect(slotsOf(world.owners(), staysWith)).toEqual(slotsOf(before, staysWith));
     }
+    expect(world.storedLeaseholder(keepsLeaseholder ?? "")).toBe(holderBefore);
     await world.clock.advance(2000);
     traffic.stop();
     expect(findDoubleOwners(world.servers)).toEqual([]);
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -4,6 +4,7 @@
 import type { Member, Membership, MembershipEvents } from "../../src/membership";
 import { createCounters, silentLogger } from "../../src/observability";
 import {
+  type Assignment,
   type LeaseManager,
   type ServerLease,
   type StatusView,
@@ -69,6 +70,8 @@
   request(entry: string, slot: number, workMs: number): Promise<"done" | "refused">;
   /** Owner of each slot in the object API. */
   owners(): readonly string[];
+  /** Leaseholder of a server in the object API. */
+  storedLeaseholder(server: string): string | undefined;
   /** The lease of a server, wherever it is held. */
   leaseOf(server: string): { readonly daemon: WorldDaemon; readonly lease: ServerLease } | undefined;
   totalWrites(): number;
@@ -139,17 +142,22 @@
     },
     request,
     owners: () => {
-      const stored = table.read("assignments/desk");
-      const assignment =
-        stored === undefined ? undefined : (openEnvelope(stored).value as Parameters<typeof ownerOf>[0]);
+      const assignment = storedAssignment();
       return assignment === undefined
         ? []
         : assignment.owners.map((_owner, slot) => ownerOf(assignment, slot)?.name ?? "");
     },
+    storedLeaseholder: (name) =>
+      storedAssignment()?.servers.find((each) => each.name === name)?.leaseholder?.daemon,
     leaseOf,
     totalWrites: () => [...ways.values()].reduce((sum, way) => sum + way.writes, 0),
   };
 
+  function storedAssignment(): Assignment | undefined {
+    const stored = table.read("assignments/desk");
+    return stored === undefined ? undefined : (openEnvelope(stored).value as Assignment);
+  }
+
   function daemon(name: string): WorldDaemon {
     const found = daemons.get(name);
     if (found === undefined) {
