Bind HTTP servers by one function; drop options that nobody reads

Cause: the callers' entry and the admin pages each had the same function that binds a server. Ruled out: sharing the lists of imports and option fields that look alike in shape only. Change: src/http with listen; the unused options are gone from the types, the wiring and the tests' set-up.

--- a/src/daemon/adminServer.ts
+++ b/src/daemon/adminServer.ts
@@ -1,6 +1,7 @@
 /** Admin HTTP of one daemon: health for the balancer, status and version for operators. */
-import { type Server, createServer } from "node:http";
+import { createServer } from "node:http";
 import express from "express";
+import { listen } from "../http";
 import type { Address } from "../types";
 
 const HTTP_UNAVAILABLE = 503;
@@ -59,13 +60,3 @@
     },
   };
 }
-
-function listen(server: Server, address: Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, () => {
-      server.removeListener("error", reject);
-      resolve();
-    });
-  });
-}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -122,7 +122,6 @@
     evidence,
     clock,
     logger,
-    counters,
     isFresh: () => pauseGuard.isFresh(),
     createControl: createHttpServerControl,
     isVmLeaving: (address) => spread.isVmLeaving(address),
@@ -152,7 +151,6 @@
     }),
     loads,
     budget: createRetryBudget(RETRY_RATIO, RETRY_CAPACITY),
-    snapshots,
     clock,
     counters,
   });
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,21 @@
+/** What the HTTP servers of a daemon share. */
+import type { Server } from "node:http";
+import type { Address } from "../types";
+
+/**
+ * Binds a server to an address.
+ *
+ * @param server - The server.
+ * @param address - The address.
+ * @returns Nothing, as soon as the server listens.
+ * @throws Error when the address cannot be bound.
+ */
+export function listen(server: Server, address: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => {
+      server.removeListener("error", reject);
+      resolve();
+    });
+  });
+}
--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -8,7 +8,7 @@
 } from "../balancing";
 import type { ConfigurationDocument, Server, Service } from "../configuration";
 import type { Membership } from "../membership";
-import { type Counters, Event, type Logger } from "../observability";
+import { Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import {
   type Clock,
@@ -61,7 +61,6 @@
   readonly evidence: StopEvidence;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly counters: Counters;
   /** Whether the platform's VM list says that the server's VM leaves. */
   readonly isVmLeaving: () => boolean;
   /** Whether this process may send without being fenced: false after a pause until it has caught up. */
--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -1,10 +1,11 @@
 /** The entry for callers: HTTP/1.1 in, whole answers or clear refusals out. */
 import { randomUUID } from "node:crypto";
-import { type Server, type ServerResponse, createServer } from "node:http";
+import { type ServerResponse, createServer } from "node:http";
 import type { Socket } from "node:net";
 import { pipeline } from "node:stream/promises";
 import express from "express";
 import { describeError } from "../errors";
+import { listen } from "../http";
 import { type Counters, Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
@@ -218,13 +219,3 @@
 function notRun(reason: RefusalReason): Failure {
   return { outcome: Outcome.NotRun, reason, step: "read request" };
 }
-
-function listen(server: Server, address: Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, () => {
-      server.removeListener("error", reject);
-      resolve();
-    });
-  });
-}
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -3,7 +3,6 @@
 import type { LoadView, RetryBudget } from "../balancing";
 import type { Service } from "../configuration";
 import type { Counters } from "../observability";
-import type { SnapshotStore } from "../snapshots";
 import {
   type Body,
   type Clock,
@@ -46,7 +45,6 @@
   readonly forward: PeerForwarder;
   readonly loads: LoadView;
   readonly budget: RetryBudget;
-  readonly snapshots: SnapshotStore;
   readonly clock: Clock;
   readonly counters: Counters;
 }
--- a/test/router.test.ts
+++ b/test/router.test.ts
@@ -2,9 +2,8 @@
 import { describe, expect, test } from "vitest";
 import { createLoadView, createRetryBudget } from "../src/balancing";
 import { configurationSchema } from "../src/configuration";
-import { createCounters, silentLogger } from "../src/observability";
+import { createCounters } from "../src/observability";
 import { type RouteTable, createRouter } from "../src/routing";
-import { createSnapshotStore } from "../src/snapshots";
 import { type Failure, type WorkResult, emptyBody } from "../src/types";
 import { createFakeClock } from "./support/fakeClock";
 
@@ -144,7 +143,6 @@
     },
     loads: createLoadView(clock, () => 0),
     budget: createRetryBudget(0.1, 10),
-    snapshots: createSnapshotStore(silentLogger, createCounters("test")),
     clock,
     counters: createCounters("test"),
   });
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -221,7 +221,6 @@
       evidence,
       clock: processClock,
       logger: silentLogger,
-      counters,
       isFresh: () => pauseGuard.isFresh(),
       createControl: (serverName) => server(serverName).controlFor(name, processClock),
       isVmLeaving: (address) => leavingServers.includes(serverAt(address.port)),
