Report requested keys to the coordinator; cut a moving range only once

Cause: the coordinator saw a twelfth of the requests, so busy neighbourhoods stayed on one server (busiest/mean 2.55).

Change: datagrams with counts by group of keys; moves of one pass count for their new owners. Watches gather changes (store calls), archives prefer their data centre. Test: uneven load moves without two owners; it failed before.

--- a/src/discovery/collectionFollower.ts
+++ b/src/discovery/collectionFollower.ts
@@ -6,8 +6,6 @@
 
 /** Bounds the price of a quiet period: one call in this time for each prefix. */
 const WATCH_WAIT_MS = 25_000;
-/** Gathers changes that come in series into one answer; well below the two seconds in which they must be in force. */
-const WATCH_PAUSE_MS = 150;
 /** First and longest pause after a call without an answer; the longest keeps a regained store known within a second. */
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 700;
@@ -26,6 +24,8 @@
 export interface CollectionFollowerOptions extends CollectionListener {
   readonly objects: ObjectStore;
   readonly prefix: string;
+  /** Pause after each change, which gathers changes that come in series into one answer, in milliseconds. */
+  readonly pauseMs: number;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: () => number;
@@ -41,7 +41,7 @@
   options: CollectionFollowerOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { objects, prefix, clock, logger } = options;
+  const { objects, prefix, pauseMs, clock, logger } = options;
   let since: number | undefined;
   let failures = 0;
 
@@ -68,7 +68,7 @@
     const removed = changes.removed ?? [];
     if (changes.objects.length + removed.length > 0) {
       options.onChange(changes.objects, removed);
-      await sleep(clock, WATCH_PAUSE_MS, signal);
+      await sleep(clock, pauseMs, signal);
     }
   }
 
@@ -93,7 +93,7 @@
     if (failures === 1) {
       logger.log(Event.PlatformUnavailable, { prefix, error: describeError(error) });
     }
-    const pauseMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
-    await sleep(clock, pauseMs * (0.5 + options.random()), signal);
+    const retryMs = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
+    await sleep(clock, retryMs * (0.5 + options.random()), signal);
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,8 +10,10 @@
   coordinateKeys,
   createCoordinatorLease,
   createKeyLoad,
+  createLoadReports,
   createOwnerTable,
 } from "../keyRanges";
+import { createUdpTransport } from "../membership";
 import type { ObjectStore, StoredObject } from "../objectStore";
 import { type Counters, Event, type Logger } from "../observability";
 import {
@@ -39,6 +41,16 @@
 /** Requests that one daemon has at a server at most, relative to its slots; more would only wait there. */
 const MAX_REQUESTS_PER_SLOT = 3;
 const HOUSEKEEPING_MS = 500;
+/** A part of the two seconds in which a leaving server must have no new work. */
+const SERVER_PAUSE_MS = 500;
+/** A part of the two seconds in which a configuration must be in force. */
+const CONFIGURATION_PAUSE_MS = 250;
+/** Keys that have moved are refused until the new owner is known. */
+const ASSIGNMENT_PAUSE_MS = 20;
+/** Time that a server in the same data centre may take longer than one in another: the round trip. */
+const SHORT_ANSWER_DISTANCE_MS = 4;
+/** For large answers, whose bytes are dear between data centres: a part of the time within which they are useful. */
+const LARGE_ANSWER_DISTANCE_MS = 200;
 /** The balancer takes a daemon out after two probes a second apart; new connections may come until then. */
 const LAME_DUCK_MS = 2500;
 const IDLE_CHECK_MS = 50;
@@ -60,6 +72,8 @@
   readonly dataCentre: DataCentreName;
   readonly callers: Address;
   readonly readiness: Address;
+  /** Where other daemons send datagrams. */
+  readonly peers: Address;
   /** Path of readiness probes. */
   readonly readinessPath: string;
   readonly terms: GatewayTerms;
@@ -125,7 +139,7 @@
       ownerOf: (service, key) => owners.ownerOf(service, key),
       waitForChange: (service, waitMs) => owners.waitForChange(service, waitMs),
       recordRequest: (service, key) => {
-        loadOf(service).record(key);
+        reports.record(service, key);
       },
     },
     connections,
@@ -142,11 +156,13 @@
     logger,
     counters,
     dataCentre: options.dataCentre,
-    distance: { shortMs: 4, largeMs: 60 },
+    distance: { shortMs: SHORT_ANSWER_DISTANCE_MS, largeMs: LARGE_ANSWER_DISTANCE_MS },
   });
+  const transport = await createUdpTransport(options.peers);
   const lease = createCoordinatorLease({
     objects,
     self,
+    address: options.peers,
     clock,
     timeOfDay: options.timeOfDay,
     random,
@@ -162,6 +178,14 @@
     },
   });
 
+  const reports = createLoadReports({
+    transport,
+    clock,
+    counters,
+    isCoordinator: () => lease.isHeld(),
+    coordinator: () => lease.coordinator(),
+    loadOf,
+  });
   const entry = await createEntry({
     address: options.callers,
     active: () => active,
@@ -174,13 +198,14 @@
   });
   await startReadiness();
   logger.log(Event.DaemonStarted, { dataCentre: options.dataCentre, incarnation: self.incarnation });
-  follow(paths.configuration, offerConfiguration, (changed) => {
+  follow(paths.configuration, CONFIGURATION_PAUSE_MS, offerConfiguration, (changed) => {
     offerConfiguration(changed);
   });
   followServers();
-  follow(paths.exclusions, replaceExclusions, changeExclusions);
+  follow(paths.exclusions, CONFIGURATION_PAUSE_MS, replaceExclusions, changeExclusions);
   follow(
     ASSIGNMENT_PREFIX,
+    ASSIGNMENT_PAUSE_MS,
     (listed) => {
       owners.offer(listed);
     },
@@ -190,6 +215,7 @@
   );
   void lease.run(stop.signal);
   void fleet.run(stop.signal);
+  void reports.run(stop.signal);
   void repeat(clock, HOUSEKEEPING_MS, stop.signal, keepHouse);
 
   return { isReady, shutDown };
@@ -197,6 +223,7 @@
   function followServers(): void {
     follow(
       paths.servers,
+      SERVER_PAUSE_MS,
       (listed) => {
         directory.replaceAll(listed);
       },
@@ -211,12 +238,23 @@
 
   function follow(
     prefix: string,
+    pauseMs: number,
     onList: (objects: readonly StoredObject[]) => void,
     onChange: (objects: readonly StoredObject[], removed: readonly string[]) => void,
     onRegained?: () => void,
   ): void {
     void followCollection(
-      { objects, prefix, clock, logger, random, onList, onChange, ...(onRegained && { onRegained }) },
+      {
+        objects,
+        prefix,
+        pauseMs,
+        clock,
+        logger,
+        random,
+        onList,
+        onChange,
+        ...(onRegained && { onRegained }),
+      },
       stop.signal,
     );
   }
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -27,7 +27,9 @@
 /** Pause before a release that got no answer is sent again. */
 const RELEASE_RETRY_MS = 400;
 /** Time between two moves that even out the load; a move's effect shows in the load within this time. */
-const REBALANCE_MS = 700;
+const REBALANCE_MS = 500;
+/** Bounds the keys that are refused for a moment, because they are on their way. */
+const MOVES_AT_ONCE = 4;
 /** Servers register one after the other when a deployment starts; the first placement waits for the others. */
 const FIRST_PLACEMENT_MS = 1500;
 /** Beyond all tokens that a coordinator could have given out unseen. */
@@ -65,6 +67,8 @@
   let isUnsettled = true;
   let firstSeenAt: number | undefined;
   let rebalancedAt = clock.now();
+  /** Moves in progress that even out the load. */
+  let evening = 0;
 
   await Promise.all([
     repeat(clock, TURN_MS, signal, renewAll),
@@ -152,27 +156,40 @@
         void takeBack(holding, undefined);
       }
     }
-    const isCalm = freed.length === 0 && holdings.every((holding) => holding.phase === HoldingPhase.Held);
-    if (isCalm && clock.now() - rebalancedAt >= REBALANCE_MS) {
+    if (evening === 0 && clock.now() - rebalancedAt >= REBALANCE_MS) {
       rebalancedAt = clock.now();
       startRebalance();
     }
   }
 
   function startRebalance(): void {
-    const owned = holdings.map((holding) => holding.range);
-    const found = findRebalance(owned, candidates(), (range) => options.load.of(range));
-    const source = holdings.find((holding) => holding.range === found?.source);
-    // A grant of the whole range that is on its way would undo the release of a part.
-    if (found === undefined || source === undefined || source.isCalling) {
-      return;
+    const load = (range: KeyRange) => options.load.of(range);
+    const targets = new Map<Holding, Placement>();
+    for (let move = 0; move < MOVES_AT_ONCE; move += 1) {
+      // Keys that are about to move count for their new owner.
+      const owned = holdings.map((holding) => ({ ...holding.range, ...targets.get(holding) }));
+      const found = findRebalance(owned, candidates(), load);
+      const source = holdings.find(
+        ({ range, phase }) => phase === HoldingPhase.Held && range.from === found?.source.from,
+      );
+      // A grant of the whole range that is on its way would undo the release of a part.
+      if (found === undefined || source === undefined || source.isCalling) {
+        return;
+      }
+      const moving = cutHolding(source, found.piece);
+      evening += 1;
+      void takeBack(moving, found.piece).finally(() => {
+        evening -= 1;
+      });
+      targets.set(moving, found.piece);
     }
-    const parts = splitHolding(source, found.piece);
+  }
+
+  /** Cuts a piece out of a holding. Returns the piece. */
+  function cutHolding(source: Holding, piece: KeyRange): Holding {
+    const parts = splitHolding(source, piece);
     holdings = holdings.flatMap((holding) => (holding === source ? parts : [holding]));
-    const moving = parts.find((part) => part.range.from === found.piece.from);
-    if (moving !== undefined) {
-      void takeBack(moving, found.piece);
-    }
+    return parts.find((part) => part.range.from === piece.from) ?? source;
   }
 
   /** Ends when the owner has answered the release, or cannot hold the keys any longer. */
--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -3,7 +3,7 @@
 import { PlatformUnavailableError, describeError } from "../errors";
 import { CallPriority, Freshness, type ObjectStore, type StoredObject } from "../objectStore";
 import { Event, type Logger } from "../observability";
-import { type Clock, type DaemonRun, sleep } from "../types";
+import { type Address, type Clock, type DaemonRun, sleep } from "../types";
 
 const LEASE_PATH = "coordination/keys";
 /** Bounds the time without a coordinator after its loss; covers two renewals without an answer. */
@@ -25,6 +25,8 @@
   term: z.int(),
   renewal: z.int(),
   isResigned: z.boolean(),
+  /** Where the holder takes reports of the load. */
+  address: z.object({ host: z.string(), port: z.int() }),
 });
 type Lease = z.output<typeof leaseSchema>;
 
@@ -32,6 +34,8 @@
 export interface CoordinatorLeaseOptions {
   readonly objects: ObjectStore;
   readonly self: DaemonRun;
+  /** Where this daemon takes reports of the load. */
+  readonly address: Address;
   readonly clock: Clock;
   /** Time of day in milliseconds; unlike the monotonic clock it also counts while the machine is suspended. */
   readonly timeOfDay: () => number;
@@ -45,6 +49,8 @@
 export interface CoordinatorLease {
   /** Whether this daemon may send grants now. */
   isHeld(): boolean;
+  /** Where the coordinator takes reports of the load, as far as this daemon knows. */
+  coordinator(): Address | undefined;
   /** Time since the last renewal that was answered, in milliseconds. */
   renewedAgoMs(): number;
   /** Gives the lease up, so that another daemon takes it at once. */
@@ -77,6 +83,7 @@
 
   return {
     isHeld,
+    coordinator: () => seen?.lease?.address,
     renewedAgoMs: () => clock.now() - renewedAt,
     resign,
     run: async (signal) => {
@@ -151,7 +158,7 @@
   async function claim(): Promise<void> {
     const base = seen?.version ?? 0;
     const term = (seen?.lease?.term ?? 0) + 1;
-    if (await write(base, { ...self, term, renewal: 0, isResigned: false })) {
+    if (await write(base, { ...self, address: options.address, term, renewal: 0, isResigned: false })) {
       isElected = true;
       logger.log(Event.CoordinatorElected, { term, version: seen?.version });
       options.onElected();
--- a/src/keyRanges/index.ts
+++ b/src/keyRanges/index.ts
@@ -5,6 +5,7 @@
 export * from "./grantLedger";
 export * from "./holdings";
 export * from "./keyLoad";
+export * from "./loadReports";
 export * from "./ownerTable";
 export * from "./rangePlanner";
 export * from "./types";
--- a/src/keyRanges/rangePlanner.ts
+++ b/src/keyRanges/rangePlanner.ts
@@ -22,8 +22,8 @@
 
 /** A server above this multiple of the mean load gives keys away; below it, chance explains the difference. */
 const OVERLOAD_RATIO = 1.3;
-/** Requests that the busiest server must have had for its load to be told from chance. */
-const LEAST_EVIDENCE = 12;
+/** An excess of this many standard deviations is told from chance. */
+const DEVIATIONS = 2;
 /** Bounds the calls that renew grants: each range needs its own. */
 const MAX_RANGES_PER_SERVER = 6;
 /** Every key weighs a little, so that keys without requests are spread as well. */
@@ -121,6 +121,12 @@
   return range.to;
 }
 
+/** Keys to move, and the range that they are cut from. */
+export interface Rebalance {
+  readonly source: OwnedRange;
+  readonly piece: Placement;
+}
+
 /**
  * Finds keys whose move makes the loads more even.
  *
@@ -133,30 +139,31 @@
   owned: readonly OwnedRange[],
   candidates: readonly OwnerCandidate[],
   loadOf: LoadOf,
-): { readonly source: OwnedRange; readonly piece: Placement } | undefined {
+): Rebalance | undefined {
   const weigh = createWeigher(loadOf);
   const loads = candidates.map((candidate) => {
     const ranges = owned.filter((range) => isOwnedBy(range, candidate));
-    const load = sum(ranges.map(weigh));
-    return { candidate, ranges, load, relative: load / candidate.capacity };
+    return { candidate, ranges, load: sum(ranges.map(weigh)) };
   });
-  if (loads.length < 2) {
-    return undefined;
-  }
-  const total = sum(loads.map((each) => each.load));
-  const mean = total / sum(candidates.map((candidate) => candidate.capacity));
-  const coldest = loads.reduce((best, each) => (each.relative < best.relative ? each : best));
-  const sources = loads
-    .filter((each) => each !== coldest && each.relative > OVERLOAD_RATIO * mean)
-    .filter((each) => each.load >= LEAST_EVIDENCE || coldest.ranges.length === 0)
-    .sort((left, right) => right.relative - left.relative);
-  if (coldest.ranges.length >= MAX_RANGES_PER_SERVER) {
+  const mean = sum(loads.map((each) => each.load)) / sum(candidates.map((each) => each.capacity));
+  const shares = loads.map((each) => ({ ...each, share: mean * each.candidate.capacity }));
+  const [coldest] = [...shares]
+    .filter((each) => each.ranges.length < MAX_RANGES_PER_SERVER)
+    .sort((left, right) => left.load / left.share - right.load / right.share);
+  if (coldest === undefined) {
     return undefined;
   }
-  for (const source of sources) {
-    const excess = source.load - mean * source.candidate.capacity;
-    const room = mean * coldest.candidate.capacity - coldest.load;
-    const cut = cutPiece(source.ranges, Math.min(excess, room), weigh);
+  const sources = shares
+    .filter((each) => each !== coldest && each.load > OVERLOAD_RATIO * each.share)
+    .filter((each) => each.load > each.share + DEVIATIONS * Math.sqrt(each.share))
+    .sort((left, right) => right.load / right.share - left.load / left.share);
+  const idle = coldest.ranges.length === 0 ? shares.filter((each) => each.load > 0).sort(byLoad) : [];
+  for (const source of [...sources, ...idle]) {
+    const wanted = Math.min(
+      source === idle[0] ? source.load / 2 : source.load - source.share,
+      coldest.share - coldest.load,
+    );
+    const cut = cutPiece(source.ranges, wanted, weigh);
     if (cut !== undefined) {
       const { name, bornAt } = coldest.candidate;
       return { source: cut.source, piece: { ...cut.piece, server: name, bornAt } };
@@ -165,6 +172,10 @@
   return undefined;
 }
 
+function byLoad(left: { readonly load: number }, right: { readonly load: number }): number {
+  return right.load - left.load;
+}
+
 /** A cut may overshoot by this much; a single busy key that overshoots more stays where it is. */
 const CUT_TOLERANCE = 1.4;
 
--- /dev/null
+++ b/test/keyRanges.test.ts
@@ -0,0 +1,339 @@
+/** Ownership of keys by ranges: no two servers may hold a key, and load is evened out by moving pieces. */
+import { describe, expect, test } from "vitest";
+import { createServerDirectory, type DiscoveredServer, ServerPhase } from "../src/discovery";
+import {
+  KEY_COUNT,
+  type KeyControl,
+  type KeyGrant,
+  type KeyRange,
+  type OwnedRange,
+  type ReleaseResult,
+  coordinateKeys,
+  createGrantLedger,
+  createKeyLoad,
+  createOwnerTable,
+  findRebalance,
+  findUnowned,
+  placeFree,
+  planHoldings,
+} from "../src/keyRanges";
+import { silentLogger } from "../src/observability";
+import { createObjectTable } from "../standins/platform/objectTable";
+import { createFakeClock } from "./support/fakeClock";
+import { createFakeObjectStore, createWay } from "./support/fakePlatform";
+
+const SERVICE = "desk";
+const MAX_GRANT_MS = 10_000;
+const LAST_KEY = KEY_COUNT - 1;
+
+/** What one fake server may do with a key, as the rules of grants say. */
+interface FakeHold extends KeyRange {
+  readonly server: string;
+  readonly bornAt: number;
+  until: number;
+}
+
+/** Backend servers that obey grants, with a record of keys that two of them held at once. */
+function createWorld(names: readonly string[]) {
+  const clock = { ...createFakeClock(), gate: () => Promise.resolve(), pause: () => undefined };
+  const holds: FakeHold[] = [];
+  const conflicts: string[] = [];
+  const grants: (KeyGrant & { readonly server: string })[] = [];
+  const silent = new Set<string>();
+  const directory = createServerDirectory({
+    clock,
+    logger: silentLogger,
+    decode: (_name, value) => value as DiscoveredServer,
+    coldMs: () => 0,
+  });
+  const owners = createOwnerTable(clock, silentLogger);
+  const load = createKeyLoad(clock);
+  const way = createWay();
+  const objects = createFakeObjectStore(createObjectTable(), way, clock as never);
+  const control: KeyControl = {
+    grant: (server, grant) => {
+      grants.push({ ...grant, server: server.name });
+      if (silent.has(server.name)) {
+        return Promise.resolve({ kind: "unanswered", detail: "silent" });
+      }
+      const now = clock.now();
+      for (const hold of holds) {
+        const isOther = hold.server !== server.name || hold.bornAt !== server.bornAt;
+        if (isOther && hold.until > now && hold.from <= grant.to && hold.to >= grant.from) {
+          conflicts.push(
+            `${hold.server} and ${server.name}: ${hold.from}-${hold.to}, ${grant.from}-${grant.to}`,
+          );
+        }
+      }
+      holds.push({
+        from: grant.from,
+        to: grant.to,
+        server: server.name,
+        bornAt: server.bornAt,
+        until: now + grant.durationMs,
+      });
+      return Promise.resolve({ kind: "granted" });
+    },
+    release: (server, range): Promise<ReleaseResult> => {
+      if (silent.has(server.name)) {
+        return Promise.resolve({ kind: "unanswered", detail: "silent" });
+      }
+      const now = clock.now();
+      const kept = holds.flatMap((hold) =>
+        hold.server === server.name && hold.bornAt === server.bornAt && hold.until > now
+          ? [
+              { ...hold, to: Math.min(hold.to, range.from - 1) },
+              { ...hold, from: Math.max(hold.from, range.to + 1) },
+            ].filter((part) => part.from <= part.to)
+          : [hold],
+      );
+      holds.splice(0, holds.length, ...kept);
+      return Promise.resolve({ kind: "released", handover: `from ${server.name}` });
+    },
+  };
+  const stop = new AbortController();
+  const world = {
+    clock,
+    directory,
+    owners,
+    load,
+    control,
+    objects,
+    way,
+    conflicts,
+    grants,
+    silent,
+    stop,
+    isLeader: true,
+    start: () =>
+      coordinateKeys(
+        {
+          service: SERVICE,
+          objects,
+          directory,
+          owners,
+          control,
+          load,
+          clock,
+          logger: silentLogger,
+          isLeader: () => world.isLeader,
+          storeSilentMs: () => 0,
+          maxGrantMs: MAX_GRANT_MS,
+          capacityOf: (server) => server.slots,
+        },
+        stop.signal,
+      ),
+    put: (server: DiscoveredServer) => {
+      directory.change([{ path: `servers/${server.name}`, version: 1, value: server }], []);
+    },
+    ownersOf: (keys: readonly number[]) => keys.map((key) => owners.ownerOf(SERVICE, key)),
+  };
+  directory.replaceAll([]);
+  names.forEach((name) => {
+    world.put(createServer(name));
+  });
+  return world;
+}
+
+function createServer(name: string, change: Partial<DiscoveredServer> = {}): DiscoveredServer {
+  return {
+    name,
+    bornAt: 1,
+    service: SERVICE,
+    address: { host: "127.0.0.1", port: 1 },
+    dataCentre: "a",
+    slots: 4,
+    phase: ServerPhase.Ready,
+    coldForMs: 0,
+    ...change,
+  };
+}
+
+function createRange(from: number, to: number, server: string, token = 1): OwnedRange {
+  return { from, to, server, bornAt: 1, token };
+}
+
+describe("coordinator", () => {
+  const everyKey = [0, 9000, 20_000, 40_000, 60_000, LAST_KEY];
+
+  test("places all keys once the servers have registered", async () => {
+    const world = createWorld(["s1", "s2", "s3"]);
+    void world.start();
+    await world.clock.advance(3000);
+    expect(world.ownersOf(everyKey)).not.toContain(undefined);
+    expect(new Set(world.ownersOf(everyKey))).toEqual(new Set(["s1", "s2", "s3"]));
+    expect(world.conflicts).toEqual([]);
+    world.stop.abort();
+  });
+
+  interface LossCase {
+    readonly name: string;
+    readonly lose: (world: ReturnType<typeof createWorld>) => void;
+    /** Time after which the keys of the first server must have other owners, or another process. */
+    readonly withinMs: number;
+    readonly expected: "moved" | "same name";
+  }
+
+  const lossCases: readonly LossCase[] = [
+    {
+      name: "a draining server is released",
+      lose: (world) => {
+        world.put(createServer("s1", { phase: ServerPhase.Draining }));
+      },
+      withinMs: 500,
+      expected: "moved",
+    },
+    {
+      name: "a server whose entry is gone but which answers is released",
+      lose: (world) => {
+        world.directory.change([], ["servers/s1"]);
+      },
+      withinMs: 500,
+      expected: "moved",
+    },
+    {
+      name: "a data centre that is taken out gives its keys away",
+      lose: (world) => {
+        world.put(createServer("s1", { dataCentre: "b" }));
+        world.directory.setExcluded(new Set(["b"]));
+      },
+      withinMs: 500,
+      expected: "moved",
+    },
+    {
+      name: "a silent server keeps its keys until its grants have lapsed",
+      lose: (world) => {
+        world.silent.add("s1");
+        world.directory.change([], ["servers/s1"]);
+      },
+      withinMs: 6800,
+      expected: "moved",
+    },
+  ];
+
+  test.each(lossCases)("$name", async ({ lose, withinMs }) => {
+    const world = createWorld(["s1", "s2", "s3"]);
+    void world.start();
+    await world.clock.advance(3000);
+    lose(world);
+    await world.clock.advance(withinMs);
+    expect(world.ownersOf(everyKey)).not.toContain("s1");
+    expect(world.ownersOf(everyKey)).not.toContain(undefined);
+    expect(world.conflicts).toEqual([]);
+    world.stop.abort();
+  });
+
+  test("another process of the same name gets keys at once, under a higher fencing token", async () => {
+    const world = createWorld(["s1"]);
+    void world.start();
+    await world.clock.advance(3000);
+    const before = Math.max(...world.grants.map((grant) => grant.token));
+    world.put(createServer("s1", { bornAt: 2 }));
+    await world.clock.advance(500);
+    const after = world.grants.at(-1);
+    expect(after?.token).toBeGreaterThan(before);
+    world.stop.abort();
+  });
+
+  test("uneven load is moved without two owners, however often the busy keys change", async () => {
+    const world = createWorld(["s1", "s2", "s3", "s4", "s5"]);
+    void world.start();
+    await world.clock.advance(3000);
+    for (const busy of [100, 30_000, 15_000, 52_000]) {
+      for (let step = 0; step < 40; step += 1) {
+        for (let key = busy; key < busy + 2000; key += 16) {
+          world.load.record(key);
+        }
+        await world.clock.advance(100);
+      }
+      const keys = Array.from({ length: 20 }, (_, index) => busy + index * 100);
+      expect(new Set(world.ownersOf(keys)).size).toBeGreaterThan(2);
+    }
+    expect(world.conflicts).toEqual([]);
+    const tokens = world.grants.map((grant) => grant.token);
+    expect(Math.max(...tokens)).toBeLessThan(1000);
+    world.stop.abort();
+  });
+
+  test("a daemon that has lost the lease sends no grants", async () => {
+    const world = createWorld(["s1", "s2"]);
+    void world.start();
+    await world.clock.advance(3000);
+    world.isLeader = false;
+    const sent = world.grants.length;
+    await world.clock.advance(5000);
+    expect(world.grants).toHaveLength(sent);
+    world.stop.abort();
+  });
+
+  test("a write whose answer is lost is settled before anything else is granted", async () => {
+    const world = createWorld(["s1", "s2", "s3"]);
+    void world.start();
+    await world.clock.advance(3000);
+    world.way.lostAnswers = 7;
+    world.put(createServer("s1", { phase: ServerPhase.Draining }));
+    await world.clock.advance(2000);
+    expect(world.ownersOf(everyKey)).not.toContain("s1");
+    expect(world.conflicts).toEqual([]);
+    world.stop.abort();
+  });
+});
+
+describe("ledger", () => {
+  test("keys are free when the longest grant to another server has lapsed on its slow clock", async () => {
+    const clock = createFakeClock();
+    const ledger = createGrantLedger(clock);
+    ledger.record({ from: 0, to: 99 }, "s1", 1, 5000);
+    expect(ledger.freeAt({ from: 99, to: 200 }, "s2", 1)).toBe(clock.now() + 5350);
+    expect(ledger.freeAt({ from: 100, to: 200 }, "s2", 1)).toBe(Number.NEGATIVE_INFINITY);
+    expect(ledger.freeAt({ from: 0, to: 9 }, "s1", 1)).toBe(Number.NEGATIVE_INFINITY);
+    ledger.clear({ from: 50, to: 99 }, "s1", 1);
+    expect(ledger.freeAt({ from: 60, to: 99 }, "s2", 1)).toBe(Number.NEGATIVE_INFINITY);
+    expect(ledger.freeAt({ from: 40, to: 99 }, "s2", 1)).toBeGreaterThan(clock.now());
+    await clock.advance(1);
+    ledger.clearOtherRuns("s1", 2);
+    expect(ledger.freeAt({ from: 0, to: 99 }, "s2", 1)).toBe(Number.NEGATIVE_INFINITY);
+  });
+});
+
+describe("planner", () => {
+  const candidates = ["s1", "s2"].map((name) => ({ name, bornAt: 1, capacity: 1 }));
+
+  test("unowned keys are the gaps between ranges", () => {
+    const ranges = [createRange(10, 19, "s1"), createRange(30, LAST_KEY, "s2")];
+    expect(findUnowned(ranges)).toEqual([
+      { from: 0, to: 9 },
+      { from: 20, to: 29 },
+    ]);
+    expect(findUnowned([])).toEqual([{ from: 0, to: LAST_KEY }]);
+  });
+
+  test("free keys go to the servers with the most room", () => {
+    const owned = [createRange(0, 32_767, "s1")];
+    const placements = placeFree([{ from: 32_768, to: LAST_KEY }], owned, candidates, () => 0);
+    expect(placements).toEqual([{ from: 32_768, to: LAST_KEY, server: "s2", bornAt: 1 }]);
+    expect(placeFree([{ from: 0, to: 1 }], [], [], () => 0)).toEqual([]);
+  });
+
+  test("one busy key stays, and its neighbours leave", () => {
+    const owned = [createRange(0, 32_767, "s1"), createRange(32_768, LAST_KEY, "s2")];
+    const busyKey = 160;
+    const loadOf = (range: KeyRange) =>
+      (range.from <= busyKey && busyKey <= range.to ? 1000 : 0) +
+      ((range.to - range.from + 1) / KEY_COUNT) * 1000;
+    const found = findRebalance(owned, candidates, loadOf);
+    expect(found?.piece.server).toBe("s2");
+    expect(found !== undefined && found.piece.from <= busyKey && busyKey <= found.piece.to).toBe(false);
+  });
+
+  test("neighbouring ranges of one owner become one under a new token", () => {
+    const before = { service: SERVICE, nextToken: 5, ranges: [] };
+    const placements = [
+      { from: 0, to: 99, server: "s1", bornAt: 1 },
+      { from: 100, to: 199, server: "s1", bornAt: 1 },
+    ];
+    const { assignment } = planHoldings([], placements, [], before);
+    expect(assignment.ranges).toEqual([createRange(0, 199, "s1", 7)]);
+    expect(assignment.nextToken).toBe(8);
+  });
+});
