Pass on answers without length as they came; notice watches that went silent

Changes: answers without length stay without length; the connection is closed through its own handle; daemons compare digests of what they know with the coordinator and ask the store again when they differ, or when they are alone.

--- a/src/discovery/collectionFollower.ts
+++ b/src/discovery/collectionFollower.ts
@@ -1,4 +1,5 @@
 /** Follows all objects under one prefix of the object API: a list first, then watches. */
+import murmurhash from "murmurhash";
 import { HistoryGoneError, describeError } from "../errors";
 import { CallPriority, type ObjectStore, type StoredObject } from "../objectStore";
 import { Event, type Logger } from "../observability";
@@ -10,6 +11,9 @@
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 700;
 
+/** A watch was ended on purpose. */
+class WatchEndedError extends Error {}
+
 /** What a follower reports. */
 export interface CollectionListener {
   /** Receives everything that exists. Objects that are missing are gone. */
@@ -31,47 +35,99 @@
   readonly random: () => number;
 }
 
+/** Follows one prefix. */
+export interface CollectionFollower {
+  readonly prefix: string;
+  /** Number that is the same, in all likelihood only, at daemons that know the same versions of the objects. */
+  digest(): number;
+  /** Ends a watch that waits, whose connection may have gone silent, and asks for changes at once. */
+  refresh(): void;
+  /** Follows until aborted. */
+  run(signal: AbortSignal): Promise<void>;
+}
+
 /**
- * Follows a prefix until aborted.
+ * Creates a follower.
  *
  * @param options - Store, prefix and listener.
- * @param signal - Ends the follower.
+ * @returns The follower.
  */
-export async function followCollection(
-  options: CollectionFollowerOptions,
-  signal: AbortSignal,
-): Promise<void> {
+export function createCollectionFollower(options: CollectionFollowerOptions): CollectionFollower {
   const { objects, prefix, pauseMs, clock, logger } = options;
+  const versions = new Map<string, number>();
   let since: number | undefined;
   let failures = 0;
+  let mustAskAtOnce = false;
+  let waiting: AbortController | undefined;
 
-  while (!signal.aborted) {
-    try {
-      await followOnce();
-    } catch (error) {
-      await recover(error);
-    }
-  }
+  return {
+    prefix,
+    digest: () => {
+      let digest = 0;
+      for (const [path, version] of versions) {
+        digest ^= murmurhash.v3(`${path}@${version}`);
+      }
+      return digest >>> 0;
+    },
+    refresh: () => {
+      if (waiting !== undefined) {
+        mustAskAtOnce = true;
+        waiting.abort();
+      }
+    },
+    run: async (signal) => {
+      while (!signal.aborted) {
+        try {
+          await followOnce(signal);
+        } catch (error) {
+          await recover(error, signal);
+        }
+      }
+    },
+  };
 
-  async function followOnce(): Promise<void> {
+  async function followOnce(signal: AbortSignal): Promise<void> {
     if (since === undefined) {
       const listed = await objects.list(prefix, CallPriority.Configuration);
       reportSuccess();
+      versions.clear();
+      listed.objects.forEach(note);
       options.onList(listed.objects);
       since = listed.version;
       return;
     }
-    const waitMs = failures > 0 ? 0 : WATCH_WAIT_MS;
-    const changes = await objects.watch(prefix, since, waitMs, signal);
+    const changes = await watch(since, signal);
     reportSuccess();
+    mustAskAtOnce = false;
     since = Math.max(since, changes.version);
     const removed = changes.removed ?? [];
     if (changes.objects.length + removed.length > 0) {
+      changes.objects.forEach(note);
+      removed.forEach((path) => versions.delete(path));
       options.onChange(changes.objects, removed);
       await sleep(clock, pauseMs, signal);
     }
   }
 
+  async function watch(from: number, signal: AbortSignal) {
+    if (failures > 0 || mustAskAtOnce) {
+      return objects.watch(prefix, from, 0, signal);
+    }
+    const current = new AbortController();
+    waiting = current;
+    try {
+      return await objects.watch(prefix, from, WATCH_WAIT_MS, AbortSignal.any([signal, current.signal]));
+    } catch (error) {
+      throw current.signal.aborted ? new WatchEndedError() : error;
+    } finally {
+      waiting = undefined;
+    }
+  }
+
+  function note(object: StoredObject): void {
+    versions.set(object.path, object.version);
+  }
+
   function reportSuccess(): void {
     if (failures > 0) {
       logger.log(Event.PlatformAvailable, { prefix, failures });
@@ -80,8 +136,8 @@
     failures = 0;
   }
 
-  async function recover(error: unknown): Promise<void> {
-    if (signal.aborted) {
+  async function recover(error: unknown, signal: AbortSignal): Promise<void> {
+    if (signal.aborted || error instanceof WatchEndedError) {
       return;
     }
     if (error instanceof HistoryGoneError) {
--- /dev/null
+++ b/src/discovery/freshnessCheck.ts
@@ -0,0 +1,126 @@
+/**
+ * Notices watches whose connection has gone silent: daemons compare digests of what they know with the
+ * coordinator, and one that differs for long asks the store again.
+ */
+import { z } from "zod";
+import type { DatagramChannel } from "../membership";
+import { type Address, type Clock, type DaemonName, repeat } from "../types";
+import type { CollectionFollower } from "./collectionFollower";
+
+const CHECK_MS = 400;
+/** Changes reach all daemons within the pauses between their watches; a difference that lasts longer is none of them. */
+const DIFFERENCE_MS = 700;
+/** Without a word from the coordinator for this long, a daemon asks the store by itself. */
+const CONTACT_MS = 1300;
+/** Bounds the calls of a daemon that differs, or is alone. */
+const REFRESH_INTERVAL_MS = 1300;
+
+const KIND = { State: "state", Reply: "stateReply" } as const;
+
+const addressSchema = z.object({ host: z.string(), port: z.int() });
+const digestsSchema = z.record(z.string(), z.number());
+const stateSchema = z.object({ daemon: z.string(), address: addressSchema, digests: digestsSchema });
+type Digests = z.output<typeof digestsSchema>;
+
+/** What the check is made from. */
+export interface FreshnessCheckOptions {
+  readonly daemon: DaemonName;
+  readonly address: Address;
+  readonly channel: DatagramChannel;
+  readonly followers: readonly CollectionFollower[];
+  readonly clock: Clock;
+  readonly isCoordinator: () => boolean;
+  /** The coordinator's address; undefined while there is none. */
+  readonly coordinator: () => Address | undefined;
+}
+
+interface PeerState {
+  readonly digests: Digests;
+  readonly at: number;
+}
+
+/**
+ * Runs the check until aborted.
+ *
+ * @param options - Followers and channel.
+ * @param signal - Ends the check.
+ */
+export async function checkFreshness(options: FreshnessCheckOptions, signal: AbortSignal): Promise<void> {
+  const { channel, clock, followers } = options;
+  const peers = new Map<DaemonName, PeerState>();
+  const differsSince = new Map<string, number>();
+  const refreshedAt = new Map<string, number>();
+  let contactAt = clock.now();
+
+  channel.receive(KIND.State, stateSchema, (state) => {
+    peers.set(state.daemon, { digests: state.digests, at: clock.now() });
+    channel.send(state.address, KIND.Reply, ownDigests());
+  });
+  channel.receive(KIND.Reply, digestsSchema, (digests) => {
+    contactAt = clock.now();
+    compare((prefix) => digests[prefix]);
+  });
+  await repeat(clock, CHECK_MS, signal, check);
+
+  function check(): void {
+    if (options.isCoordinator()) {
+      compareWithMajority();
+      return;
+    }
+    const coordinator = options.coordinator();
+    if (coordinator !== undefined) {
+      const { daemon, address } = options;
+      channel.send(coordinator, KIND.State, { daemon, address, digests: ownDigests() });
+    }
+    refreshWhenAlone();
+  }
+
+  function compareWithMajority(): void {
+    const recent = [...peers.values()].filter((peer) => clock.now() - peer.at < CONTACT_MS);
+    if (recent.length > 0) {
+      contactAt = clock.now();
+      compare((prefix) => findMajority(recent.map((peer) => peer.digests[prefix])));
+    }
+    refreshWhenAlone();
+  }
+
+  /** A silent connection looks like a store without changes, so silence of the others must not be trusted either. */
+  function refreshWhenAlone(): void {
+    if (clock.now() - contactAt > CONTACT_MS) {
+      followers.forEach(refresh);
+    }
+  }
+
+  function compare(expected: (prefix: string) => number | undefined): void {
+    for (const follower of followers) {
+      const { prefix } = follower;
+      const digest = expected(prefix);
+      if (digest === undefined || digest === follower.digest()) {
+        differsSince.delete(prefix);
+        continue;
+      }
+      const since = differsSince.get(prefix) ?? clock.now();
+      differsSince.set(prefix, since);
+      if (clock.now() - since >= DIFFERENCE_MS) {
+        refresh(follower);
+      }
+    }
+  }
+
+  function refresh(follower: CollectionFollower): void {
+    const last = refreshedAt.get(follower.prefix) ?? Number.NEGATIVE_INFINITY;
+    if (clock.now() - last >= REFRESH_INTERVAL_MS) {
+      refreshedAt.set(follower.prefix, clock.now());
+      follower.refresh();
+    }
+  }
+
+  function ownDigests(): Digests {
+    return Object.fromEntries(followers.map((follower) => [follower.prefix, follower.digest()]));
+  }
+}
+
+/** The value that more than half agree on. */
+function findMajority(values: readonly (number | undefined)[]): number | undefined {
+  return values.find((value) => values.filter((other) => other === value).length * 2 > values.length);
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -281,7 +281,7 @@
     const fields = protocol.read(status, message.headers);
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
       // The connection is out of step: what comes next on it belongs to this request, or to nobody.
-      message.socket.destroy();
+      result.discardConnection();
       return { kind: "unknown", reason: RejectionReason.Foreign };
     }
     recordFields(server, fields);
--- a/src/gateway/entry.ts
+++ b/src/gateway/entry.ts
@@ -23,7 +23,7 @@
 const IDLE_MARGIN_MS = 1000;
 /** Until a configuration has arrived. */
 const NOT_READY_RETRY_MS = 300;
-const NEVER_SENT: ReadonlySet<string> = new Set(["content-length"]);
+const NO_NAMES: ReadonlySet<string> = new Set();
 
 const Status = {
   BadRequest: 400,
@@ -273,22 +273,25 @@
     message: IncomingMessage,
     body: AnswerBody,
   ): Promise<void> {
-    const headers = selectForwardedHeaders(
-      message.rawHeaders,
-      body.kind === "whole" ? NEVER_SENT : new Set(),
-    );
+    const status = message.statusCode ?? Status.BadGateway;
+    const headers = selectForwardedHeaders(message.rawHeaders, NO_NAMES);
     if (isDraining) {
       headers.connection = "close";
     }
+    if (body.kind === "unframed") {
+      // The caller learns as little of the body's end as the backend server said.
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(status, { ...headers, connection: "close" });
+      response.end(body.content);
+      return;
+    }
     if (body.kind === "whole") {
-      if (request.method !== "HEAD") {
-        headers["content-length"] = String(body.content.byteLength);
-      }
-      response.writeHead(message.statusCode ?? Status.BadGateway, headers);
+      const length = request.method === "HEAD" ? {} : { "content-length": String(body.content.byteLength) };
+      response.writeHead(status, { ...headers, ...length });
       response.end(body.content);
       return;
     }
-    response.writeHead(message.statusCode ?? Status.BadGateway, headers);
+    response.writeHead(status, headers);
     try {
       await pipeline(joinBody(body), response);
     } catch (error) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,14 @@
 /** One daemon of the gateway: wires discovery, key ownership and dispatching, and shuts down without cutting off requests. */
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
-import { type ServerDecoder, createServerDirectory, followCollection } from "../discovery";
+import {
+  type CollectionFollower,
+  type CollectionListener,
+  type ServerDecoder,
+  checkFreshness,
+  createCollectionFollower,
+  createServerDirectory,
+} from "../discovery";
 import { describeError } from "../errors";
 import { listen } from "../http";
 import {
@@ -13,7 +21,7 @@
   createLoadReports,
   createOwnerTable,
 } from "../keyRanges";
-import { createUdpTransport } from "../membership";
+import { createDatagramChannel, createUdpTransport } from "../membership";
 import type { ObjectStore, StoredObject } from "../objectStore";
 import { type Counters, Event, type Logger } from "../observability";
 import {
@@ -41,6 +49,8 @@
 /** Requests that one daemon has at a server at most, relative to its slots; more would only wait there. */
 const MAX_REQUESTS_PER_SLOT = 3;
 const HOUSEKEEPING_MS = 500;
+/** More listeners than this on the stop signal are a leak. */
+const MAX_TASKS = 50;
 /** A part of the two seconds in which a leaving server must have no new work. */
 const SERVER_PAUSE_MS = 500;
 /** A part of the two seconds in which a configuration must be in force. */
@@ -111,6 +121,8 @@
   const { clock, random, logger, counters, objects, terms, paths } = options;
   const self = { daemon: options.daemon, incarnation: options.timeOfDay() };
   const stop = new AbortController();
+  // Each periodic task listens for the end of the process.
+  setMaxListeners(MAX_TASKS, stop.signal);
   const keyLoads = new Map<ServiceName, KeyLoad>();
   const owners = createOwnerTable(clock, logger);
   const fleet = createFleetSize({ objects, self, clock, random, logger });
@@ -158,7 +170,7 @@
     dataCentre: options.dataCentre,
     distance: { shortMs: SHORT_ANSWER_DISTANCE_MS, largeMs: LARGE_ANSWER_DISTANCE_MS },
   });
-  const transport = await createUdpTransport(options.peers);
+  const channel = createDatagramChannel(await createUdpTransport(options.peers), counters);
   const lease = createCoordinatorLease({
     objects,
     self,
@@ -179,9 +191,8 @@
   });
 
   const reports = createLoadReports({
-    transport,
+    channel,
     clock,
-    counters,
     isCoordinator: () => lease.isHeld(),
     coordinator: () => lease.coordinator(),
     loadOf,
@@ -198,20 +209,47 @@
   });
   await startReadiness();
   logger.log(Event.DaemonStarted, { dataCentre: options.dataCentre, incarnation: self.incarnation });
-  follow(paths.configuration, CONFIGURATION_PAUSE_MS, offerConfiguration, (changed) => {
-    offerConfiguration(changed);
-  });
-  followServers();
-  follow(paths.exclusions, CONFIGURATION_PAUSE_MS, replaceExclusions, changeExclusions);
-  follow(
-    ASSIGNMENT_PREFIX,
-    ASSIGNMENT_PAUSE_MS,
-    (listed) => {
-      owners.offer(listed);
-    },
-    (changed) => {
-      owners.offer(changed);
+  const followers = [
+    createFollower(paths.configuration, CONFIGURATION_PAUSE_MS, {
+      onList: offerConfiguration,
+      onChange: offerConfiguration,
+    }),
+    createFollower(paths.servers, SERVER_PAUSE_MS, {
+      onList: (listed) => {
+        directory.replaceAll(listed);
+      },
+      onChange: (changed, removed) => {
+        directory.change(changed, removed);
+      },
+      onRegained: () => {
+        directory.noteRegained();
+      },
+    }),
+    createFollower(paths.exclusions, CONFIGURATION_PAUSE_MS, {
+      onList: replaceExclusions,
+      onChange: changeExclusions,
+    }),
+    createFollower(ASSIGNMENT_PREFIX, ASSIGNMENT_PAUSE_MS, {
+      onList: (listed) => {
+        owners.offer(listed);
+      },
+      onChange: (changed) => {
+        owners.offer(changed);
+      },
+    }),
+  ];
+  followers.forEach((follower) => void follower.run(stop.signal));
+  void checkFreshness(
+    {
+      daemon: options.daemon,
+      address: options.peers,
+      channel,
+      followers,
+      clock,
+      isCoordinator: () => lease.isHeld(),
+      coordinator: () => lease.coordinator(),
     },
+    stop.signal,
   );
   void lease.run(stop.signal);
   void fleet.run(stop.signal);
@@ -220,43 +258,8 @@
 
   return { isReady, shutDown };
 
-  function followServers(): void {
-    follow(
-      paths.servers,
-      SERVER_PAUSE_MS,
-      (listed) => {
-        directory.replaceAll(listed);
-      },
-      (changed, removed) => {
-        directory.change(changed, removed);
-      },
-      () => {
-        directory.noteRegained();
-      },
-    );
-  }
-
-  function follow(
-    prefix: string,
-    pauseMs: number,
-    onList: (objects: readonly StoredObject[]) => void,
-    onChange: (objects: readonly StoredObject[], removed: readonly string[]) => void,
-    onRegained?: () => void,
-  ): void {
-    void followCollection(
-      {
-        objects,
-        prefix,
-        pauseMs,
-        clock,
-        logger,
-        random,
-        onList,
-        onChange,
-        ...(onRegained && { onRegained }),
-      },
-      stop.signal,
-    );
+  function createFollower(prefix: string, pauseMs: number, listener: CollectionListener): CollectionFollower {
+    return createCollectionFollower({ objects, prefix, pauseMs, clock, logger, random, ...listener });
   }
 
   function offerConfiguration(changed: readonly StoredObject[]): void {
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -39,11 +39,19 @@
 /** Body of an answer. */
 export type AnswerBody =
   | { readonly kind: "whole"; readonly content: Buffer }
+  /** It had no length and ended with its connection, so nobody knows for certain that it is whole. */
+  | { readonly kind: "unframed"; readonly content: Buffer }
   | { readonly kind: "streamed"; readonly head: readonly Buffer[]; readonly rest: IncomingMessage };
 
 /** How sending ended. */
 export type SendResult =
-  | { readonly kind: "answered"; readonly message: IncomingMessage; readonly body: AnswerBody }
+  | {
+      readonly kind: "answered";
+      readonly message: IncomingMessage;
+      readonly body: AnswerBody;
+      /** Closes the connection, whose next bytes may belong to any request. */
+      readonly discardConnection: () => void;
+    }
   /** No byte of the request has left. */
   | { readonly kind: "notSent"; readonly detail: string }
   /** The request may have run. */
@@ -197,11 +205,11 @@
         try {
           const body = await collect(answer);
           // Without a length the body ends with its connection; after a reset nobody knows whether it was whole.
-          if (body.kind === "whole" && (failed.has(socket) || !answer.complete)) {
+          if (body.kind !== "streamed" && (failed.has(socket) || !answer.complete)) {
             fail("answer broken off");
             return;
           }
-          settle({ kind: "answered", message: answer, body });
+          settle({ kind: "answered", message: answer, body, discardConnection: () => socket.destroy() });
         } catch (error) {
           fail(describeError(error));
         }
@@ -276,7 +284,7 @@
     };
     answer.on("data", onData);
     answer.once("end", () => {
-      resolve({ kind: "whole", content: Buffer.concat(chunks, bytes) });
+      resolve({ kind: isFramed(answer) ? "whole" : "unframed", content: Buffer.concat(chunks, bytes) });
     });
     answer.once("error", reject);
     answer.once("close", () => {
@@ -284,3 +292,11 @@
     });
   });
 }
+
+const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+function isFramed(answer: IncomingMessage): boolean {
+  const { headers, statusCode = 0 } = answer;
+  const hasLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+  return hasLength || STATUS_WITHOUT_BODY.has(statusCode);
+}
--- a/src/keyRanges/loadReports.ts
+++ b/src/keyRanges/loadReports.ts
@@ -1,8 +1,6 @@
 /** Tells the coordinator which keys are requested, by datagrams; a lost one only makes its picture coarser. */
-import { pack, unpack } from "msgpackr";
 import { z } from "zod";
-import type { DatagramTransport } from "../membership";
-import { type Counters } from "../observability";
+import type { DatagramChannel } from "../membership";
 import { type Address, type Clock, type ServiceName, repeat } from "../types";
 import { type KeyLoad, KEYS_PER_GROUP } from "./keyLoad";
 import { KEY_COUNT } from "./types";
@@ -12,6 +10,8 @@
 /** Keeps a report within one packet. */
 const GROUPS_PER_REPORT = 250;
 
+const KIND = "keyLoad";
+
 const reportSchema = z
   .object({
     service: z.string().min(1),
@@ -29,9 +29,8 @@
 
 /** What the reports are made from. */
 export interface LoadReportOptions {
-  readonly transport: DatagramTransport;
+  readonly channel: DatagramChannel;
   readonly clock: Clock;
-  readonly counters: Counters;
   /** Whether this daemon coordinates. */
   readonly isCoordinator: () => boolean;
   /** Where the coordinator takes reports; undefined while there is none. */
@@ -50,13 +49,18 @@
 /**
  * Creates the reports and takes those of other daemons.
  *
- * @param options - Transport and counts.
+ * @param options - Channel and counts.
  * @returns The reports.
  */
 export function createLoadReports(options: LoadReportOptions): LoadReports {
-  const { transport, counters } = options;
+  const { channel } = options;
   const pending = new Map<ServiceName, Map<number, number>>();
-  transport.receive(take);
+  channel.receive(KIND, reportSchema, ({ service, groups, requests }) => {
+    apply(
+      service,
+      groups.map((group, index) => [group, requests[index] ?? 0]),
+    );
+  });
 
   return {
     record: (service, key) => {
@@ -91,7 +95,7 @@
         groups: part.map(([group]) => group),
         requests: part.map(([, requests]) => requests),
       };
-      transport.send(coordinator, pack(report));
+      channel.send(coordinator, KIND, report);
     }
   }
 
@@ -101,25 +105,4 @@
       load.record(group * KEYS_PER_GROUP, requests);
     }
   }
-
-  function take(content: Uint8Array): void {
-    const report = reportSchema.safeParse(tryUnpack(content));
-    if (!report.success) {
-      counters.increment("keyLoad.refused");
-      return;
-    }
-    const { service, groups, requests } = report.data;
-    apply(
-      service,
-      groups.map((group, index) => [group, requests[index] ?? 0]),
-    );
-  }
-}
-
-function tryUnpack(content: Uint8Array): unknown {
-  try {
-    return unpack(content);
-  } catch {
-    return undefined;
-  }
 }
--- /dev/null
+++ b/src/membership/datagramChannel.ts
@@ -0,0 +1,61 @@
+/** Typed messages in datagrams: each kind has its own receiver. */
+import { pack, unpack } from "msgpackr";
+import { z } from "zod";
+import type { Counters } from "../observability";
+import type { Address } from "../types";
+import type { DatagramTransport } from "./types";
+
+const messageSchema = z.object({ kind: z.string(), content: z.unknown() });
+
+/** Sends and receives messages. */
+export interface DatagramChannel {
+  /** Sends a message. It may be lost, or arrive twice. */
+  send(address: Address, kind: string, content: unknown): void;
+  /** Sets the receiver of a kind; messages that the schema refuses are counted and dropped. */
+  receive<Schema extends z.ZodType>(
+    kind: string,
+    schema: Schema,
+    handler: (content: z.output<Schema>) => void,
+  ): void;
+}
+
+/**
+ * Creates a channel on a transport.
+ *
+ * @param transport - Carries the datagrams.
+ * @param counters - Counts messages that were dropped.
+ * @returns The channel.
+ */
+export function createDatagramChannel(transport: DatagramTransport, counters: Counters): DatagramChannel {
+  const receivers = new Map<string, (content: unknown) => boolean>();
+  transport.receive((datagram) => {
+    const message = messageSchema.safeParse(tryUnpack(datagram));
+    const receiver = message.success ? receivers.get(message.data.kind) : undefined;
+    if (!message.success || receiver?.(message.data.content) !== true) {
+      counters.increment("datagrams.refused");
+    }
+  });
+
+  return {
+    send: (address, kind, content) => {
+      transport.send(address, pack({ kind, content }));
+    },
+    receive: (kind, schema, handler) => {
+      receivers.set(kind, (content) => {
+        const result = schema.safeParse(content);
+        if (result.success) {
+          handler(result.data);
+        }
+        return result.success;
+      });
+    },
+  };
+}
+
+function tryUnpack(datagram: Uint8Array): unknown {
+  try {
+    return unpack(datagram);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,4 +1,5 @@
 /** Which daemons are alive. */
+export * from "./datagramChannel";
 export * from "./membership";
 export * from "./types";
 export * from "./udpTransport";
