--- /dev/null
+++ b/test/gateway.test.ts
@@ -0,0 +1,430 @@
+/** The gateway's parts: routes, connections, shares of bounds over all daemons, and what may be sent again. */
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { type DiscoveredServer, ServerPhase, createServerDirectory } from "../src/discovery";
+import {
+  type Dispatcher,
+  RejectionReason,
+  type Route,
+  RouteKind,
+  type RoutedRequest,
+  type RoutingConfiguration,
+  type ServicePolicy,
+  createColdAdmission,
+  createDispatcher,
+  createRetryShare,
+  createRouteMatcher,
+  createServerConnections,
+  createServerLoads,
+} from "../src/gateway";
+import { createCounters, silentLogger } from "../src/observability";
+import { systemClock } from "../src/types";
+import { wireServerProtocol } from "../platform/protocols";
+import { createRandom } from "../standins/scenarios/callers";
+import { createFakeClock } from "./support/fakeClock";
+import { type RawBehaviour, type RawRequest, type RawServer, startRawServer } from "./support/rawServer";
+
+const SEED = 20_261_204;
+/** Far beyond what an exchange on this machine takes. */
+const DEADLINE_MS = 10_000;
+const signal = new AbortController().signal;
+
+function createRoute(change: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/",
+    kind: RouteKind.Safe,
+    timeoutMs: null,
+    objectiveMs: 300,
+    attempts: 2,
+    priority: 0,
+    services: [{ service: "desk", weight: 1 }],
+    ...change,
+  };
+}
+
+function createConfiguration(routes: readonly Route[]): RoutingConfiguration {
+  const limits = { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
+  return { version: 1, routes, services: new Map(), limits };
+}
+
+describe("route matcher", () => {
+  const routes = [
+    createRoute({ name: "all" }),
+    createRoute({ name: "books", pathPrefix: "/books/" }),
+    createRoute({ name: "old books", pathPrefix: "/books/old/" }),
+    createRoute({ name: "other host", host: "b.example", pathPrefix: "/only/" }),
+  ];
+  const matcher = createRouteMatcher(createConfiguration(routes));
+
+  const cases: readonly (readonly [host: string, path: string, route: string | undefined])[] = [
+    ["a.example", "/", "all"],
+    ["a.example:8080", "/books/1", "books"],
+    ["A.Example", "/books/old/1", "old books"],
+    ["a.example", "/books/old", "books"],
+    ["a.example", "/books", "all"],
+    ["a.example", "/books%2Fold/1", "all"],
+    ["b.example", "/", undefined],
+    ["b.example", "/only/x/y", "other host"],
+    ["c.example", "/", undefined],
+    ["", "/", undefined],
+  ];
+  test.each(cases)("%s%s goes to %s", (host, path, name) => {
+    expect(matcher.match(host, path)?.name).toBe(name);
+  });
+
+  test("weights are kept exactly over any hundred requests", () => {
+    const route = createRoute({
+      services: [
+        { service: "x", weight: 90 },
+        { service: "y", weight: 10 },
+        { service: "z", weight: 0 },
+      ],
+    });
+    const weighted = createRouteMatcher(createConfiguration([route]));
+    const chosen = Array.from({ length: 300 }, () => weighted.chooseService(route));
+    for (const start of [0, 7, 150]) {
+      const window = chosen.slice(start, start + 100);
+      expect(window.filter((service) => service === "y")).toHaveLength(10);
+    }
+    expect(chosen).not.toContain("z");
+  });
+});
+
+describe("bounds over all daemons", () => {
+  const coldCases = [
+    { requestsPerSecond: 13, daemons: 12 },
+    { requestsPerSecond: 3.6, daemons: 12 },
+    { requestsPerSecond: 3.6, daemons: 82 },
+  ];
+  test.each(coldCases)(
+    "a cold server that bears $requestsPerSecond requests a second gets no more from $daemons daemons",
+    async ({ requestsPerSecond, daemons }) => {
+      const clock = createFakeClock();
+      const random = createRandom(SEED);
+      const admissions = Array.from({ length: daemons }, () =>
+        createColdAdmission(clock, random, () => daemons),
+      );
+      const sentAt: number[] = [];
+      for (let step = 0; step < 400; step += 1) {
+        for (const admission of admissions) {
+          if (admission.take("s", requestsPerSecond)) {
+            sentAt.push(clock.now());
+          }
+        }
+        await clock.advance(10);
+      }
+      const bound = requestsPerSecond * 1.5 + 5;
+      for (const start of sentAt) {
+        expect(sentAt.filter((at) => at >= start && at < start + 1000).length).toBeLessThanOrEqual(bound);
+      }
+      expect(sentAt.length).toBeGreaterThan(requestsPerSecond * 2);
+    },
+  );
+
+  test("extra attempts stay within ratio and slack in every window", async () => {
+    const clock = createFakeClock();
+    const daemons = 12;
+    const bound = { ratio: 0.2, windowMs: 10_000, slack: 64 };
+    const shares = Array.from({ length: daemons }, () => createRetryShare(clock, bound, () => daemons));
+    const repeats: number[] = [];
+    let requests = 0;
+    for (let step = 0; step < 3000; step += 1) {
+      for (const share of shares) {
+        share.recordRequest("desk");
+        requests += 1;
+        if (share.take("desk")) {
+          repeats.push(clock.now());
+        }
+      }
+      await clock.advance(10);
+    }
+    const requestsInWindow = (requests / 30_000) * bound.windowMs;
+    const latest = repeats.filter((at) => at > clock.now() - bound.windowMs);
+    expect(latest.length).toBeLessThanOrEqual(bound.ratio * requestsInWindow + bound.slack);
+    expect(latest.length).toBeGreaterThan(0.1 * requestsInWindow);
+  });
+});
+
+const SIGNED = "Upstream-Signature: s";
+
+function answer(request: RawRequest, head: string, body: string): string {
+  return `HTTP/1.1 ${head}\r\nRequest-Id: ${request.id}\r\n\r\n${body}`;
+}
+
+function readId(request: RawRequest): RawRequest {
+  return { ...request, id: /request-id: (\S+)/i.exec(request.head)?.[1] ?? "" };
+}
+
+function framed(status: string, body: string, fields = SIGNED) {
+  return (request: RawRequest) =>
+    answer(readId(request), `${status}\r\n${fields}\r\nContent-Length: ${body.length}`, body);
+}
+
+let server: RawServer;
+
+beforeEach(async () => {
+  server = await startRawServer();
+});
+
+afterEach(async () => {
+  await server.close();
+});
+
+function describeServer(name = "s1", port = server.port): DiscoveredServer {
+  return {
+    name,
+    bornAt: 1,
+    service: "desk",
+    address: { host: "127.0.0.1", port },
+    dataCentre: "a",
+    slots: 4,
+    phase: ServerPhase.Ready,
+    coldForMs: 0,
+  };
+}
+
+describe("server connections", () => {
+  interface ExchangeCase {
+    readonly name: string;
+    readonly behave: RawBehaviour;
+    readonly expected: string;
+    readonly body?: string;
+    readonly deadlineMs?: number;
+  }
+
+  const cases: readonly ExchangeCase[] = [
+    {
+      name: "a whole answer",
+      behave: (socket, request) => socket.write(framed("200 OK", "whole")(request)),
+      expected: "answered",
+      body: "whole",
+    },
+    {
+      name: "an answer that is shorter than its length",
+      behave: (socket, request) =>
+        socket.end(answer(readId(request), `200 OK\r\n${SIGNED}\r\nContent-Length: 9`, "cut")),
+      expected: "broken",
+    },
+    {
+      name: "a chunked answer that breaks off",
+      behave: (socket, request) =>
+        socket.end(
+          answer(readId(request), `200 OK\r\n${SIGNED}\r\nTransfer-Encoding: chunked`, "3\r\ncut\r\n"),
+        ),
+      expected: "broken",
+    },
+    {
+      name: "an answer without length that ends with its connection",
+      behave: (socket, request) => socket.end(answer(readId(request), `200 OK\r\n${SIGNED}`, "whole")),
+      expected: "answered",
+      body: "whole",
+    },
+    {
+      name: "an answer without length whose connection is reset",
+      behave: (socket, request) => {
+        socket.write(answer(readId(request), `200 OK\r\n${SIGNED}`, "cut"));
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+      expected: "broken",
+    },
+    {
+      name: "bytes that are no answer",
+      behave: (socket) => socket.write("hello\r\n\r\n"),
+      expected: "broken",
+    },
+    { name: "a connection that ends at once", behave: (socket) => socket.end(), expected: "broken" },
+    { name: "silence", behave: () => undefined, expected: "late", deadlineMs: 100 },
+  ];
+
+  test.each(cases)("$name", async ({ behave, expected, body, deadlineMs = DEADLINE_MS }) => {
+    server.behave(behave);
+    const connections = createServerConnections(systemClock, () => 4);
+    const result = await connections.send({
+      server: describeServer(),
+      method: "GET",
+      path: "/",
+      headers: { host: "a.example", "request-id": "q1" },
+      body: Buffer.alloc(0),
+      isRepeatable: true,
+      deadlineAt: systemClock.now() + deadlineMs,
+      signal,
+    });
+    expect(result.kind).toBe(expected);
+    if (result.kind === "answered" && result.body.kind !== "streamed") {
+      expect(result.body.content.toString()).toBe(body);
+    }
+    connections.close();
+  });
+
+  test("a server that refuses connections has not got the request", async () => {
+    const { port } = server;
+    await server.close();
+    const connections = createServerConnections(systemClock, () => 4);
+    const result = await connections.send({
+      server: describeServer("s1", port),
+      method: "POST",
+      path: "/",
+      headers: {},
+      body: Buffer.from("x"),
+      isRepeatable: false,
+      deadlineAt: systemClock.now() + DEADLINE_MS,
+      signal,
+    });
+    expect(result.kind).toBe("notSent");
+    server = await startRawServer();
+  });
+});
+
+describe("dispatcher", () => {
+  const policy: ServicePolicy = {
+    name: "desk",
+    isKeyed: false,
+    maxConnections: 100,
+    coldMs: 0,
+    coldRequestsPerSecond: null,
+  };
+
+  function createWorld(servers: readonly DiscoveredServer[]): Dispatcher {
+    const directory = createServerDirectory({
+      clock: systemClock,
+      logger: silentLogger,
+      decode: (_name, value) => value as DiscoveredServer,
+      coldMs: () => 0,
+    });
+    directory.replaceAll(servers.map((each) => ({ path: `servers/${each.name}`, version: 1, value: each })));
+    return createDispatcher({
+      directory,
+      owners: {
+        ownerOf: () => servers[0]?.name,
+        waitForChange: () => Promise.resolve(),
+        recordRequest: () => undefined,
+      },
+      connections: createServerConnections(systemClock, () => 4),
+      loads: createServerLoads(systemClock),
+      cold: createColdAdmission(
+        systemClock,
+        () => 0,
+        () => 1,
+      ),
+      retries: createRetryShare(systemClock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
+      protocol: wireServerProtocol,
+      clock: systemClock,
+      random: createRandom(SEED),
+      logger: silentLogger,
+      counters: createCounters("test"),
+      dataCentre: "a",
+      distance: { shortMs: 0, largeMs: 0 },
+    });
+  }
+
+  function createRequest(kind: RouteKind, change: Partial<RoutedRequest> = {}): RoutedRequest {
+    return {
+      id: "q1",
+      route: createRoute({ kind }),
+      service: policy,
+      key: undefined,
+      method: "GET",
+      path: "/a%2Fb/../c?x=1&x=2",
+      headers: { host: "a.example", "request-id": "q1" },
+      body: Buffer.alloc(0),
+      arrivedAt: systemClock.now(),
+      deadlineAt: systemClock.now() + DEADLINE_MS,
+      signal,
+      ...change,
+    };
+  }
+
+  interface EndCase {
+    readonly name: string;
+    readonly behave: RawBehaviour;
+    readonly safe: string;
+    readonly unsafe: string;
+    /** Requests that the server has read for the safe and the unsafe request. */
+    readonly reads: readonly [safe: number, unsafe: number];
+  }
+
+  const shed = framed("503 Service Unavailable", "", "Not-Executed: 1");
+  const cases: readonly EndCase[] = [
+    {
+      name: "a signed answer is passed on",
+      behave: (socket, request) => socket.write(framed("200 OK", "x")(request)),
+      safe: "answered",
+      unsafe: "answered",
+      reads: [1, 1],
+    },
+    {
+      name: "a refusal as not run is sent to the other server, whatever the kind",
+      behave: (socket, request) => socket.write(shed(request)),
+      safe: "notRun:shed",
+      unsafe: "notRun:shed",
+      reads: [2, 2],
+    },
+    {
+      name: "a broken connection may have run the request",
+      behave: (socket) => socket.destroy(),
+      safe: "unknown:broken",
+      unsafe: "unknown:broken",
+      reads: [2, 1],
+    },
+    {
+      name: "a server's own failure is passed on, and a request that may run again is tried again",
+      behave: (socket, request) => socket.write(framed("500 Internal Server Error", "x")(request)),
+      safe: "answered",
+      unsafe: "answered",
+      reads: [2, 1],
+    },
+    {
+      name: "an answer without proof is none",
+      behave: (socket, request) => socket.write(framed("200 OK", "x", "X: y")(request)),
+      safe: `unknown:${RejectionReason.Unsigned}`,
+      unsafe: `unknown:${RejectionReason.Unsigned}`,
+      reads: [2, 1],
+    },
+    {
+      name: "an answer to another request is none",
+      behave: (socket) =>
+        socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: other\r\n${SIGNED}\r\nContent-Length: 1\r\n\r\nx`),
+      safe: `unknown:${RejectionReason.Foreign}`,
+      unsafe: `unknown:${RejectionReason.Foreign}`,
+      reads: [2, 1],
+    },
+    {
+      name: "an overload answer that does not say it was not run may have run",
+      behave: (socket, request) => socket.write(framed("503 Service Unavailable", "")(request)),
+      safe: `unknown:${RejectionReason.Unsigned}`,
+      unsafe: `unknown:${RejectionReason.Unsigned}`,
+      reads: [2, 1],
+    },
+  ];
+
+  test.each(cases)("$name", async ({ behave, safe, unsafe, reads }) => {
+    for (const [kind, expected, count] of [
+      [RouteKind.Safe, safe, reads[0]],
+      [RouteKind.Unsafe, unsafe, reads[1]],
+    ] as const) {
+      server.behave(behave);
+      const before = server.read.length;
+      const dispatch = createWorld([describeServer("s1"), describeServer("s2")]);
+      const result = await dispatch(createRequest(kind));
+      expect("reason" in result ? `${result.kind}:${result.reason}` : result.kind).toBe(expected);
+      expect(server.read.length - before).toBe(count);
+    }
+  });
+
+  test("path, query and deadline reach the server unchanged or shorter", async () => {
+    server.behave((socket, request) => socket.write(framed("200 OK", "x")(request)));
+    await createWorld([describeServer()])(createRequest(RouteKind.Safe));
+    const head = server.read.at(-1)?.head ?? "";
+    expect(head).toContain("GET /a%2Fb/../c?x=1&x=2 HTTP/1.1");
+    expect(Number(/request-deadline: (\d+)/i.exec(head)?.[1])).toBeLessThanOrEqual(DEADLINE_MS);
+    expect(head.toLowerCase()).toContain("target-instance: s1");
+  });
+
+  test("without a server the refusal is immediate, says not run and when to come back", async () => {
+    const result = await createWorld([])(createRequest(RouteKind.Unsafe));
+    expect(result).toMatchObject({ kind: "notRun", reason: RejectionReason.NoServer });
+    expect(result.kind === "notRun" && result.retryAfterMs).toBeGreaterThan(0);
+    expect(result.kind === "notRun" && result.retryAfterMs).toBeLessThan(DEADLINE_MS / 3);
+  });
+});
