Refuse at once for owners that are too busy

Cause: reports of full queues were forgotten within 150 ms while a daemon hears of a server every 300 ms, so full owners got requests only to shed them, and each shed request was sent to the same owner again.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -210,7 +210,7 @@
     const leftMs = request.deadlineAt - clock.now();
     const objectiveMs = route.objectiveMs ?? leftMs;
     const usefulMs = Math.min(leftMs, objectiveMs);
-    if (!connections.hasRoom(server) || loads.expectedWaitMs(server.name, server.slots) > usefulMs) {
+    if (!connections.hasRoom(server) || loads.expectedMs(server.name, server.slots) > usefulMs) {
       return RejectionReason.Overloaded;
     }
     const { coldRequestsPerSecond } = service;
@@ -321,7 +321,8 @@
       case "answered":
         return false;
       case "notRun":
-        return true;
+        // The owner of a key that was too busy a moment ago still is.
+        return !(request.service.isKeyed && last.reason === RejectionReason.Shed);
       case "failed":
         return request.route.kind !== RouteKind.Unsafe && last.message.statusCode !== TIMEOUT_AT_SERVER;
       case "unknown":
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/serverLoads.ts
@@ -2,8 +2,10 @@
 import type { Clock, ServerName } from "../types";
 import type { ServerLoad } from "./protocols";
 
-/** Backend servers serve a request in about this time; a report older than a few of them says little. */
-const REPORT_HALF_LIFE_MS = 150;
+/** A queue that was full stays so for about this time; a busy server's report must outlast the pause until the next. */
+const QUEUE_HALF_LIFE_MS = 400;
+/** Neighbours on a server's machine slow it down for moments of this length. */
+const SLOWNESS_HALF_LIFE_MS = 150;
 const WORK_TIME_WEIGHT = 0.15;
 const FAILURE_WEIGHT = 0.25;
 /** Failures older than this no longer count, so that a server that has recovered gets work again. */
@@ -43,8 +45,6 @@
   isReachable(server: ServerName): boolean;
   /** Expected time until an answer, in milliseconds. */
   expectedMs(server: ServerName, slots: number): number;
-  /** Expected time in the server's queue alone, in milliseconds. */
-  expectedWaitMs(server: ServerName, slots: number): number;
   /** Usual time of a request at the server, without its queue, in milliseconds. */
   workMs(server: ServerName): number;
   /** Share of recent requests that failed, from 0 to 1. */
@@ -106,7 +106,6 @@
       const view = viewOf(server);
       return waitOf(view, slots) + workOf(view);
     },
-    expectedWaitMs: (server, slots) => waitOf(viewOf(server), slots),
     workMs: (server) => viewOf(server).workMs ?? INITIAL_WORK_MS,
     failureShare: (server) => failureShareOf(viewOf(server)),
     retain: (isPresent) => {
@@ -136,18 +135,19 @@
     return view;
   }
 
-  function weightOf(view: View): number {
-    return view.load === undefined ? 0 : 0.5 ** ((clock.now() - view.loadAt) / REPORT_HALF_LIFE_MS);
+  /** Weight of the last report against what is usual, from 1 down to 0. */
+  function weightOf(view: View, halfLifeMs: number): number {
+    return view.load === undefined ? 0 : 0.5 ** ((clock.now() - view.loadAt) / halfLifeMs);
   }
 
   function workOf(view: View): number {
     const slowness = view.load?.slowness ?? 1;
-    const weight = weightOf(view);
+    const weight = weightOf(view, SLOWNESS_HALF_LIFE_MS);
     return (view.workMs ?? INITIAL_WORK_MS) * (weight * slowness + (1 - weight));
   }
 
   function waitOf(view: View, slots: number): number {
-    const weight = weightOf(view);
+    const weight = weightOf(view, QUEUE_HALF_LIFE_MS);
     const reported = view.load === undefined ? 0 : view.load.running + view.load.waiting;
     const occupied = weight * reported + (1 - weight) * slots * USUAL_UTILISATION;
     const ahead = Math.max(occupied, view.ownInFlight);
