--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -28,17 +28,48 @@
   readonly address: Address;
   readonly channel: DatagramChannel;
   readonly followers: readonly CollectionFollower[];
+  readonly peers: PeerStates;
   readonly clock: Clock;
   readonly isCoordinator: () => boolean;
   /** The coordinator's address; undefined while there is none. */
   readonly coordinator: () => Address | undefined;
 }
 
+/** What another daemon has told of itself. */
 interface PeerState {
+  readonly address: Address;
   readonly digests: Digests;
   readonly at: number;
 }
 
+/** Daemons that have lately told this one what they know. */
+export interface PeerStates {
+  /** Takes what a daemon told. */
+  record(daemon: DaemonName, address: Address, digests: Digests): void;
+  /** Digests that arrived lately. */
+  digests(): readonly Digests[];
+  /** Where those daemons are. */
+  addresses(): readonly Address[];
+}
+
+/**
+ * Creates an empty record.
+ *
+ * @param clock - Clock of the entries' age.
+ * @returns The record.
+ */
+export function createPeerStates(clock: Clock): PeerStates {
+  const states = new Map<DaemonName, PeerState>();
+  const recent = () => [...states.values()].filter((state) => clock.now() - state.at < CONTACT_MS);
+  return {
+    record: (daemon, address, digests) => {
+      states.set(daemon, { address, digests, at: clock.now() });
+    },
+    digests: () => recent().map((state) => state.digests),
+    addresses: () => recent().map((state) => state.address),
+  };
+}
+
 /**
  * Runs the check until aborted.
  *
@@ -46,14 +77,13 @@
  * @param signal - Ends the check.
  */
 export async function checkFreshness(options: FreshnessCheckOptions, signal: AbortSignal): Promise<void> {
-  const { channel, clock, followers } = options;
-  const peers = new Map<DaemonName, PeerState>();
+  const { channel, clock, followers, peers } = options;
   const differsSince = new Map<string, number>();
   const refreshedAt = new Map<string, number>();
   let contactAt = clock.now();
 
   channel.receive(KIND.State, stateSchema, (state) => {
-    peers.set(state.daemon, { digests: state.digests, at: clock.now() });
+    peers.record(state.daemon, state.address, state.digests);
     channel.send(state.address, KIND.Reply, ownDigests());
   });
   channel.receive(KIND.Reply, digestsSchema, (digests) => {
@@ -76,10 +106,10 @@
   }
 
   function compareWithMajority(): void {
-    const recent = [...peers.values()].filter((peer) => clock.now() - peer.at < CONTACT_MS);
-    if (recent.length > 0) {
+    const digests = peers.digests();
+    if (digests.length > 0) {
       contactAt = clock.now();
-      compare((prefix) => findMajority(recent.map((peer) => peer.digests[prefix])));
+      compare((prefix) => findMajority(digests.map((each) => each[prefix])));
     }
     refreshWhenAlone();
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,15 +7,16 @@
   type ServerDecoder,
   checkFreshness,
   createCollectionFollower,
+  createPeerStates,
   createServerDirectory,
 } from "../discovery";
 import { describeError } from "../errors";
 import { listen } from "../http";
 import {
-  ASSIGNMENT_PREFIX,
   type KeyControl,
   type KeyLoad,
   coordinateKeys,
+  createAssignmentFeed,
   createCoordinatorLease,
   createKeyLoad,
   createLoadReports,
@@ -55,8 +56,6 @@
 const SERVER_PAUSE_MS = 500;
 /** A part of the two seconds in which a configuration must be in force. */
 const CONFIGURATION_PAUSE_MS = 250;
-/** Keys that have moved are refused until the new owner is known. */
-const ASSIGNMENT_PAUSE_MS = 20;
 /** Time that a server in the same data centre may take longer than one in another: the round trip. */
 const SHORT_ANSWER_DISTANCE_MS = 4;
 /** For large answers, whose bytes are dear between data centres: a part of the time within which they are useful. */
@@ -209,6 +208,15 @@
   });
   await startReadiness();
   logger.log(Event.DaemonStarted, { dataCentre: options.dataCentre, incarnation: self.incarnation });
+  const peers = createPeerStates(clock);
+  const feed = createAssignmentFeed({
+    objects,
+    owners,
+    channel,
+    peers: () => peers.addresses(),
+    clock,
+    logger,
+  });
   const followers = [
     createFollower(paths.configuration, CONFIGURATION_PAUSE_MS, {
       onList: offerConfiguration,
@@ -229,14 +237,7 @@
       onList: replaceExclusions,
       onChange: changeExclusions,
     }),
-    createFollower(ASSIGNMENT_PREFIX, ASSIGNMENT_PAUSE_MS, {
-      onList: (listed) => {
-        owners.offer(listed);
-      },
-      onChange: (changed) => {
-        owners.offer(changed);
-      },
-    }),
+    feed,
   ];
   followers.forEach((follower) => void follower.run(stop.signal));
   void checkFreshness(
@@ -245,6 +246,7 @@
       address: options.peers,
       channel,
       followers,
+      peers,
       clock,
       isCoordinator: () => lease.isHeld(),
       coordinator: () => lease.coordinator(),
@@ -323,6 +325,9 @@
             owners,
             control: options.control,
             load: loadOf(service.name),
+            publish: (...change) => {
+              feed.publish(...change);
+            },
             clock,
             logger,
             isLeader: () => lease.isHeld(),
--- a/src/keyRanges/assignmentDocument.ts
+++ b/src/keyRanges/assignmentDocument.ts
@@ -6,7 +6,8 @@
 /** Prefix of the assignments in the object API. */
 export const ASSIGNMENT_PREFIX = "keyassignments/";
 
-const rangeSchema = z
+/** Stored form of an owned range. */
+export const ownedRangeSchema = z
   .object({
     from: z.int().min(0),
     to: z
@@ -22,7 +23,7 @@
 const assignmentSchema = z.object({
   service: z.string().min(1),
   nextToken: z.int().positive(),
-  ranges: z.array(rangeSchema),
+  ranges: z.array(ownedRangeSchema),
 });
 
 /**
--- /dev/null
+++ b/src/keyRanges/assignmentFeed.ts
@@ -0,0 +1,150 @@
+/**
+ * Keeps the owner table up to date without a watch: the coordinator sends each change to all daemons by
+ * datagram, and a daemon that missed one reads the assignments again.
+ */
+import { z } from "zod";
+import type { CollectionFollower } from "../discovery";
+import { describeError } from "../errors";
+import type { DatagramChannel } from "../membership";
+import { CallPriority, type ObjectStore } from "../objectStore";
+import { Event, type Logger } from "../observability";
+import { type Address, type Clock, type ServiceName, type Version, sleep } from "../types";
+import { ASSIGNMENT_PREFIX, ownedRangeSchema } from "./assignmentDocument";
+import type { OwnerTable } from "./ownerTable";
+import type { OwnedRange, RangeAssignment } from "./types";
+
+const KIND = "assignmentChange";
+/** Keeps a datagram within what the network carries whole. */
+const RANGES_PER_DATAGRAM = 100;
+const RETRY_MS = 300;
+
+const changeSchema = z.object({
+  service: z.string().min(1),
+  /** Version that the change applies to. */
+  base: z.int(),
+  version: z.int().positive(),
+  /** Fencing tokens and first keys of the ranges that are no more. */
+  dropped: z.array(z.object({ from: z.int(), token: z.int() })),
+  added: z.array(ownedRangeSchema),
+});
+type AssignmentChange = z.output<typeof changeSchema>;
+
+/** What a feed is made from. */
+export interface AssignmentFeedOptions {
+  readonly objects: ObjectStore;
+  readonly owners: OwnerTable;
+  readonly channel: DatagramChannel;
+  /** Daemons that have lately told this one where they are. */
+  readonly peers: () => readonly Address[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The feed; to the freshness check it is a follower like the others. */
+export interface AssignmentFeed extends CollectionFollower {
+  /** Sends a change to all daemons. */
+  publish(before: RangeAssignment, base: Version, after: RangeAssignment, version: Version): void;
+}
+
+/**
+ * Creates a feed.
+ *
+ * @param options - Store, table and channel.
+ * @returns The feed.
+ */
+export function createAssignmentFeed(options: AssignmentFeedOptions): AssignmentFeed {
+  const { owners, channel, clock, logger } = options;
+  let mustRead = true;
+  let wake: (() => void) | undefined;
+  channel.receive(KIND, changeSchema, apply);
+
+  return {
+    prefix: ASSIGNMENT_PREFIX,
+    digest: () => owners.digest(),
+    refresh,
+    run: async (signal) => {
+      while (!signal.aborted) {
+        if (mustRead) {
+          await read(signal);
+        }
+        if (!mustRead) {
+          await waitForRefresh(signal);
+        }
+      }
+    },
+    publish: (before, base, after, version) => {
+      const change = createChange(before, base, after, version);
+      // Daemons that miss a change too large for a datagram notice it by their digests.
+      if (change.added.length <= RANGES_PER_DATAGRAM) {
+        options.peers().forEach((peer) => {
+          channel.send(peer, KIND, change);
+        });
+      }
+    },
+  };
+
+  function refresh(): void {
+    mustRead = true;
+    wake?.();
+  }
+
+  function apply(change: AssignmentChange): void {
+    const { service, base, version } = change;
+    if (version <= owners.versionOf(service)) {
+      return;
+    }
+    if (base !== owners.versionOf(service)) {
+      refresh();
+      return;
+    }
+    const isDropped = (range: OwnedRange) =>
+      change.dropped.some((each) => each.from === range.from && each.token === range.token);
+    const ranges = [...owners.rangesOf(service).filter((range) => !isDropped(range)), ...change.added];
+    ranges.sort((left, right) => left.from - right.from);
+    owners.take(service, ranges, version);
+  }
+
+  async function read(signal: AbortSignal): Promise<void> {
+    mustRead = false;
+    try {
+      const listed = await options.objects.list(ASSIGNMENT_PREFIX, CallPriority.Ownership);
+      owners.offer(listed.objects);
+    } catch (error) {
+      mustRead = true;
+      logger.log(Event.PlatformUnavailable, { prefix: ASSIGNMENT_PREFIX, error: describeError(error) });
+      await sleep(clock, RETRY_MS, signal);
+    }
+  }
+
+  function waitForRefresh(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        wake = undefined;
+        signal.removeEventListener("abort", finish);
+        resolve();
+      };
+      wake = finish;
+      signal.addEventListener("abort", finish);
+    });
+  }
+}
+
+function createChange(
+  before: RangeAssignment,
+  base: Version,
+  after: RangeAssignment,
+  version: Version,
+): AssignmentChange {
+  const isIn = (ranges: readonly OwnedRange[], range: OwnedRange) =>
+    ranges.some((each) => each.from === range.from && each.to === range.to && each.token === range.token);
+  const service: ServiceName = after.service;
+  return {
+    service,
+    base,
+    version,
+    dropped: before.ranges
+      .filter((range) => !isIn(after.ranges, range))
+      .map(({ from, token }) => ({ from, token })),
+    added: after.ranges.filter((range) => !isIn(before.ranges, range)),
+  };
+}
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -4,6 +4,7 @@
 import { CallPriority, type Envelope, type ObjectStore, updateObject } from "../objectStore";
 import { Event } from "../observability";
 import { type ServerName, type ServiceName, repeat, sleep } from "../types";
+import type { AssignmentFeed } from "./assignmentFeed";
 import { assignmentPathOf, parseRangeAssignment } from "./assignmentDocument";
 import { createGrantLedger } from "./grantLedger";
 import {
@@ -29,7 +30,7 @@
 /** Time between two moves that even out the load; a move's effect shows in the load within this time. */
 const REBALANCE_MS = 500;
 /** Bounds the keys that are refused for a moment, because they are on their way. */
-const MOVES_AT_ONCE = 4;
+const MOVES_AT_ONCE = 12;
 /** Servers register one after the other when a deployment starts; the first placement waits for the others. */
 const FIRST_PLACEMENT_MS = 1500;
 /** Beyond all tokens that a coordinator could have given out unseen. */
@@ -42,6 +43,8 @@
   readonly directory: ServerDirectory;
   readonly owners: OwnerTable;
   readonly load: KeyLoad;
+  /** Tells the other daemons of a change. */
+  readonly publish: AssignmentFeed["publish"];
   /** Work that a server can do, relative to others. */
   readonly capacityOf: (server: DiscoveredServer) => number;
 }
@@ -105,7 +108,7 @@
     const isFirst = stored === undefined;
     stored = { version: result.version, value: result.value };
     adopt(parseRangeAssignment(result.value), isFirst);
-    options.owners.take(assignment, result.version);
+    options.owners.take(service, assignment.ranges, result.version);
   }
 
   function adopt(current: RangeAssignment, isFirst: boolean): void {
@@ -261,7 +264,7 @@
       ...holdings.filter((holding) => !change.dropped.includes(holding)),
       ...change.added,
     ]);
-    options.owners.take(assignment, version);
+    options.owners.take(service, assignment.ranges, version);
     renewAll();
     logger.log(Event.RangesPlaced, {
       service,
@@ -306,6 +309,7 @@
         base,
       );
       const version = result.kind === "updated" ? result.version : 0;
+      options.publish(assignment, base?.version ?? 0, next, version);
       stored = { version, value: next };
       assignment = next;
       return version;
--- a/src/keyRanges/index.ts
+++ b/src/keyRanges/index.ts
@@ -1,5 +1,6 @@
 /** Ownership of keys by ranges: one elected daemon grants them, under fencing tokens kept in the object API. */
 export * from "./assignmentDocument";
+export * from "./assignmentFeed";
 export * from "./coordinator";
 export * from "./coordinatorLease";
 export * from "./grantLedger";
--- a/src/keyRanges/ownerTable.ts
+++ b/src/keyRanges/ownerTable.ts
@@ -1,10 +1,11 @@
 /** Finds the owners of keys in the newest known assignments. */
+import murmurhash from "murmurhash";
 import { describeError } from "../errors";
 import { type StoredObject, openEnvelope } from "../objectStore";
 import { Event, type Logger } from "../observability";
 import type { Clock, ServerName, ServiceName, Version } from "../types";
 import { ASSIGNMENT_PREFIX, parseRangeAssignment } from "./assignmentDocument";
-import type { OwnedRange, RangeAssignment } from "./types";
+import type { OwnedRange } from "./types";
 
 /** After a change of owners the new grants arrive within this time. */
 const GRANT_ARRIVAL_MS = 40;
@@ -13,8 +14,14 @@
 export interface OwnerTable {
   /** Takes stored assignments; older versions than the known ones are left. */
   offer(objects: readonly StoredObject[]): void;
-  /** Takes an assignment that this daemon has written or read itself. */
-  take(assignment: RangeAssignment, version: Version): void;
+  /** Takes the ranges of a newer version, in order of keys. */
+  take(service: ServiceName, ranges: readonly OwnedRange[], version: Version): void;
+  /** Version of a service's assignment; 0 while none is known. */
+  versionOf(service: ServiceName): Version;
+  /** Owned ranges of a service, in order of keys. */
+  rangesOf(service: ServiceName): readonly OwnedRange[];
+  /** Number that is the same, in all likelihood only, at daemons that know the same versions. */
+  digest(): number;
   /** The owner of a key; undefined while it has none. */
   ownerOf(service: ServiceName, key: number): ServerName | undefined;
   /** Waits for another assignment, at most `waitMs` milliseconds; shortly after a change only for its grants. */
@@ -45,6 +52,15 @@
       }
     },
     take,
+    versionOf: (service) => known.get(service)?.version ?? 0,
+    rangesOf: (service) => known.get(service)?.ranges ?? [],
+    digest: () => {
+      let digest = 0;
+      for (const [service, { version }] of known) {
+        digest ^= murmurhash.v3(`${service}@${version}`);
+      }
+      return digest >>> 0;
+    },
     ownerOf: (service, key) => {
       const ranges = known.get(service)?.ranges ?? [];
       return findRange(ranges, key)?.server;
@@ -62,14 +78,14 @@
     }
     try {
       const { version, value } = openEnvelope(object);
-      take(parseRangeAssignment(value), version);
+      const assignment = parseRangeAssignment(value);
+      take(assignment.service, assignment.ranges, version);
     } catch (error) {
       logger.log(Event.AssignmentRefused, { path: object.path, error: describeError(error) });
     }
   }
 
-  function take(assignment: RangeAssignment, version: Version): void {
-    const { service, ranges } = assignment;
+  function take(service: ServiceName, ranges: readonly OwnedRange[], version: Version): void {
     if (version <= (known.get(service)?.version ?? 0)) {
       return;
     }
--- a/src/keyRanges/rangePlanner.ts
+++ b/src/keyRanges/rangePlanner.ts
@@ -169,7 +169,41 @@
       return { source: cut.source, piece: { ...cut.piece, server: name, bornAt } };
     }
   }
-  return undefined;
+  return findFasterOwner(shares, sources, weigh);
+}
+
+/** A server is faster than chance explains when it does this much more work. */
+const FASTER = 1.4;
+
+interface Share {
+  readonly candidate: OwnerCandidate;
+  readonly ranges: readonly OwnedRange[];
+  readonly load: number;
+  readonly share: number;
+}
+
+/** A single busy key cannot be shared out; it is best served by the fastest server. */
+function findFasterOwner(
+  shares: readonly Share[],
+  sources: readonly Share[],
+  weigh: (range: KeyRange) => number,
+): Rebalance | undefined {
+  const fastest = shares.reduce<Share | undefined>(
+    (best, each) => (best === undefined || each.candidate.capacity > best.candidate.capacity ? each : best),
+    undefined,
+  );
+  const [source] = sources;
+  if (source === undefined || fastest === undefined || fastest.ranges.length >= MAX_RANGES_PER_SERVER) {
+    return undefined;
+  }
+  const busiest = [...source.ranges].sort((left, right) => weigh(right) - weigh(left))[0];
+  const isAlone = busiest !== undefined && weigh(busiest) > source.share;
+  const isFaster = fastest.candidate.capacity > FASTER * source.candidate.capacity;
+  if (!isAlone || !isFaster || fastest.load > fastest.share * OVERLOAD_RATIO) {
+    return undefined;
+  }
+  const { name, bornAt } = fastest.candidate;
+  return { source: busiest, piece: { from: busiest.from, to: busiest.to, server: name, bornAt } };
 }
 
 function byLoad(left: { readonly load: number }, right: { readonly load: number }): number {
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -114,6 +114,7 @@
           owners,
           control,
           load,
+          publish: () => undefined,
           clock,
           logger: silentLogger,
           isLeader: () => world.isLeader,
