Keep queues short enough that admitted requests meet their objective

Cause: requests were admitted up to an expected answer at the objective itself, so half of them came late once an owner was busy.

Change: admission leaves room for work that varies and for other daemons; an idle server is never refused work; refused callers return sooner.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -15,6 +15,13 @@
 const MOVE_WAIT_MS = 250;
 /** Share of the remaining time that may be spent waiting for keys to be moved. */
 const MOVE_WAIT_SHARE = 0.3;
+/** Work varies: a queue that leaves room for the mean alone makes half of the answers late. */
+const WORK_MARGIN = 1.3;
+/** Daemons send to the same server without knowing of each other's last requests. */
+const OBJECTIVE_SHARE = 0.85;
+/** Part of the remaining time after which a refused caller returns: soon enough for its objective, and spread. */
+const EARLIEST_RETURN = 0.08;
+const RETURN_SPREAD = 0.16;
 /** With less time than this left no backend server can answer. */
 const LEAST_USEFUL_MS = 5;
 
@@ -209,8 +216,11 @@
     const { route, service } = request;
     const leftMs = request.deadlineAt - clock.now();
     const objectiveMs = route.objectiveMs ?? leftMs;
-    const usefulMs = Math.min(leftMs, objectiveMs);
-    if (!connections.hasRoom(server) || loads.expectedMs(server.name, server.slots) > usefulMs) {
+    const usefulMs = Math.min(leftMs, objectiveMs) * OBJECTIVE_SHARE;
+    const expectedMs = loads.waitMs(server.name, server.slots) + WORK_MARGIN * loads.workMs(server.name);
+    // An idle server is never refused work, however slow it is.
+    const isBusy = loads.waitMs(server.name, server.slots) > 0;
+    if (!connections.hasRoom(server) || (isBusy && expectedMs > usefulMs)) {
       return RejectionReason.Overloaded;
     }
     const { coldRequestsPerSecond } = service;
@@ -350,10 +360,10 @@
     return { kind: "notRun", reason, retryAfterMs: chooseRetryAfter(request) };
   }
 
-  /** Callers honour up to a third of their remaining time; returns are spread over the last part of it. */
+  /** Callers honour up to a third of their remaining time. */
   function chooseRetryAfter(request: RoutedRequest): number {
     const leftMs = Math.max(0, request.deadlineAt - clock.now());
-    return leftMs * (0.12 + 0.18 * options.random());
+    return leftMs * (EARLIEST_RETURN + RETURN_SPREAD * options.random());
   }
 
   function logRetry(request: RoutedRequest, server: DiscoveredServer, last: Attempt): void {
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/serverLoads.ts
@@ -45,6 +45,8 @@
   isReachable(server: ServerName): boolean;
   /** Expected time until an answer, in milliseconds. */
   expectedMs(server: ServerName, slots: number): number;
+  /** Expected time in the server's queue, in milliseconds. */
+  waitMs(server: ServerName, slots: number): number;
   /** Usual time of a request at the server, without its queue, in milliseconds. */
   workMs(server: ServerName): number;
   /** Share of recent requests that failed, from 0 to 1. */
@@ -106,6 +108,7 @@
       const view = viewOf(server);
       return waitOf(view, slots) + workOf(view);
     },
+    waitMs: (server, slots) => waitOf(viewOf(server), slots),
     workMs: (server) => viewOf(server).workMs ?? INITIAL_WORK_MS,
     failureShare: (server) => failureShareOf(viewOf(server)),
     retain: (isPresent) => {
