--- a/src/gateway/entry.ts
+++ b/src/gateway/entry.ts
@@ -4,7 +4,7 @@
 import { pipeline } from "node:stream/promises";
 import { describeError } from "../errors";
 import { listen } from "../http";
-import { type Counters, Event, type Logger } from "../observability";
+import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
 import type { AnswerBody } from "./serverConnections";
 import { type DispatchResult, type Dispatcher, RejectionReason, type RoutedRequest } from "./dispatcher";
@@ -51,7 +51,7 @@
   readonly serverProtocol: ServerProtocol;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly counters: Counters;
+  readonly metrics: Metrics;
 }
 
 /** The callers' entry. */
@@ -83,7 +83,8 @@
  * @throws Error when the address cannot be bound.
  */
 export async function createEntry(options: EntryOptions): Promise<Entry> {
-  const { callerProtocol, clock, logger, counters } = options;
+  const { callerProtocol, clock, logger, metrics } = options;
+  const { counters } = metrics;
   let inFlight = 0;
   let heldBytes = 0;
   let isDraining = false;
@@ -188,6 +189,8 @@
     const result = await options.dispatch(request).finally(() => {
       heldBytes -= body.content.byteLength;
     });
+    const outcome = result.kind === "answered" ? String(result.message.statusCode) : result.reason;
+    metrics.recordLatency(service.name, outcome, clock.now() - arrivedAt);
     await conclude(response, fields, request, result);
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,7 +24,7 @@
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
 import type { ObjectStore, StoredObject } from "../objectStore";
-import { type Counters, Event, type Logger } from "../observability";
+import { Event, type Logger, type Metrics } from "../observability";
 import {
   type Address,
   type Clock,
@@ -98,7 +98,7 @@
   readonly timeOfDay: () => number;
   readonly random: () => number;
   readonly logger: Logger;
-  readonly counters: Counters;
+  readonly metrics: Metrics;
 }
 
 /** A running gateway. */
@@ -117,7 +117,8 @@
  * @throws Error when an address cannot be bound.
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
-  const { clock, random, logger, counters, objects, terms, paths } = options;
+  const { clock, random, logger, metrics, objects, terms, paths } = options;
+  const { counters } = metrics;
   const self = { daemon: options.daemon, incarnation: options.timeOfDay() };
   const stop = new AbortController();
   // Each periodic task listens for the end of the process.
@@ -204,8 +205,9 @@
     serverProtocol: options.serverProtocol,
     clock,
     logger,
-    counters,
+    metrics,
   });
+  addGauges();
   await startReadiness();
   logger.log(Event.DaemonStarted, { dataCentre: options.dataCentre, incarnation: self.incarnation });
   const peers = createPeerStates(clock);
@@ -357,6 +359,32 @@
     });
   }
 
+  function addGauges(): void {
+    metrics.addGauge("requests_in_flight", "Requests not answered yet", "state", () => ({
+      open: entry.inFlight(),
+    }));
+    metrics.addGauge("configuration_version", "Version in force", "name", () => ({
+      main: active?.configuration.version ?? 0,
+    }));
+    metrics.addGauge("coordinator", "1 while this daemon coordinates key ownership", "name", () => ({
+      keys: lease.isHeld() ? 1 : 0,
+    }));
+    metrics.addGauge("owned_ranges", "Owned key ranges as this daemon knows them", "service", () =>
+      mapServices((service) => owners.rangesOf(service).length),
+    );
+    metrics.addGauge("usable_servers", "Backend servers that may get new work", "service", () =>
+      mapServices((service) => directory.usable(service).length),
+    );
+    metrics.addGauge("server_connections_opened", "Connections to backend servers so far", "name", () => ({
+      all: connections.opened(),
+    }));
+  }
+
+  function mapServices(read: (service: ServiceName) => number): Readonly<Record<string, number>> {
+    const services = [...(active?.configuration.services.keys() ?? [])];
+    return Object.fromEntries(services.map((service) => [service, read(service)]));
+  }
+
   function isReady(): boolean {
     return !isLeaving && active !== undefined && directory.hasList();
   }
--- /dev/null
+++ b/src/observability/lineOutput.ts
@@ -0,0 +1,67 @@
+/** Writes lines to a file descriptor without ever waiting for its reader. */
+import { write } from "node:fs";
+import { Writable } from "node:stream";
+
+/** Lines that may wait for a slow reader; beyond them new lines are dropped and counted. */
+const MAX_WAITING_LINES = 2000;
+/** Lines that one write carries. */
+const LINES_PER_WRITE = 100;
+
+/** Output of lines. */
+export interface LineOutput extends NodeJS.WritableStream {
+  /** Lines dropped since the last call. */
+  takeDropped(): number;
+}
+
+/** Writes text to a file descriptor; the callback gets an error or nothing. */
+export type TextWriter = (text: string, done: (error: Error | null) => void) => void;
+
+/**
+ * Creates an output. Writes run outside the event loop, one at a time.
+ *
+ * @param writeText - Writes text; standard output when left out.
+ * @returns The output.
+ */
+export function createLineOutput(writeText: TextWriter = writeToStandardOutput): LineOutput {
+  const waiting: string[] = [];
+  let isWriting = false;
+  let dropped = 0;
+  const stream = new Writable({
+    decodeStrings: false,
+    write: (line: string, _encoding, done) => {
+      if (waiting.length >= MAX_WAITING_LINES) {
+        dropped += 1;
+      } else {
+        waiting.push(line);
+        writeNext();
+      }
+      done();
+    },
+  });
+  return Object.assign(stream, {
+    takeDropped: () => {
+      const count = dropped;
+      dropped = 0;
+      return count;
+    },
+  });
+
+  function writeNext(): void {
+    if (isWriting || waiting.length === 0) {
+      return;
+    }
+    isWriting = true;
+    const lines = waiting.splice(0, LINES_PER_WRITE);
+    writeText(lines.join(""), (error) => {
+      isWriting = false;
+      dropped += error === null ? 0 : lines.length;
+      writeNext();
+    });
+  }
+}
+
+function writeToStandardOutput(text: string, done: (error: Error | null) => void): void {
+  write(1, text, (error) => {
+    done(error);
+  });
+}
--- /dev/null
+++ b/test/adapter.test.ts
@@ -0,0 +1,318 @@
+/** The adapter of the users' platform: what it decodes, refuses and sends. */
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, describe, expect, test } from "vitest";
+import { decodeConfiguration, decodeServer } from "../platform/decoding";
+import { createWireKeyControl } from "../platform/keyControl";
+import { createWireObjectStore } from "../platform/objectStore";
+import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
+import { loadEdgeSettings } from "../platform/settings";
+import { type DiscoveredServer, ServerPhase } from "../src/discovery";
+import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
+import { CallPriority } from "../src/objectStore";
+
+const settings = `
+[self]
+nodeName = "edge-a-1"
+zone = "a"
+ip = "127.0.0.1"
+[network]
+portRange = [7540, 7555]
+[network.listen]
+http = "127.0.0.1:80"
+readiness = "127.0.0.1:81"
+[provider.provider]
+address = "127.0.0.1:82"
+writesPerS = 400
+readsPerS = 2000
+[terms.bounds]
+graceS = 6
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 64
+holdMaxS = 10
+`;
+
+describe("settings", () => {
+  function load(text: string) {
+    const file = join(mkdtempSync(join(tmpdir(), "settings-")), "node.toml");
+    writeFileSync(file, text);
+    return loadEdgeSettings(file);
+  }
+
+  test("durations are decoded to milliseconds, unknown fields are left", () => {
+    const loaded = load(`${settings}\nnewField = 1`);
+    expect(loaded.terms).toMatchObject({ gracePeriodMs: 6000, maxGrantMs: 10_000, retryWindowMs: 10_000 });
+    expect(loaded.peers).toEqual({ host: "127.0.0.1", port: 7540 });
+  });
+
+  const faults: readonly (readonly [name: string, text: string, message: RegExp])[] = [
+    ["a missing field", settings.replace('zone = "a"\n', ""), /self\.zone/],
+    ["a field of another type", settings.replace("graceS = 6", 'graceS = "6"'), /terms\.bounds\.graceS/],
+    [
+      "an address without port",
+      settings.replace("127.0.0.1:81", "127.0.0.1"),
+      /readiness: must be HOST:PORT/,
+    ],
+    ["a file that is no TOML", "[[[", /read .*node\.toml/],
+  ];
+  test.each(faults)("%s is named", (_name, text, message) => {
+    expect(() => load(text)).toThrow(message);
+  });
+});
+
+describe("server entries", () => {
+  const entry = {
+    address: "10.0.0.1:8080",
+    born: 1777,
+    info: { service: "desk", version: "v1", zone: "a", capacity: 4 },
+    status: { state: "ready", seq: 1, warmupLeftS: 1.5 },
+  };
+
+  test("an entry is decoded", () => {
+    expect(decodeServer("s1", entry)).toEqual({
+      name: "s1",
+      bornAt: 1777,
+      service: "desk",
+      address: { host: "10.0.0.1", port: 8080 },
+      dataCentre: "a",
+      slots: 4,
+      phase: ServerPhase.Ready,
+      coldForMs: 1500,
+    });
+  });
+
+  const faults: readonly (readonly [name: string, entry: unknown])[] = [
+    ["no address", { ...entry, address: undefined }],
+    ["an address without port", { ...entry, address: "10.0.0.1" }],
+    ["a birth with a fraction", { ...entry, born: 1.5 }],
+    ["an unknown state", { ...entry, status: { ...entry.status, state: "resting" } }],
+    ["slots as a text", { ...entry, info: { ...entry.info, capacity: "4" } }],
+    ["bytes that are no entry", "\u0000"],
+    ["nothing", undefined],
+  ];
+  test.each(faults)("an entry with %s names no server", (_name, value) => {
+    expect(decodeServer("s1", value)).toBeUndefined();
+  });
+});
+
+describe("configurations", () => {
+  const route = {
+    type: "routes",
+    metadata: { name: "r" },
+    spec: {
+      host: "h",
+      pathPrefix: "/p/",
+      kind: "safe",
+      timeoutS: 0.8,
+      aimS: 0.3,
+      attempts: 2,
+      service: "desk",
+    },
+  };
+  const service = {
+    type: "services",
+    metadata: { name: "desk" },
+    spec: { maxConns: 130, sharded: true, warmupS: 3, warmupPerS: 13 },
+  };
+  const limits = {
+    type: "limits",
+    metadata: {},
+    spec: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutS: 3, idleTimeoutS: 15 },
+  };
+
+  test("versions are hexadecimal, durations become milliseconds", () => {
+    const decoded = decodeConfiguration({ version: "0000001a", resources: [route, service, limits] });
+    expect(decoded.version).toBe(26);
+    expect(decoded.routes[0]).toMatchObject({
+      timeoutMs: 800,
+      objectiveMs: 300,
+      services: [{ service: "desk" }],
+    });
+    expect(decoded.services.get("desk")).toMatchObject({ isKeyed: true, coldMs: 3000 });
+    expect(decoded.limits.idleTimeoutMs).toBe(15_000);
+  });
+
+  const faults: readonly (readonly [name: string, value: unknown])[] = [
+    ["a version that is no number", { version: "latest", resources: [] }],
+    [
+      "a prefix without slash",
+      { version: "00000001", resources: [{ ...route, spec: { ...route.spec, pathPrefix: "p" } }] },
+    ],
+    [
+      "an unknown kind",
+      { version: "00000001", resources: [{ ...route, spec: { ...route.spec, kind: "x" } }] },
+    ],
+    ["no attempts", { version: "00000001", resources: [{ ...route, spec: { ...route.spec, attempts: 0 } }] }],
+    ["nothing", undefined],
+  ];
+  test.each(faults)("a configuration with %s is refused", (_name, value) => {
+    expect(() => decodeConfiguration(value)).toThrow(/routing configuration/);
+  });
+});
+
+describe("header fields", () => {
+  const keys: readonly (readonly [text: string | undefined, key: number | undefined])[] = [
+    ["0", 0],
+    ["65535", 65_535],
+    ["65536", undefined],
+    ["-1", undefined],
+    ["1.5", undefined],
+    ["", undefined],
+    ["x", undefined],
+    [undefined, undefined],
+  ];
+  test.each(keys)("key %s is read as %s", (text, key) => {
+    expect(wireCallerProtocol.read({ "shard-key": text }).key).toBe(key);
+  });
+
+  test("refusals name when to come back, in seconds with fractions", () => {
+    expect(wireCallerProtocol.refusalFields("q", 150)).toEqual({ "request-id": "q", "retry-after": "0.150" });
+    expect(wireCallerProtocol.refusalFields(undefined, undefined)).toEqual({});
+  });
+
+  const loads: readonly (readonly [text: string, load: unknown])[] = [
+    ["3,1,8", { running: 3, waiting: 1, slots: 8, slowness: 1 }],
+    ["3,1,8,250", { running: 3, waiting: 1, slots: 8, slowness: 2.5 }],
+    ["3,1", undefined],
+    ["a,b,c", undefined],
+  ];
+  test.each(loads)("load %s", (text, load) => {
+    expect(wireServerProtocol.read(200, { "instance-load": text }).load).toEqual(load);
+  });
+
+  test("only a server's word, or status 421, says that a request has not run", () => {
+    expect(wireServerProtocol.read(503, {}).isNotRun).toBe(false);
+    expect(wireServerProtocol.read(503, { "not-executed": "1" }).isNotRun).toBe(true);
+    expect(wireServerProtocol.read(421, {}).isNotRun).toBe(true);
+  });
+});
+
+type Answer = (request: IncomingMessage, body: string, response: ServerResponse) => void;
+
+let http: Server | undefined;
+
+afterEach(() => {
+  http?.closeAllConnections();
+  http?.close();
+});
+
+async function startStore(answer: Answer): Promise<number> {
+  http = createServer((request, response) => {
+    let body = "";
+    request.on("data", (chunk: Buffer) => (body += chunk.toString()));
+    request.on("end", () => {
+      answer(request, body, response);
+    });
+  });
+  const server = http;
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+describe("object store", () => {
+  const object = { metadata: { name: "x", rev: 7 }, spec: { a: 1 } };
+
+  test("a write without base creates, one with a base replaces under its version", async () => {
+    const calls: string[] = [];
+    const port = await startStore((request, body, response) => {
+      calls.push(`${request.method} ${request.url} ${body}`);
+      response.end(JSON.stringify(object));
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    await store.write("kind/x", { a: 1 }, 0, CallPriority.Ownership);
+    await store.write("kind/x", { a: 1 }, 5, CallPriority.Ownership);
+    expect(calls).toEqual([
+      'POST /hemlockbank/objects/kind {"metadata":{"name":"x"},"spec":{"a":1}}',
+      'PUT /hemlockbank/objects/kind/x {"metadata":{"name":"x","rev":5},"spec":{"a":1}}',
+    ]);
+    await store.close();
+  });
+
+  test("a conflict carries the object as it is", async () => {
+    const port = await startStore((_request, _body, response) => {
+      response.statusCode = 409;
+      response.end(JSON.stringify(object));
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    const result = await store.write("kind/x", {}, 1, CallPriority.Ownership);
+    expect(result).toEqual({ kind: "conflict", current: { path: "kind/x", version: 7, value: { a: 1 } } });
+    await store.close();
+  });
+
+  test("pages are read to the end, entries that cannot be read are left out", async () => {
+    const port = await startStore((request, _body, response) => {
+      const isSecond = request.url?.includes("after=x") === true;
+      const items = isSecond ? [{ metadata: { name: "y", rev: 9 }, spec: 2 }] : ["?", object];
+      response.end(JSON.stringify({ items, more: !isSecond, currentRev: isSecond ? 12 : 11 }));
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    const listed = await store.list("kind/", CallPriority.Configuration);
+    expect(listed.objects.map((each) => each.path)).toEqual(["kind/x", "kind/y"]);
+    expect(listed.version).toBe(11);
+    await store.close();
+  });
+
+  test("a watch tells the latest state of each object", async () => {
+    const events = [
+      { object, deleted: false },
+      { object: { ...object, metadata: { name: "y", rev: 8 } }, deleted: true },
+      { object: { ...object, metadata: { name: "x", rev: 9 } }, deleted: true },
+      { object: { ...object, metadata: { name: "x", rev: 10 } }, deleted: false },
+    ];
+    const port = await startStore((_request, _body, response) => {
+      response.end(JSON.stringify({ events, currentRev: 10 }));
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    const changes = await store.watch("kind/", 1, 1000, new AbortController().signal);
+    expect(changes.objects.map((each) => each.version)).toEqual([10]);
+    expect(changes.removed).toEqual(["kind/y"]);
+    await store.close();
+  });
+
+  const refusals: readonly (readonly [status: number, error: unknown])[] = [
+    [429, PlatformUnavailableError],
+    [503, PlatformUnavailableError],
+    [410, HistoryGoneError],
+  ];
+  test.each(refusals)("a watch that is answered %s is an error of its kind", async (status, error) => {
+    const port = await startStore((_request, _body, response) => {
+      response.statusCode = status;
+      response.end();
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    await expect(store.watch("kind/", 1, 1000, new AbortController().signal)).rejects.toThrow(error);
+    await store.close();
+  });
+});
+
+describe("key control", () => {
+  const cases: readonly (readonly [status: number, grant: string, release: string])[] = [
+    [200, "granted", "released"],
+    [409, "fenced", "unanswered"],
+    [421, "misdirected", "misdirected"],
+    [500, "unanswered", "unanswered"],
+  ];
+  test.each(cases)("status %s", async (status, granted, released) => {
+    const bodies: string[] = [];
+    const port = await startStore((_request, body, response) => {
+      bodies.push(body);
+      response.writeHead(status, { Handover: "h2" }).end();
+    });
+    const server = { name: "s1", address: { host: "127.0.0.1", port } } as DiscoveredServer;
+    const control = createWireKeyControl();
+    const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: "h1" };
+    expect((await control.grant(server, grant)).kind).toBe(granted);
+    const release = await control.release(server, { from: 1, to: 2 }, 3);
+    expect(release.kind).toBe(released);
+    expect(release.kind === "released" ? release.handover : "h2").toBe("h2");
+    expect(bodies).toEqual([
+      '{"from":1,"to":2,"fence":3,"holdS":4.5,"handover":"h1"}',
+      '{"from":1,"to":2,"fence":3}',
+    ]);
+    await control.close();
+  });
+});
