--- a/src/discovery/collectionFollower.ts
+++ b/src/discovery/collectionFollower.ts
@@ -90,6 +90,7 @@
     if (since === undefined) {
       const listed = await objects.list(prefix, CallPriority.Configuration);
       reportSuccess();
+      mustAskAtOnce = false;
       versions.clear();
       listed.objects.forEach(note);
       options.onList(listed.objects);
--- /dev/null
+++ b/test/coordinatorLease.test.ts
@@ -0,0 +1,180 @@
+/** The election of the coordinator: one at a time, whatever the store and the clocks do. */
+import { describe, expect, test } from "vitest";
+import { createCoordinatorLease } from "../src/keyRanges";
+import type { ObjectStore, StoredObject } from "../src/objectStore";
+import { PlatformUnavailableError } from "../src/errors";
+import { silentLogger } from "../src/observability";
+import { createRandom } from "../standins/scenarios/callers";
+import { type FakeClock, createFakeClock } from "./support/fakeClock";
+
+const SEED = 20_261_204;
+
+/** One object, and a way to it that can be cut for each daemon. */
+function createStore() {
+  let object: StoredObject | undefined;
+  let version = 0;
+  const cut = new Set<string>();
+  const lostAnswers = new Map<string, number>();
+  return {
+    cut,
+    lostAnswers,
+    holder: () => (object?.value as { daemon: string } | undefined)?.daemon,
+    of: (daemon: string): ObjectStore => {
+      const check = () => {
+        if (cut.has(daemon)) {
+          throw new PlatformUnavailableError("cut", { props: { step: "call" } });
+        }
+      };
+      return {
+        read: () => {
+          return Promise.resolve().then(() => {
+            check();
+            return object;
+          });
+        },
+        write: (path, value, base) =>
+          Promise.resolve().then(() => {
+            check();
+            if ((object?.version ?? 0) !== base) {
+              return { kind: "conflict", current: object };
+            }
+            version += 1;
+            object = { path, version, value: structuredClone(value) };
+            const lost = lostAnswers.get(daemon) ?? 0;
+            if (lost > 0) {
+              lostAnswers.set(daemon, lost - 1);
+              throw new PlatformUnavailableError("answer lost", { props: { step: "call" } });
+            }
+            return { kind: "written", version };
+          }),
+        list: () => Promise.resolve({ objects: [], version }),
+        watch: () => Promise.resolve({ objects: [], version }),
+      };
+    },
+  };
+}
+
+function createWorld(names: readonly string[]) {
+  const clock = createFakeClock();
+  const store = createStore();
+  const random = createRandom(SEED);
+  const stop = new AbortController();
+  const dayShift = new Map<string, number>();
+  const start = (daemon: string, incarnation: number, signal = stop.signal) => {
+    const lease = createCoordinatorLease({
+      objects: store.of(daemon),
+      self: { daemon, incarnation },
+      address: { host: "127.0.0.1", port: 1 },
+      clock,
+      timeOfDay: () => 1_000_000 + clock.now() + (dayShift.get(daemon) ?? 0),
+      random,
+      logger: silentLogger,
+      onElected: () => undefined,
+      onLost: () => undefined,
+    });
+    void lease.run(signal);
+    return lease;
+  };
+  const leases = new Map(names.map((name) => [name, start(name, 1)]));
+  const holders = () => [...leases].filter(([, lease]) => lease.isHeld()).map(([name]) => name);
+  return { clock, store, leases, holders, start, stop, dayShift };
+}
+
+/** Runs on, and checks at each step that there is at most one holder. Returns when a holder is as wanted. */
+async function runUntil(
+  clock: FakeClock,
+  holders: () => readonly string[],
+  mostMs: number,
+  isWanted: (holder: string | undefined) => boolean,
+): Promise<number> {
+  for (let passedMs = 0; passedMs <= mostMs; passedMs += 20) {
+    expect(holders().length).toBeLessThanOrEqual(1);
+    if (isWanted(holders()[0])) {
+      return passedMs;
+    }
+    await clock.advance(20);
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+describe("coordinator lease", () => {
+  test("one of several daemons is elected at once", async () => {
+    const { clock, holders, stop } = createWorld(["a", "b", "c"]);
+    expect(await runUntil(clock, holders, 1000, (holder) => holder !== undefined)).toBeLessThan(1000);
+    await runUntil(clock, holders, 10_000, () => false);
+    expect(holders()).toHaveLength(1);
+    stop.abort();
+  });
+
+  test("a holder that is cut from the store stops before another one starts", async () => {
+    const { clock, store, holders, stop } = createWorld(["a", "b", "c"]);
+    await clock.advance(2000);
+    const [first = ""] = holders();
+    store.cut.add(first);
+    const passedMs = await runUntil(
+      clock,
+      holders,
+      10_000,
+      (holder) => holder !== undefined && holder !== first,
+    );
+    expect(passedMs).toBeGreaterThan(2000);
+    expect(passedMs).toBeLessThan(4500);
+    stop.abort();
+  });
+
+  test("nobody takes over while the store is silent, and the holder resumes after it", async () => {
+    const { clock, store, holders, stop } = createWorld(["a", "b"]);
+    await clock.advance(2000);
+    ["a", "b"].forEach((name) => store.cut.add(name));
+    await clock.advance(9000);
+    expect(holders()).toEqual([]);
+    store.cut.clear();
+    expect(await runUntil(clock, holders, 1500, (holder) => holder !== undefined)).toBeLessThan(1500);
+    await runUntil(clock, holders, 5000, () => false);
+    stop.abort();
+  });
+
+  test("a renewal whose answer is lost is found to be the holder's own", async () => {
+    const { clock, store, holders, stop } = createWorld(["a", "b"]);
+    await clock.advance(2000);
+    const [first = ""] = holders();
+    store.lostAnswers.set(first, 1);
+    await runUntil(clock, holders, 6000, () => false);
+    expect(holders()).toEqual([first]);
+    stop.abort();
+  });
+
+  test("a holder whose machine may have been suspended does not hold until it is renewed", async () => {
+    const { clock, dayShift, leases, holders, stop } = createWorld(["a"]);
+    await clock.advance(2100);
+    expect(leases.get("a")?.isHeld()).toBe(true);
+    dayShift.set("a", 5000);
+    expect(leases.get("a")?.isHeld()).toBe(false);
+    expect(await runUntil(clock, holders, 1500, (holder) => holder === "a")).toBeLessThan(1500);
+    stop.abort();
+  });
+
+  test("a daemon takes the lease of its own earlier process at once", async () => {
+    const { clock, store, start, stop } = createWorld([]);
+    const first = new AbortController();
+    start("a", 1, first.signal);
+    await clock.advance(1000);
+    first.abort();
+    const second = start("a", 2);
+    await clock.advance(400);
+    expect(second.isHeld()).toBe(true);
+    expect(store.holder()).toBe("a");
+    stop.abort();
+  });
+
+  test("a lease that was resigned is taken within a second", async () => {
+    const { clock, leases, holders, stop } = createWorld(["a", "b", "c"]);
+    await clock.advance(2000);
+    const [first = ""] = holders();
+    await Promise.all([leases.get(first)?.resign(), clock.advance(1)]);
+    const passedMs = await runUntil(clock, holders, 3000, (holder) => holder !== undefined);
+    expect(passedMs).toBeLessThan(1000);
+    expect(holders()).not.toContain(first);
+    stop.abort();
+  });
+});
--- /dev/null
+++ b/test/discovery.test.ts
@@ -0,0 +1,327 @@
+/** Discovery: who exists, what may get work, and connections that go silent. */
+import { describe, expect, test } from "vitest";
+import {
+  type DiscoveredServer,
+  ServerPhase,
+  checkFreshness,
+  createCollectionFollower,
+  createPeerStates,
+  createServerDirectory,
+} from "../src/discovery";
+import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
+import { createAssignmentFeed, createOwnerTable } from "../src/keyRanges";
+import { createDatagramChannel } from "../src/membership";
+import type { ObjectChanges, ObjectStore } from "../src/objectStore";
+import { createCounters, silentLogger } from "../src/observability";
+import type { Address } from "../src/types";
+import { createFakeClock } from "./support/fakeClock";
+
+const counters = createCounters("test");
+
+function createServer(name: string, change: Partial<DiscoveredServer> = {}): DiscoveredServer {
+  return {
+    name,
+    bornAt: 1,
+    service: "desk",
+    address: { host: "127.0.0.1", port: 1 },
+    dataCentre: "a",
+    slots: 4,
+    phase: ServerPhase.Ready,
+    coldForMs: 0,
+    ...change,
+  };
+}
+
+function createDirectory() {
+  const clock = createFakeClock();
+  const directory = createServerDirectory({
+    clock,
+    logger: silentLogger,
+    decode: (_name, value) => value as DiscoveredServer | undefined,
+    coldMs: () => 3000,
+  });
+  const put = (server: DiscoveredServer) => {
+    directory.change([{ path: `servers/${server.name}`, version: 1, value: server }], []);
+  };
+  const usable = () => directory.usable("desk").map((server) => server.name);
+  return { clock, directory, put, usable };
+}
+
+describe("server directory", () => {
+  test("draining servers, excluded data centres and removed entries get no work", () => {
+    const { directory, put, usable } = createDirectory();
+    ["s1", "s2", "s3"].forEach((name) => {
+      put(createServer(name));
+    });
+    put(createServer("s4", { dataCentre: "b" }));
+    put(createServer("s1", { phase: ServerPhase.Draining }));
+    directory.change([], ["servers/s2"]);
+    directory.setExcluded(new Set(["b"]));
+    expect(usable()).toEqual(["s3"]);
+    directory.setExcluded(new Set());
+    expect(usable()).toEqual(["s3", "s4"]);
+  });
+
+  test("an entry that cannot be read names no server, the others hold", () => {
+    const { directory, put, usable } = createDirectory();
+    put(createServer("s1"));
+    put(createServer("s2"));
+    directory.change([{ path: "servers/s1", version: 2, value: undefined }], []);
+    expect(usable()).toEqual(["s2"]);
+  });
+
+  test("entries that lapsed during an outage have two seconds to come back", async () => {
+    const { clock, directory, put, usable } = createDirectory();
+    put(createServer("s1"));
+    put(createServer("s2"));
+    directory.noteRegained();
+    directory.change([], ["servers/s1", "servers/s2"]);
+    await clock.advance(1000);
+    expect(usable()).toEqual(["s1", "s2"]);
+    put(createServer("s1"));
+    await clock.advance(1100);
+    expect(usable()).toEqual(["s1"]);
+  });
+
+  test("servers are cold after a start, after the return of their data centre, or by their own word", async () => {
+    const { clock, directory, put } = createDirectory();
+    const server = createServer("s1", { coldForMs: 500 });
+    put(server);
+    expect(directory.isCold(server)).toBe(true);
+    await clock.advance(600);
+    expect(directory.isCold(server)).toBe(false);
+    directory.setExcluded(new Set(["a"]));
+    directory.setExcluded(new Set());
+    expect(directory.isCold(server)).toBe(true);
+    await clock.advance(3100);
+    expect(directory.isCold(server)).toBe(false);
+    directory.recordCold("s1", 200);
+    expect(directory.isCold(server)).toBe(true);
+  });
+});
+
+/** A store whose watches never answer, as on a connection that has gone silent, unless asked at once. */
+function createSilentStore() {
+  const calls: string[] = [];
+  let changes: ObjectChanges = { objects: [], version: 1 };
+  let error: Error | undefined;
+  const store: ObjectStore = {
+    read: () => Promise.resolve(undefined),
+    write: () => Promise.resolve({ kind: "written", version: 1 }),
+    list: () => {
+      calls.push("list");
+      return Promise.resolve(changes);
+    },
+    watch: (_prefix, since, waitMs, signal) => {
+      calls.push(waitMs === 0 ? "ask" : "watch");
+      if (error !== undefined) {
+        const thrown = error;
+        error = undefined;
+        return Promise.reject(thrown);
+      }
+      if (waitMs === 0) {
+        return Promise.resolve(since < changes.version ? changes : { objects: [], version: since });
+      }
+      return new Promise((_resolve, reject) => {
+        signal.addEventListener("abort", () => {
+          reject(new PlatformUnavailableError("ended", { props: { step: "watch" } }));
+        });
+      });
+    },
+  };
+  return {
+    store,
+    calls,
+    set: (next: ObjectChanges) => {
+      changes = next;
+    },
+    failNext: (next: Error) => {
+      error = next;
+    },
+  };
+}
+
+describe("collection follower", () => {
+  function startFollower() {
+    const clock = createFakeClock();
+    const silent = createSilentStore();
+    const seen: string[] = [];
+    const follower = createCollectionFollower({
+      objects: silent.store,
+      prefix: "config/",
+      pauseMs: 10,
+      clock,
+      logger: silentLogger,
+      random: () => 0.5,
+      onList: (objects) => seen.push(...objects.map((object) => `${object.path}@${object.version}`)),
+      onChange: (objects) => seen.push(...objects.map((object) => `${object.path}@${object.version}`)),
+    });
+    const stop = new AbortController();
+    void follower.run(stop.signal);
+    return { clock, silent, seen, follower, stop };
+  }
+
+  const changed: ObjectChanges = { objects: [{ path: "config/main", version: 5, value: 1 }], version: 5 };
+
+  test("a watch that went silent is ended by a refresh, which asks at once", async () => {
+    const { clock, silent, seen, follower, stop } = startFollower();
+    await clock.advance(100);
+    silent.set(changed);
+    await clock.advance(5000);
+    expect(seen).toEqual([]);
+    const before = follower.digest();
+    follower.refresh();
+    await clock.advance(100);
+    expect(seen).toEqual(["config/main@5"]);
+    expect(follower.digest()).not.toBe(before);
+    expect(silent.calls).toEqual(["list", "watch", "ask", "watch"]);
+    stop.abort();
+  });
+
+  test("objects are listed again when their history is gone", async () => {
+    const { clock, silent, seen, follower, stop } = startFollower();
+    await clock.advance(100);
+    silent.set(changed);
+    silent.failNext(new HistoryGoneError("gone", { props: { step: "watch" } }));
+    follower.refresh();
+    await clock.advance(100);
+    expect(seen).toEqual(["config/main@5"]);
+    expect(silent.calls).toEqual(["list", "watch", "ask", "list", "watch"]);
+    stop.abort();
+  });
+});
+
+/** Datagrams between daemons in memory. */
+function createNetwork() {
+  const receivers = new Map<number, (content: Uint8Array) => void>();
+  const cut = new Set<number>();
+  return {
+    cut,
+    channelAt: (port: number) =>
+      createDatagramChannel(
+        {
+          send: (address: Address, content: Uint8Array) => {
+            if (!cut.has(port) && !cut.has(address.port)) {
+              receivers.get(address.port)?.(content);
+            }
+          },
+          receive: (handler) => receivers.set(port, handler),
+          close: () => undefined,
+        },
+        counters,
+      ),
+  };
+}
+
+describe("freshness check", () => {
+  function startDaemons(digests: readonly number[]) {
+    const clock = createFakeClock();
+    const network = createNetwork();
+    const stop = new AbortController();
+    const refreshes = digests.map(() => 0);
+    digests.forEach((digest, index) => {
+      const port = index + 1;
+      void checkFreshness(
+        {
+          daemon: `d${port}`,
+          address: { host: "127.0.0.1", port },
+          channel: network.channelAt(port),
+          followers: [
+            {
+              prefix: "config/",
+              digest: () => digest,
+              refresh: () => {
+                refreshes[index] = (refreshes[index] ?? 0) + 1;
+              },
+              run: () => Promise.resolve(),
+            },
+          ],
+          peers: createPeerStates(clock),
+          clock,
+          isCoordinator: () => port === 1,
+          coordinator: () => ({ host: "127.0.0.1", port: 1 }),
+        },
+        stop.signal,
+      );
+    });
+    return { clock, network, refreshes, stop };
+  }
+
+  interface FreshnessCase {
+    readonly name: string;
+    readonly digests: readonly number[];
+    /** Which daemons must ask the store. */
+    readonly asks: readonly boolean[];
+  }
+
+  const cases: readonly FreshnessCase[] = [
+    { name: "daemons that agree ask nothing", digests: [1, 1, 1], asks: [false, false, false] },
+    {
+      name: "a daemon that differs from the coordinator asks",
+      digests: [1, 1, 2],
+      asks: [false, false, true],
+    },
+    { name: "a coordinator that differs from most asks", digests: [2, 1, 1], asks: [true, true, true] },
+  ];
+  test.each(cases)("$name", async ({ digests, asks }) => {
+    const { clock, refreshes, stop } = startDaemons(digests);
+    await clock.advance(2500);
+    expect(refreshes.map((count) => count > 0)).toEqual(asks);
+    stop.abort();
+  });
+
+  test("a daemon that hears nothing from the coordinator asks by itself", async () => {
+    const { clock, network, refreshes, stop } = startDaemons([1, 1, 1]);
+    await clock.advance(1000);
+    network.cut.add(3);
+    await clock.advance(3000);
+    expect(refreshes[2]).toBeGreaterThan(0);
+    expect(refreshes[1]).toBe(0);
+    stop.abort();
+  });
+});
+
+describe("assignment feed", () => {
+  const range = { from: 0, to: 65_535, server: "s1", bornAt: 1, token: 1 };
+  const first = { service: "desk", nextToken: 2, ranges: [range] };
+  const moved = { ...range, from: 100, server: "s2", token: 2 };
+  const second = { service: "desk", nextToken: 3, ranges: [{ ...range, to: 99 }, moved] };
+
+  test("changes arrive by datagram; a daemon that missed one reads again", async () => {
+    const clock = createFakeClock();
+    const network = createNetwork();
+    const silent = createSilentStore();
+    const stop = new AbortController();
+    const options = { objects: silent.store, clock, logger: silentLogger };
+    const owners = [createOwnerTable(clock, silentLogger), createOwnerTable(clock, silentLogger)] as const;
+    const peers = () => [{ host: "127.0.0.1", port: 2 }];
+    const sender = createAssignmentFeed({
+      ...options,
+      owners: owners[0],
+      channel: network.channelAt(1),
+      peers,
+    });
+    const receiver = createAssignmentFeed({
+      ...options,
+      owners: owners[1],
+      channel: network.channelAt(2),
+      peers: () => [],
+    });
+    void receiver.run(stop.signal);
+    await clock.advance(1);
+    owners[1].take("desk", first.ranges, 5);
+    sender.publish(first, 5, second, 6);
+    expect(owners[1].ownerOf("desk", 99)).toBe("s1");
+    expect(owners[1].ownerOf("desk", 100)).toBe("s2");
+    expect(owners[1].versionOf("desk")).toBe(6);
+    silent.set({
+      objects: [{ path: "keyassignments/desk", version: 9, value: { writeId: "w", value: first } }],
+      version: 9,
+    });
+    sender.publish(second, 8, first, 9);
+    await clock.advance(1);
+    expect(owners[1].versionOf("desk")).toBe(9);
+    expect(owners[1].ownerOf("desk", 100)).toBe("s1");
+    stop.abort();
+  });
+});
--- /dev/null
+++ b/test/observability.test.ts
@@ -0,0 +1,73 @@
+/** Logs and metrics: bounded, and never in a request's way. */
+import { describe, expect, test } from "vitest";
+import {
+  Event,
+  type EventDetail,
+  createBoundedLogger,
+  createCounters,
+  createLineOutput,
+  createMetrics,
+} from "../src/observability";
+import { createFakeClock } from "./support/fakeClock";
+
+describe("bounded logger", () => {
+  test("lines beyond the bound are counted and told in the next second", async () => {
+    const clock = createFakeClock();
+    const lines: (readonly [number, EventDetail | undefined])[] = [];
+    const logger = createBoundedLogger({
+      logger: { log: (kind, detail) => lines.push([kind.number, detail]) },
+      clock,
+      linesPerSecond: 2,
+      takeDropped: () => 0,
+    });
+    for (let line = 0; line < 5; line += 1) {
+      logger.log(Event.RequestRefused);
+    }
+    logger.log(Event.ServerGone);
+    await clock.advance(1000);
+    logger.log(Event.RequestRefused);
+    expect(lines.map(([number]) => number)).toEqual([1831, 1831, 1802, 1841, 1831]);
+    expect(lines[3]?.[1]).toMatchObject({ of: 1831, suppressed: 3 });
+  });
+});
+
+describe("line output", () => {
+  test("a reader that does not read stops nothing; lines beyond the bound are counted", () => {
+    const output = createLineOutput(() => undefined);
+    for (let line = 0; line < 5000; line += 1) {
+      expect(output.write("line\n")).toBe(true);
+    }
+    expect(output.takeDropped()).toBeGreaterThan(2000);
+    expect(output.takeDropped()).toBe(0);
+  });
+
+  test("lines are written in order, and those of a failed write are counted", () => {
+    const written: string[] = [];
+    let fails = true;
+    const output = createLineOutput((text, done) => {
+      written.push(text);
+      done(fails ? new Error("closed") : null);
+    });
+    output.write("1\n");
+    fails = false;
+    output.write("2\n");
+    expect(written).toEqual(["1\n", "2\n"]);
+    expect(output.takeDropped()).toBe(1);
+  });
+});
+
+describe("metrics", () => {
+  test("counters, histograms and gauges are told as text", async () => {
+    const metrics = createMetrics(createCounters("test"));
+    metrics.counters.increment("callers.refused", "503:overloaded");
+    metrics.recordLatency("desk", "200", 120);
+    metrics.addGauge("owned_ranges", "Owned ranges", "service", () => ({ desk: 3 }));
+    const text = await metrics.text();
+    expect(text).toContain('hemlockbank_callers_refused_total{reason="503:overloaded"} 1');
+    expect(text).toContain(
+      'hemlockbank_request_duration_seconds_bucket{le="0.15",service="desk",outcome="200"} 1',
+    );
+    expect(text).toContain('hemlockbank_owned_ranges{service="desk"} 3');
+    expect(metrics.counters.totals()).toEqual({ "callers.refused:503:overloaded": 1 });
+  });
+});
