Know at once when an owner has ended; shorter grants and lease

Each grant to a server that refused connections counted as if it had arrived and put the end of its hold off, until its entry was gone at last. An address that answers for another server was not taken for the end of the old one. A new coordinator moved keys before it knew any load. Half of the grants were not yet made long when the lease lapsed in an outage.

Ruled out: fenced grants (one of them), status 400 for the longest grant (it came from servers of other services at reused addresses).

Change: a grant that was not sent does not count; an address that belongs to another server proves the end; keys of an unreachable owner move when its last grant has lapsed; servers that do not answer get no further keys; no move in the first two seconds; grants of 4 s, lease of 2 s; all grants become long at the first sign of an outage.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -11,6 +11,7 @@
   type FreedRange,
   type Holding,
   HoldingPhase,
+  RenewalEnd,
   type RenewalOptions,
   createHolding,
   planHoldings,
@@ -29,8 +30,12 @@
 const RELEASE_RETRY_MS = 400;
 /** Time between two moves that even out the load; a move's effect shows in the load within this time. */
 const REBALANCE_MS = 500;
+/** A new coordinator knows no load; daemons have told it enough after this time. */
+const FIRST_REBALANCE_MS = 2000;
 /** Bounds the keys that are refused for a moment, because they are on their way. */
 const MOVES_AT_ONCE = 12;
+/** A server that crashed is back within a few seconds, or its entry is gone by then. */
+const SILENCE_MS = 3000;
 /** Servers register one after the other when a deployment starts; the first placement waits for the others. */
 const FIRST_PLACEMENT_MS = 1500;
 /** Beyond all tokens that a coordinator could have given out unseen. */
@@ -62,6 +67,7 @@
   const renewal: RenewalOptions = { ...options, ledger };
   /** Owners as they were last seen, since a server that is gone may still have to be asked. */
   const lastSeen = new Map<ServerName, DiscoveredServer>();
+  const silentUntil = new Map<ServerName, number>();
   let holdings: Holding[] = [];
   let freed: FreedRange[] = [];
   let assignment: RangeAssignment = { service, nextToken: 1, ranges: [] };
@@ -69,7 +75,7 @@
   /** The last write got no answer, so nobody knows what is stored. */
   let isUnsettled = true;
   let firstSeenAt: number | undefined;
-  let rebalancedAt = clock.now();
+  let rebalancedAt = clock.now() + FIRST_REBALANCE_MS;
   /** Moves in progress that even out the load. */
   let evening = 0;
 
@@ -144,18 +150,42 @@
   }
 
   async function renew(holding: Holding, server: DiscoveredServer): Promise<void> {
-    const isFenced = await renewGrant(holding, server, renewal);
-    if (isFenced && holdings.includes(holding)) {
-      // An earlier coordinator has released these keys and got no further; the owner can have them again.
-      takeTokens(FENCED_TOKEN_STEP);
-      free(holding, null, holding.range);
+    const end = await renewGrant(holding, server, renewal);
+    noteReachability(holding, server, end);
+    if (!holdings.includes(holding)) {
+      return;
+    }
+    switch (end) {
+      case RenewalEnd.Continues:
+        return;
+      case RenewalEnd.Fenced:
+        // An earlier coordinator has released these keys and got no further; the owner can have them again.
+        takeTokens(FENCED_TOKEN_STEP);
+        free(holding, null, holding.range);
+        return;
+      case RenewalEnd.ServerEnded:
+        ledger.clear(holding.range, holding.range.server, holding.range.bornAt);
+        free(holding, null, undefined);
+        return;
+      default:
+        end satisfies never;
+    }
+  }
+
+  /** A server that does not answer gets no further keys for a while. */
+  function noteReachability(holding: Holding, server: DiscoveredServer, end: RenewalEnd): void {
+    const isSilent = end === RenewalEnd.ServerEnded || holding.retryAt !== Number.POSITIVE_INFINITY;
+    if (isSilent) {
+      silentUntil.set(server.name, clock.now() + SILENCE_MS);
+    } else if (!holding.isCalling) {
+      silentUntil.delete(server.name);
     }
   }
 
   function startMoves(): void {
     for (const holding of holdings) {
       const server = presentOwner(holding);
-      const mustLeave = server === undefined || !directory.isUsable(server);
+      const mustLeave = server === undefined || !directory.isUsable(server) || hasLapsed(holding);
       if (holding.phase === HoldingPhase.Held && mustLeave) {
         void takeBack(holding, undefined);
       }
@@ -166,6 +196,12 @@
     }
   }
 
+  /** The owner cannot be reached, and no grant that may have reached it still holds. */
+  function hasLapsed(holding: Holding): boolean {
+    const isUnreachable = holding.retryAt !== Number.POSITIVE_INFINITY;
+    return isUnreachable && ledger.freeAt(holding.range, "", 0) <= clock.now();
+  }
+
   function startRebalance(): void {
     const load = (range: KeyRange) => options.load.of(range);
     const targets = new Map<Holding, Placement>();
@@ -230,9 +266,13 @@
     const { from, to } = range;
     const result = await control.release(server, range, token);
     const detail = { service, server: range.server, from, to, token };
+    if (result.kind === "misdirected") {
+      ledger.clear(range, range.server, range.bornAt);
+      free(holding, null, target);
+      return true;
+    }
     if (result.kind !== "released") {
-      const reason = result.kind === "unanswered" ? result.detail : result.kind;
-      logger.log(Event.GrantFailed, { step: "release", ...detail, detail: reason });
+      logger.log(Event.GrantFailed, { step: "release", ...detail, detail: result.detail });
       return false;
     }
     logger.log(Event.RangesReleased, detail);
@@ -335,7 +375,10 @@
   }
 
   function candidates(): readonly OwnerCandidate[] {
-    return directory.usable(service).map((server) => ({
+    const answering = directory
+      .usable(service)
+      .filter((server) => (silentUntil.get(server.name) ?? 0) <= clock.now());
+    return answering.map((server) => ({
       name: server.name,
       bornAt: server.bornAt,
       capacity: options.capacityOf(server),
--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -7,12 +7,12 @@
 
 const LEASE_PATH = "coordination/keys";
 /** Bounds the time without a coordinator after its loss; covers two renewals without an answer. */
-const LEASE_MS = 3000;
-const RENEWAL_MS = 1000;
+const LEASE_MS = 2000;
+const RENEWAL_MS = 600;
 /** A follower's clock may run this much fast against the holder's. */
 const CLOCK_ERROR = 0.02;
 /** Reads that may be stale are cheap; this bounds how late a follower sees that the lease has lapsed. */
-const OBSERVATION_MS = 700;
+const OBSERVATION_MS = 500;
 const RETRY_MS = 200;
 /** A jump of the time of day against the monotonic clock by more than this may be a suspended process. */
 const SUSPENSION_MS = 250;
--- a/src/keyRanges/grantLedger.ts
+++ b/src/keyRanges/grantLedger.ts
@@ -15,8 +15,8 @@
 
 /** The longest holds that grants may have given. */
 export interface GrantLedger {
-  /** Takes note of a grant that is being sent. */
-  record(range: KeyRange, server: ServerName, bornAt: number, durationMs: number): void;
+  /** Takes note of a grant that is being sent. Call the result when it certainly was not sent. */
+  record(range: KeyRange, server: ServerName, bornAt: number, durationMs: number): () => void;
   /** Takes note that a server has provably stopped work on keys. */
   clear(range: KeyRange, server: ServerName, bornAt: number): void;
   /** Takes note that a server's process has ended, since another one runs under its name. */
@@ -46,12 +46,13 @@
           entry.from === range.from &&
           entry.to === range.to,
       );
-      if (known === undefined) {
-        entries.push({ from: range.from, to: range.to, server, bornAt, until });
-      } else {
-        known.until = Math.max(known.until, until);
-      }
-      entries = entries.filter((entry) => entry.until > clock.now());
+      const entry = known ?? { from: range.from, to: range.to, server, bornAt, until: 0 };
+      const before = entry.until;
+      entry.until = Math.max(before, until);
+      entries = [...entries.filter((each) => each !== entry && each.until > clock.now()), entry];
+      return () => {
+        entry.until = before;
+      };
     },
     clear: (range, server, bornAt) => {
       entries = entries.flatMap((entry) =>
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -7,11 +7,11 @@
 import type { KeyControl, KeyRange, OwnedRange, RangeAssignment } from "./types";
 
 /** Longest time for which a lost server's keys stay with it; long enough for the election of another coordinator. */
-const GRANT_MS = 6000;
+const GRANT_MS = 4000;
 /** Leaves time for the election of another coordinator before a grant lapses. */
-const RENEWAL_MS = 1800;
+const RENEWAL_MS = 1200;
 /** Without an answer from the store for this long an outage is likely, and grants are made to outlast it. */
-const OUTAGE_SIGN_MS = 1600;
+const OUTAGE_SIGN_MS = 1100;
 /** Pause before a grant that got no answer is sent again. */
 const RETRY_MS = 400;
 
@@ -26,6 +26,8 @@
   sentAt: number;
   retryAt: number;
   isCalling: boolean;
+  /** Whether the last grant was made to outlast an outage of the store. */
+  isLong: boolean;
   /** Sent with the next grant. */
   handover: string | null;
 }
@@ -65,39 +67,51 @@
     sentAt: Number.NEGATIVE_INFINITY,
     retryAt: Number.POSITIVE_INFINITY,
     isCalling: false,
+    isLong: false,
     handover,
   };
 }
 
+/** How a renewal ended. */
+export const RenewalEnd = {
+  /** It was answered, was not due, or is tried again. */
+  Continues: "continues",
+  /** The server has seen a higher fencing token. */
+  Fenced: "fenced",
+  /** The server's process has ended. */
+  ServerEnded: "server-ended",
+} as const;
+export type RenewalEnd = (typeof RenewalEnd)[keyof typeof RenewalEnd];
+
 /**
  * Renews a grant when that is due and no other server can hold the keys.
  *
  * @param holding - The range and its state.
  * @param server - Its owner.
  * @param options - Ports and limits.
- * @returns Whether the server has seen a higher fencing token.
+ * @returns How it ended.
  */
 export async function renewGrant(
   holding: Holding,
   server: DiscoveredServer,
   options: RenewalOptions,
-): Promise<boolean> {
+): Promise<RenewalEnd> {
   const { range } = holding;
   const { clock, ledger } = options;
   const now = clock.now();
-  const isDue = now - holding.sentAt >= RENEWAL_MS || holding.retryAt <= now;
-  if (!isDue || holding.isCalling || holding.phase !== HoldingPhase.Held || !options.isLeader()) {
-    return false;
+  const isOutage = options.storeSilentMs() > OUTAGE_SIGN_MS;
+  if (!isRenewalDue(holding, now, isOutage) || !options.isLeader()) {
+    return RenewalEnd.Continues;
   }
   if (ledger.freeAt(range, range.server, range.bornAt) > now) {
-    return false;
+    return RenewalEnd.Continues;
   }
-  const isOutage = options.storeSilentMs() > OUTAGE_SIGN_MS;
   const durationMs = isOutage ? options.maxGrantMs : Math.min(GRANT_MS, options.maxGrantMs);
-  ledger.record(range, range.server, range.bornAt, durationMs);
+  const undo = ledger.record(range, range.server, range.bornAt, durationMs);
   holding.sentAt = now;
   holding.retryAt = Number.POSITIVE_INFINITY;
   holding.isCalling = true;
+  holding.isLong = isOutage;
   const { from, to, token } = range;
   const result = await options.control.grant(server, {
     from,
@@ -110,27 +124,37 @@
   switch (result.kind) {
     case "granted":
       holding.handover = null;
-      return false;
+      return RenewalEnd.Continues;
     case "fenced":
       options.logger.log(Event.GrantFenced, { server: range.server, from, to, token });
-      return true;
+      return RenewalEnd.Fenced;
     case "misdirected":
+      logFailure(holding, options, result.kind);
+      return RenewalEnd.ServerEnded;
+    case "notSent":
+      undo();
+      holding.retryAt = clock.now() + RETRY_MS;
+      logFailure(holding, options, result.detail);
+      return RenewalEnd.Continues;
     case "unanswered":
       holding.retryAt = clock.now() + RETRY_MS;
-      options.logger.log(Event.GrantFailed, {
-        step: "grant",
-        server: range.server,
-        from,
-        to,
-        token,
-        detail: result.kind === "unanswered" ? result.detail : result.kind,
-      });
-      return false;
+      logFailure(holding, options, result.detail);
+      return RenewalEnd.Continues;
     default:
       return result satisfies never;
   }
 }
 
+function isRenewalDue(holding: Holding, now: number, isOutage: boolean): boolean {
+  const isDue = now - holding.sentAt >= RENEWAL_MS || holding.retryAt <= now || (isOutage && !holding.isLong);
+  return isDue && !holding.isCalling && holding.phase === HoldingPhase.Held;
+}
+
+function logFailure(holding: Holding, options: RenewalOptions, detail: string): void {
+  const { server, from, to, token } = holding.range;
+  options.logger.log(Event.GrantFailed, { step: "grant", server, from, to, token, detail });
+}
+
 /**
  * Cuts a holding at the ends of a piece of it. The parts keep owner and token; each needs grants of its own.
  *
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -43,8 +43,10 @@
   | { readonly kind: "granted" }
   /** The server has seen a higher fencing token on some of these keys. */
   | { readonly kind: "fenced" }
-  /** The server's address belongs to another server. */
+  /** The server's address belongs to another server, so its process has ended. */
   | { readonly kind: "misdirected" }
+  /** No connection could be made, so it will never take effect. */
+  | { readonly kind: "notSent"; readonly detail: string }
   /** It may have taken effect, or may do so later. */
   | { readonly kind: "unanswered"; readonly detail: string };
 
@@ -52,6 +54,7 @@
 export type ReleaseResult =
   /** Nothing of these keys runs any more at the server. */
   | { readonly kind: "released"; readonly handover: string | null }
+  /** The server's address belongs to another server, so its process has ended. */
   | { readonly kind: "misdirected" }
   | { readonly kind: "unanswered"; readonly detail: string };
 
