--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -60,13 +60,30 @@
   readonly signal: AbortSignal;
 }
 
+/** What was known of the server that a decision was about. */
+export interface DecisionInputs {
+  /** The last server that was tried, or would have been; undefined when there was none. */
+  readonly server: ServerName | undefined;
+  /** Version of the key assignment; 0 for services without keys. */
+  readonly assignmentVersion: number;
+  /** Expected time in the server's queue, in milliseconds. */
+  readonly expectedWaitMs: number | undefined;
+  /** Age of the server's last load report, in milliseconds. */
+  readonly loadAgeMs: number | undefined;
+}
+
 /** How a request ended. */
 export type DispatchResult =
   | { readonly kind: "answered"; readonly message: IncomingMessage; readonly body: AnswerBody }
   /** It has not run and never will. */
-  | { readonly kind: "notRun"; readonly reason: RejectionReason; readonly retryAfterMs: number }
+  | {
+      readonly kind: "notRun";
+      readonly reason: RejectionReason;
+      readonly retryAfterMs: number;
+      readonly inputs: DecisionInputs;
+    }
   /** It may have run. */
-  | { readonly kind: "unknown"; readonly reason: RejectionReason };
+  | { readonly kind: "unknown"; readonly reason: RejectionReason; readonly inputs: DecisionInputs };
 
 /** Where a key's requests go. */
 export interface KeyOwners {
@@ -74,6 +91,8 @@
   ownerOf(service: ServiceName, key: number): ServerName | undefined;
   /** Waits for another assignment, at most `waitMs` milliseconds. */
   waitForChange(service: ServiceName, waitMs: number): Promise<void>;
+  /** Version of a service's assignment; 0 while none is known. */
+  versionOf(service: ServiceName): number;
   /** Takes note of a request for a key. */
   recordRequest(service: ServiceName, key: number): void;
 }
@@ -136,11 +155,11 @@
     for (let sent = 0; sent < Math.max(1, route.attempts); sent += 1) {
       const selection = await select(request, tried);
       if (selection.kind === "none") {
-        return sent === 0 ? refuse(request, selection.reason) : conclude(request, last);
+        return sent === 0 ? refuse(request, selection.reason, undefined) : conclude(request, last, tried);
       }
       if (sent > 0 && !retries.take(service.name)) {
         counters.increment("requests.retryRefused", service.name);
-        return conclude(request, last);
+        return conclude(request, last, tried);
       }
       if (sent > 0) {
         logRetry(request, selection.server, last);
@@ -148,10 +167,10 @@
       tried.add(selection.server.name);
       last = await attempt(request, selection.server);
       if (!mayRepeat(request, last)) {
-        return conclude(request, last);
+        return conclude(request, last, tried);
       }
     }
-    return conclude(request, last);
+    return conclude(request, last, tried);
   };
 
   async function select(request: RoutedRequest, tried: ReadonlySet<ServerName>): Promise<Selection> {
@@ -342,22 +361,41 @@
     }
   }
 
-  function conclude(request: RoutedRequest, last: Attempt): DispatchResult {
+  function conclude(request: RoutedRequest, last: Attempt, tried: ReadonlySet<ServerName>): DispatchResult {
+    const server = [...tried].at(-1);
     switch (last.kind) {
       case "answered":
       case "failed":
         return { kind: "answered", message: last.message, body: last.body };
       case "notRun":
-        return refuse(request, last.reason);
+        return refuse(request, last.reason, server);
       case "unknown":
-        return { kind: "unknown", reason: last.reason };
+        return { kind: "unknown", reason: last.reason, inputs: readInputs(request, server) };
       default:
         return last satisfies never;
     }
   }
 
-  function refuse(request: RoutedRequest, reason: RejectionReason): DispatchResult {
-    return { kind: "notRun", reason, retryAfterMs: chooseRetryAfter(request) };
+  function refuse(
+    request: RoutedRequest,
+    reason: RejectionReason,
+    server: ServerName | undefined,
+  ): DispatchResult {
+    const inputs = readInputs(request, server);
+    return { kind: "notRun", reason, retryAfterMs: chooseRetryAfter(request), inputs };
+  }
+
+  function readInputs(request: RoutedRequest, tried: ServerName | undefined): DecisionInputs {
+    const { service, key } = request;
+    const isKeyed = service.isKeyed && key !== undefined;
+    const server = tried ?? (isKeyed ? owners.ownerOf(service.name, key) : undefined);
+    const known = server === undefined ? undefined : directory.get(server);
+    return {
+      server,
+      assignmentVersion: isKeyed ? owners.versionOf(service.name) : 0,
+      expectedWaitMs: known === undefined ? undefined : Math.round(loads.waitMs(known.name, known.slots)),
+      loadAgeMs: server === undefined ? undefined : loads.loadAgeMs(server),
+    };
   }
 
   /** Callers honour up to a third of their remaining time. */
--- a/src/gateway/entry.ts
+++ b/src/gateway/entry.ts
@@ -256,11 +256,11 @@
         await passOn(response, request, result.message, result.body);
         return;
       case "notRun":
-        logEnd(Event.RequestRefused, request, result.reason);
+        logEnd(Event.RequestRefused, request, result);
         refuse(response, fields, Status.NotRun, result.reason, result.retryAfterMs);
         return;
       case "unknown": {
-        logEnd(Event.RequestUnknown, request, result.reason);
+        logEnd(Event.RequestUnknown, request, result);
         const status = result.reason === RejectionReason.Late ? Status.Late : Status.BadGateway;
         refuse(response, fields, status, result.reason);
         return;
@@ -330,13 +330,19 @@
     response.end(content);
   }
 
-  function logEnd(kind: typeof Event.RequestRefused, request: RoutedRequest, reason: RejectionReason): void {
+  function logEnd(
+    kind: typeof Event.RequestRefused,
+    request: RoutedRequest,
+    result: Exclude<DispatchResult, { kind: "answered" }>,
+  ): void {
     logger.log(kind, {
       requestId: request.id,
       route: request.route.name,
       service: request.service.name,
       key: request.key,
-      reason,
+      reason: result.reason,
+      ...result.inputs,
+      configuration: options.active()?.configuration.version,
       heldMs: Math.round(clock.now() - request.arrivedAt),
       leftMs: Math.round(request.deadlineAt - clock.now()),
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -50,6 +50,8 @@
 /** Requests that one daemon has at a server at most, relative to its slots; more would only wait there. */
 const MAX_REQUESTS_PER_SLOT = 3;
 const HOUSEKEEPING_MS = 500;
+/** Moves of key ranges in progress; more listeners than this on their signal are a leak. */
+const MAX_MOVES = 500;
 /** More listeners than this on the stop signal are a leak. */
 const MAX_TASKS = 50;
 /** A part of the two seconds in which a leaving server must have no new work. */
@@ -149,6 +151,7 @@
     directory,
     owners: {
       ownerOf: (service, key) => owners.ownerOf(service, key),
+      versionOf: (service) => owners.versionOf(service),
       waitForChange: (service, waitMs) => owners.waitForChange(service, waitMs),
       recordRequest: (service, key) => {
         reports.record(service, key);
@@ -181,6 +184,7 @@
     logger,
     onElected: () => {
       coordination = new AbortController();
+      setMaxListeners(MAX_MOVES, coordination.signal);
       coordinateServices();
     },
     onLost: () => {
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/serverLoads.ts
@@ -47,6 +47,8 @@
   expectedMs(server: ServerName, slots: number): number;
   /** Expected time in the server's queue, in milliseconds. */
   waitMs(server: ServerName, slots: number): number;
+  /** Age of the last load report, in whole milliseconds; undefined without one. */
+  loadAgeMs(server: ServerName): number | undefined;
   /** Usual time of a request at the server, without its queue, in milliseconds. */
   workMs(server: ServerName): number;
   /** Share of recent requests that failed, from 0 to 1. */
@@ -109,6 +111,10 @@
       return waitOf(view, slots) + workOf(view);
     },
     waitMs: (server, slots) => waitOf(viewOf(server), slots),
+    loadAgeMs: (server) => {
+      const view = viewOf(server);
+      return view.load === undefined ? undefined : Math.round(clock.now() - view.loadAt);
+    },
     workMs: (server) => viewOf(server).workMs ?? INITIAL_WORK_MS,
     failureShare: (server) => failureShareOf(viewOf(server)),
     retain: (isPresent) => {
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -30,6 +30,8 @@
 const RELEASE_RETRY_MS = 400;
 /** Time between two moves that even out the load; a move's effect shows in the load within this time. */
 const REBALANCE_MS = 500;
+/** The lease is renewed more often than this; a longer silence is the sign of an outage. */
+const STORE_SIGN_MS = 900;
 /** A new coordinator knows no load; daemons have told it enough after this time. */
 const FIRST_REBALANCE_MS = 2000;
 /** Bounds the keys that are refused for a moment, because they are on their way. */
@@ -190,7 +192,9 @@
         void takeBack(holding, undefined);
       }
     }
-    if (evening === 0 && clock.now() - rebalancedAt >= REBALANCE_MS) {
+    // A released range stays without owner while the store does not take the next assignment.
+    const isStoreAnswering = options.storeSilentMs() < STORE_SIGN_MS;
+    if (evening === 0 && isStoreAnswering && clock.now() - rebalancedAt >= REBALANCE_MS) {
       rebalancedAt = clock.now();
       startRebalance();
     }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -297,6 +297,7 @@
       directory,
       owners: {
         ownerOf: () => servers[0]?.name,
+        versionOf: () => 0,
         waitForChange: () => Promise.resolve(),
         recordRequest: () => undefined,
       },
