Take a refused release for the proof that a server has ended

Ruled out: keys lost from the plan; all were assigned to servers that were gone.

Change: a release is never refused by a server that holds keys, so a 400 proves the end. Test in the adapter's table; it failed before.

--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -294,6 +294,7 @@
     [200, "granted", "released"],
     [409, "fenced", "unanswered"],
     [421, "misdirected", "misdirected"],
+    [400, "unanswered", "misdirected"],
     [500, "unanswered", "unanswered"],
   ];
   test.each(cases)("status %s", async (status, granted, released) => {
