--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,15 +1,22 @@
 /** Brings one request to a backend server: chooses, sends, judges the answer, and repeats it where that is allowed. */
-import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
 import type { ColdAdmission } from "./coldAdmission";
+import {
+  type DecisionInputs,
+  type DispatchResult,
+  type Dispatcher,
+  RejectionReason,
+  type RoutedRequest,
+} from "./dispatch";
 import type { ServerFields, ServerProtocol } from "./protocols";
 import type { RetryShare } from "./retryShare";
 import { type DistanceCosts, chooseServer } from "./serverChoice";
 import type { AnswerBody, SendResult, ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
-import { type Route, RouteKind, type ServicePolicy } from "./types";
+import { RouteKind } from "./types";
 
 /** Longest wait for keys that are being moved: a move takes a release, a write and a grant. */
 const MOVE_WAIT_MS = 250;
@@ -25,66 +32,6 @@
 /** With less time than this left no backend server can answer. */
 const LEAST_USEFUL_MS = 5;
 
-/** Why a request got no answer from a backend server. */
-export const RejectionReason = {
-  NoServer: "no-server",
-  NoOwner: "no-owner",
-  OwnerUnusable: "owner-unusable",
-  Overloaded: "overloaded",
-  Cold: "cold",
-  Unreachable: "unreachable",
-  Shed: "shed",
-  Late: "late",
-  Broken: "broken",
-  Foreign: "foreign-answer",
-  Unsigned: "unsigned-answer",
-  Abandoned: "abandoned",
-} as const;
-export type RejectionReason = (typeof RejectionReason)[keyof typeof RejectionReason];
-
-/** A request that has found its route. */
-export interface RoutedRequest {
-  readonly id: string;
-  readonly route: Route;
-  readonly service: ServicePolicy;
-  /** Undefined when the caller named none. */
-  readonly key: number | undefined;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: OutgoingHttpHeaders;
-  readonly body: Buffer;
-  /** Local time at which the caller, or the route's timeout, stops waiting. */
-  readonly deadlineAt: number;
-  readonly arrivedAt: number;
-  /** Aborted when the caller has left. */
-  readonly signal: AbortSignal;
-}
-
-/** What was known of the server that a decision was about. */
-export interface DecisionInputs {
-  /** The last server that was tried, or would have been; undefined when there was none. */
-  readonly server: ServerName | undefined;
-  /** Version of the key assignment; 0 for services without keys. */
-  readonly assignmentVersion: number;
-  /** Expected time in the server's queue, in milliseconds. */
-  readonly expectedWaitMs: number | undefined;
-  /** Age of the server's last load report, in milliseconds. */
-  readonly loadAgeMs: number | undefined;
-}
-
-/** How a request ended. */
-export type DispatchResult =
-  | { readonly kind: "answered"; readonly message: IncomingMessage; readonly body: AnswerBody }
-  /** It has not run and never will. */
-  | {
-      readonly kind: "notRun";
-      readonly reason: RejectionReason;
-      readonly retryAfterMs: number;
-      readonly inputs: DecisionInputs;
-    }
-  /** It may have run. */
-  | { readonly kind: "unknown"; readonly reason: RejectionReason; readonly inputs: DecisionInputs };
-
 /** Where a key's requests go. */
 export interface KeyOwners {
   /** The owner of a key; undefined while it has none. */
@@ -114,9 +61,6 @@
   readonly distance: DistanceCosts;
 }
 
-/** Brings requests to backend servers. */
-export type Dispatcher = (request: RoutedRequest) => Promise<DispatchResult>;
-
 type Selection =
   | { readonly kind: "server"; readonly server: DiscoveredServer }
   | { readonly kind: "none"; readonly reason: RejectionReason };
--- a/src/gateway/entry.ts
+++ b/src/gateway/entry.ts
@@ -7,7 +7,7 @@
 import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
 import type { AnswerBody } from "./serverConnections";
-import { type DispatchResult, type Dispatcher, RejectionReason, type RoutedRequest } from "./dispatcher";
+import { type DispatchResult, type Dispatcher, RejectionReason, type RoutedRequest } from "./dispatch";
 import { selectForwardedHeaders } from "./forwardedHeaders";
 import type { CallerFields, CallerProtocol, ServerProtocol } from "./protocols";
 import type { RouteMatcher } from "./routeMatcher";
--- a/src/gateway/forwardedHeaders.ts
+++ b/src/gateway/forwardedHeaders.ts
@@ -1,19 +1,6 @@
 /** Selects the header fields that pass through, in both directions. */
 import type { OutgoingHttpHeaders } from "node:http";
-
-/** Fields that concern one connection only. */
-const connectionFields: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
-]);
+import { connectionFields } from "../http";
 
 /**
  * Selects fields to pass on. Repeated fields stay repeated, in their order.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,12 +32,12 @@
   type DataCentreName,
   type ServiceName,
   repeat,
-  sleep,
 } from "../types";
 import { createColdAdmission } from "./coldAdmission";
 import { createDispatcher } from "./dispatcher";
-import { type ActiveConfiguration, type Entry, createEntry } from "./entry";
+import { type ActiveConfiguration, createEntry } from "./entry";
 import { createFleetSize } from "./fleetSize";
+import { stopGracefully } from "./gracefulStop";
 import type { CallerProtocol, ServerProtocol } from "./protocols";
 import { createRetryShare } from "./retryShare";
 import { createRouteMatcher } from "./routeMatcher";
@@ -62,12 +62,6 @@
 const SHORT_ANSWER_DISTANCE_MS = 4;
 /** For large answers, whose bytes are dear between data centres: a part of the time within which they are useful. */
 const LARGE_ANSWER_DISTANCE_MS = 200;
-/** The balancer takes a daemon out after two probes a second apart; new connections may come until then. */
-const LAME_DUCK_MS = 2500;
-const IDLE_CHECK_MS = 50;
-/** Kept from the grace period for the end of the process itself. */
-const EXIT_MARGIN_MS = 300;
-
 /** Prefixes of the collections that a gateway follows. */
 export interface GatewayPaths {
   readonly servers: string;
@@ -403,30 +397,15 @@
   }
 
   async function shutDown(): Promise<void> {
-    const startedAt = clock.now();
-    const endAt = startedAt + terms.gracePeriodMs - EXIT_MARGIN_MS;
     isLeaving = true;
-    logger.log(Event.ShutdownStarted, { inFlight: entry.inFlight() });
-    entry.drain();
-    await lease.resign();
-    await sleep(clock, LAME_DUCK_MS);
-    entry.close();
-    await waitUntilIdle(entry, endAt);
-    stop.abort();
-    logger.log(entry.inFlight() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadline, {
-      inFlight: entry.inFlight(),
-      tookMs: Math.round(clock.now() - startedAt),
+    await stopGracefully({
+      entry,
+      clock,
+      logger,
+      gracePeriodMs: terms.gracePeriodMs,
+      resign: () => lease.resign(),
     });
-  }
-
-  async function waitUntilIdle(callers: Entry, endAt: number): Promise<void> {
-    while (clock.now() < endAt) {
-      callers.closeIdle();
-      if (callers.inFlight() === 0 && (await callers.connections()) === 0) {
-        return;
-      }
-      await sleep(clock, IDLE_CHECK_MS);
-    }
+    stop.abort();
   }
 }
 
--- /dev/null
+++ b/src/http/connectionFields.ts
@@ -0,0 +1,13 @@
+/** Header fields that concern one connection only, by lower-case name. */
+export const connectionFields: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,6 +2,8 @@
 import type { Server } from "node:http";
 import type { Address } from "../types";
 
+export * from "./connectionFields";
+
 /**
  * Binds a server to an address.
  *
--- a/src/routing/headers.ts
+++ b/src/routing/headers.ts
@@ -1,5 +1,6 @@
 /** Header fields that hemlockbank reads or writes. */
 import type { IncomingHttpHeaders } from "node:http";
+import { connectionFields } from "../http";
 import type { Headers } from "../types";
 
 /** Names of header fields. */
@@ -16,19 +17,6 @@
   Cold: "x-hemlockbank-cold",
 } as const;
 
-const hopByHop = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "expect",
-]);
-
 const noFields: ReadonlySet<string> = new Set();
 
 /** Fields that only hemlockbank may set on requests. */
@@ -52,7 +40,7 @@
   const named = listConnectionFields(headers.connection);
   const selected: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !hopByHop.has(name) && !reserved.has(name) && !named.has(name)) {
+    if (value !== undefined && !connectionFields.has(name) && !reserved.has(name) && !named.has(name)) {
       selected[name] = value;
     }
   }
