Names and comments for newcomers

No behaviour changes: step down, donors of a rebalance, constants on top, the log text of an unreadable entry.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -253,7 +253,7 @@
     const status = message.statusCode ?? 0;
     const fields = protocol.read(status, message.headers);
     if (fields.requestId !== undefined && fields.requestId !== request.id) {
-      // The connection is out of step: what comes next on it belongs to this request, or to nobody.
+      // The next answer on this connection may belong to any request.
       result.discardConnection();
       return { kind: "unknown", reason: RejectionReason.Foreign };
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -49,7 +49,7 @@
 const CONNECTION_SHARE = 0.7;
 /** Requests that one daemon has at a server at most, relative to its slots; more would only wait there. */
 const MAX_REQUESTS_PER_SLOT = 3;
-const HOUSEKEEPING_MS = 500;
+const CLEANUP_MS = 500;
 /** Moves of key ranges in progress; more listeners than this on their signal are a leak. */
 const MAX_MOVES = 500;
 /** More listeners than this on the stop signal are a leak. */
@@ -256,7 +256,7 @@
   void lease.run(stop.signal);
   void fleet.run(stop.signal);
   void reports.run(stop.signal);
-  void repeat(clock, HOUSEKEEPING_MS, stop.signal, keepHouse);
+  void repeat(clock, CLEANUP_MS, stop.signal, forgetGoneServers);
 
   return { isReady, shutDown };
 
@@ -347,7 +347,7 @@
     return load;
   }
 
-  function keepHouse(): void {
+  function forgetGoneServers(): void {
     const services = [...(active?.configuration.services.keys() ?? [])];
     connections.retain(services.flatMap((service) => directory.ofService(service)));
     loads.retain((name) => directory.get(name) !== undefined);
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -252,7 +252,7 @@
     const agent = new Agent({ keepAlive: true, scheduling: "lifo", noDelay: true });
     agent.on("free", (socket: Socket) => {
       idleSince.set(socket, clock.now());
-      // Bytes that come while no request waits belong to none.
+      // Data without a pending request means that the connection is out of step.
       socket.on("data", destroyOnData);
     });
     return agent;
--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -168,11 +168,11 @@
   async function renew(): Promise<number> {
     const { version = 0, lease } = seen ?? {};
     if (lease === undefined) {
-      step("lease unknown");
+      stepDown("lease unknown");
       return 0;
     }
     if (!(await write(version, { ...lease, renewal: lease.renewal + 1 }))) {
-      step("another daemon holds the lease");
+      stepDown("another daemon holds the lease");
       return OBSERVATION_MS;
     }
     return RENEWAL_MS;
@@ -206,7 +206,7 @@
     dayOffset = offset;
   }
 
-  function step(reason: string): void {
+  function stepDown(reason: string): void {
     isElected = false;
     heldUntil = Number.NEGATIVE_INFINITY;
     logger.log(Event.CoordinatorResigned, { reason });
@@ -219,7 +219,7 @@
     if (!isElected || version === undefined || lease === undefined) {
       return;
     }
-    step("resigned");
+    stepDown("resigned");
     try {
       await objects.write(LEASE_PATH, { ...lease, isResigned: true }, version, CallPriority.Ownership);
     } catch (error) {
--- a/src/keyRanges/rangePlanner.ts
+++ b/src/keyRanges/rangePlanner.ts
@@ -22,6 +22,10 @@
 
 /** A server above this multiple of the mean load gives keys away; below it, chance explains the difference. */
 const OVERLOAD_RATIO = 1.3;
+/** A server is faster than chance explains when its capacity is this multiple of another's. */
+const FASTER_RATIO = 1.4;
+/** A cut may overshoot the wanted load by this factor; a single busy key that overshoots more stays where it is. */
+const CUT_TOLERANCE = 1.4;
 /** An excess of this many standard deviations is told from chance. */
 const DEVIATIONS = 2;
 /** Bounds the calls that renew grants: each range needs its own. */
@@ -157,10 +161,11 @@
     .filter((each) => each !== coldest && each.load > OVERLOAD_RATIO * each.share)
     .filter((each) => each.load > each.share + DEVIATIONS * Math.sqrt(each.share))
     .sort((left, right) => right.load / right.share - left.load / left.share);
-  const idle = coldest.ranges.length === 0 ? shares.filter((each) => each.load > 0).sort(byLoad) : [];
-  for (const source of [...sources, ...idle]) {
+  // A server without keys gets some even when no other server is above its share.
+  const donors = coldest.ranges.length === 0 ? shares.filter((each) => each.load > 0).sort(byLoad) : [];
+  for (const source of [...sources, ...donors]) {
     const wanted = Math.min(
-      source === idle[0] ? source.load / 2 : source.load - source.share,
+      source === donors[0] ? source.load / 2 : source.load - source.share,
       coldest.share - coldest.load,
     );
     const cut = cutPiece(source.ranges, wanted, weigh);
@@ -172,9 +177,6 @@
   return findFasterOwner(shares, sources, weigh);
 }
 
-/** A server is faster than chance explains when it does this much more work. */
-const FASTER = 1.4;
-
 interface Share {
   readonly candidate: OwnerCandidate;
   readonly ranges: readonly OwnedRange[];
@@ -198,7 +200,7 @@
   }
   const busiest = [...source.ranges].sort((left, right) => weigh(right) - weigh(left))[0];
   const isAlone = busiest !== undefined && weigh(busiest) > source.share;
-  const isFaster = fastest.candidate.capacity > FASTER * source.candidate.capacity;
+  const isFaster = fastest.candidate.capacity > FASTER_RATIO * source.candidate.capacity;
   if (!isAlone || !isFaster || fastest.load > fastest.share * OVERLOAD_RATIO) {
     return undefined;
   }
@@ -210,9 +212,6 @@
   return right.load - left.load;
 }
 
-/** A cut may overshoot by this much; a single busy key that overshoots more stays where it is. */
-const CUT_TOLERANCE = 1.4;
-
 /** Cuts a piece with about the wanted load from an end of one of the ranges. */
 function cutPiece(
   ranges: readonly OwnedRange[],
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -49,7 +49,7 @@
   ServerCold: event(1601, Severity.Info, "backend server cold; admission ramps from one request"),
   ServerEntry: event(1801, Severity.Info, "backend server entry is new or has another phase"),
   ServerGone: event(1802, Severity.Info, "backend server entry is gone; it gets no new work"),
-  ServerEntryInvalid: event(1803, Severity.Warn, "backend server entry cannot be read; it names no server"),
+  ServerEntryInvalid: event(1803, Severity.Warn, "backend server entry cannot be read; it is ignored"),
   ConfigurationAccepted: event(1811, Severity.Info, "routing configuration in force"),
   ConfigurationRefused: event(
     1812,
