--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -1,7 +1,7 @@
 /** The backend servers that exist, as the object API tells, and whether new work may go to them. */
 import Emittery from "emittery";
 import { type Logger, Event } from "../observability";
-import type { StoredObject } from "../objectStore";
+import { type StoredObject, objectName } from "../objectStore";
 import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
 import { type DiscoveredServer, type ServerDecoder, ServerPhase } from "./types";
 
@@ -71,7 +71,7 @@
     events,
     replaceAll: (objects) => {
       isListed = true;
-      const present = new Set(objects.map((object) => nameOf(object.path)));
+      const present = new Set(objects.map((object) => objectName(object.path)));
       objects.forEach(offer);
       removeAll([...entries.keys()].filter((name) => !present.has(name)));
       publish();
@@ -80,7 +80,7 @@
       graceUntil = clock.now() + OUTAGE_GRACE_MS;
     },
     change: (objects, removed) => {
-      removeAll(removed.map(nameOf));
+      removeAll(removed.map(objectName));
       objects.forEach(offer);
       publish();
     },
@@ -119,7 +119,7 @@
   }
 
   function offer(object: StoredObject): void {
-    const name = nameOf(object.path);
+    const name = objectName(object.path);
     const server = options.decode(name, object.value);
     if (server === undefined) {
       logger.log(Event.ServerEntryInvalid, { server: name, version: object.version });
@@ -186,7 +186,3 @@
   }
   return groups;
 }
-
-function nameOf(path: string): string {
-  return path.slice(path.indexOf("/") + 1);
-}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -180,9 +180,10 @@
     const leftMs = request.deadlineAt - clock.now();
     const objectiveMs = route.objectiveMs ?? leftMs;
     const usefulMs = Math.min(leftMs, objectiveMs) * OBJECTIVE_SHARE;
-    const expectedMs = loads.waitMs(server.name, server.slots) + WORK_MARGIN * loads.workMs(server.name);
+    const waitMs = loads.waitMs(server.name, server.slots);
+    const expectedMs = waitMs + WORK_MARGIN * loads.workMs(server.name);
     // An idle server is never refused work, however slow it is.
-    const isBusy = loads.waitMs(server.name, server.slots) > 0;
+    const isBusy = waitMs > 0;
     if (!connections.hasRoom(server) || (isBusy && expectedMs > usefulMs)) {
       return RejectionReason.Overloaded;
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
   createOwnerTable,
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
-import type { ObjectStore, StoredObject } from "../objectStore";
+import { type ObjectStore, type StoredObject, objectName } from "../objectStore";
 import { Event, type Logger, type Metrics } from "../observability";
 import {
   type Address,
@@ -291,13 +291,13 @@
   }
 
   function replaceExclusions(listed: readonly StoredObject[]): void {
-    setExclusions(new Set(listed.map((object) => nameOf(object.path))));
+    setExclusions(new Set(listed.map((object) => objectName(object.path))));
   }
 
   function changeExclusions(changed: readonly StoredObject[], removed: readonly string[]): void {
     const names = new Set(exclusions);
-    changed.forEach((object) => names.add(nameOf(object.path)));
-    removed.forEach((path) => names.delete(nameOf(path)));
+    changed.forEach((object) => names.add(objectName(object.path)));
+    removed.forEach((path) => names.delete(objectName(path)));
     setExclusions(names);
   }
 
@@ -408,7 +408,3 @@
     stop.abort();
   }
 }
-
-function nameOf(path: string): string {
-  return path.slice(path.indexOf("/") + 1);
-}
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -3,6 +3,7 @@
 import type { Address } from "../types";
 
 export * from "./connectionFields";
+export * from "./readHeader";
 
 /**
  * Binds a server to an address.
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -22,7 +22,7 @@
 import type { KeyLoad } from "./keyLoad";
 import type { OwnerTable } from "./ownerTable";
 import { type OwnerCandidate, type Placement, findRebalance, findUnowned, placeFree } from "./rangePlanner";
-import type { KeyRange, RangeAssignment } from "./types";
+import { type KeyRange, type RangeAssignment, overlaps } from "./types";
 
 /** A small part of the two seconds in which keys must leave a server. */
 const TURN_MS = 100;
@@ -397,7 +397,3 @@
 function isSameRun(server: OwnerCandidate, target: Placement): boolean {
   return server.name === target.server && server.bornAt === target.bornAt;
 }
-
-function overlaps(left: KeyRange, right: KeyRange): boolean {
-  return left.from <= right.to && left.to >= right.from;
-}
--- a/src/keyRanges/grantLedger.ts
+++ b/src/keyRanges/grantLedger.ts
@@ -1,6 +1,6 @@
 /** Remembers until when a backend server may hold keys, by the latest grant that may have reached it. */
 import type { Clock, ServerName } from "../types";
-import type { KeyRange } from "./types";
+import { type KeyRange, overlaps } from "./types";
 
 /** A server's clock that measures a grant may run this much slow. */
 const CLOCK_ERROR = 0.02;
@@ -66,7 +66,7 @@
       let at = Number.NEGATIVE_INFINITY;
       for (const entry of entries) {
         const isOther = entry.server !== server || entry.bornAt !== bornAt;
-        if (isOther && entry.from <= range.to && entry.to >= range.from) {
+        if (isOther && overlaps(entry, range)) {
           at = Math.max(at, entry.until);
         }
       }
@@ -80,7 +80,7 @@
 
 /** What is left of an entry without a range. */
 function subtract(entry: Entry, range: KeyRange): Entry[] {
-  if (entry.to < range.from || entry.from > range.to) {
+  if (!overlaps(entry, range)) {
     return [entry];
   }
   const left = entry.from < range.from ? [{ ...entry, to: range.from - 1 }] : [];
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -11,6 +11,17 @@
   readonly to: number;
 }
 
+/**
+ * Tells whether two ranges share a key.
+ *
+ * @param left - One range.
+ * @param right - The other range.
+ * @returns True when they do.
+ */
+export function overlaps(left: KeyRange, right: KeyRange): boolean {
+  return left.from <= right.to && left.to >= right.from;
+}
+
 /** A range and the run of the backend server that owns it. */
 export interface OwnedRange extends KeyRange {
   readonly server: ServerName;
--- a/src/objectStore/types.ts
+++ b/src/objectStore/types.ts
@@ -60,3 +60,13 @@
   /** Reads the list. */
   list(): Promise<readonly VmRecord[]>;
 }
+
+/**
+ * Gives the name of an object, which is the part of its path after its kind.
+ *
+ * @param path - Path of the object.
+ * @returns The name.
+ */
+export function objectName(path: string): string {
+  return path.slice(path.indexOf("/") + 1);
+}
--- a/src/routing/headers.ts
+++ b/src/routing/headers.ts
@@ -1,6 +1,8 @@
 /** Header fields that hemlockbank reads or writes. */
 import type { IncomingHttpHeaders } from "node:http";
 import { connectionFields } from "../http";
+
+export { readHeader } from "../http";
 import type { Headers } from "../types";
 
 /** Names of header fields. */
@@ -53,15 +55,3 @@
   }
   return new Set(connection.split(",").map((name) => name.trim().toLowerCase()));
 }
-
-/**
- * Reads a field that must stand at most once.
- *
- * @param headers - The fields.
- * @param name - Name of the field.
- * @returns Its value, or undefined.
- */
-export function readHeader(headers: Headers | IncomingHttpHeaders, name: string): string | undefined {
-  const value = headers[name];
-  return Array.isArray(value) ? value[0] : value;
-}
