--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -412,3 +412,20 @@
     expect(assignment.nextToken).toBe(8);
   });
 });
+
+describe("key load", () => {
+  test("requests count half after each half-life, over any number of rescalings", async () => {
+    const clock = createFakeClock();
+    const load = createKeyLoad(clock);
+    const all = { from: 0, to: LAST_KEY };
+    load.record(100, 64);
+    await clock.advance(2500);
+    load.record(40_000, 32);
+    expect(load.of(all)).toBeCloseTo(64);
+    expect(load.of({ from: 0, to: 4095 })).toBeCloseTo(32);
+    await clock.advance(22_500);
+    load.record(100, 1);
+    expect(load.of({ from: 40_000, to: 40_015 })).toBeCloseTo(32 / 512);
+    expect(load.of({ from: 96, to: 111 })).toBeCloseTo(1 + 32 / 512);
+  });
+});
