--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -1,9 +1,15 @@
 /** Watches all objects under one prefix of the object store: lists them once, then watches for changes. */
 import murmurhash from "murmurhash";
 import { HistoryGoneError, describeError } from "../errors";
-import { CallPriority, Freshness, type ObjectStore, type StoredObject } from "../objectStore";
+import {
+  CallPriority,
+  Freshness,
+  type ObjectChanges,
+  type ObjectStore,
+  type StoredObject,
+} from "../objectStore";
 import { Event, type Logger } from "../observability";
-import { type Clock, sleep } from "../types";
+import { type Clock, type Version, sleep } from "../types";
 
 /** Bounds the calls while nothing changes: one call per prefix in this time. */
 const WATCH_WAIT_MS = 25_000;
@@ -62,6 +68,9 @@
   let failures = 0;
   let mustPoll = false;
   let pendingWatch: AbortController | undefined;
+  /** Kind and start of the latest call, for logs. */
+  let currentCall: "list" | "watch" | "poll" = "list";
+  let callStartedAt = clock.now();
 
   return {
     prefix,
@@ -90,33 +99,40 @@
   };
 
   async function listOrWatch(signal: AbortSignal): Promise<void> {
+    callStartedAt = clock.now();
     if (since === undefined) {
+      currentCall = "list";
       const listed = await objects.list(prefix, CallPriority.Configuration);
       recordSuccess();
       mustPoll = false;
       versions.clear();
       listed.objects.forEach(recordVersion);
       options.onList(listed.objects);
+      logRead(listed, since);
       since = listed.version;
       return;
     }
     const changes = await watchOrPoll(since, signal);
     recordSuccess();
     mustPoll = false;
+    const previous = since;
     since = Math.max(since, changes.version);
     const removed = changes.removed ?? [];
     if (changes.objects.length + removed.length > 0) {
       changes.objects.forEach(recordVersion);
       removed.forEach((path) => versions.delete(path));
       options.onChange(changes.objects, removed);
+      logRead(changes, previous);
       await sleep(clock, pauseMs, signal);
     }
   }
 
   async function watchOrPoll(from: number, signal: AbortSignal) {
     if (failures > 0 || mustPoll) {
+      currentCall = "poll";
       return objects.watch(prefix, from, 0, signal);
     }
+    currentCall = "watch";
     const current = new AbortController();
     pendingWatch = current;
     try {
@@ -134,6 +150,19 @@
     versions.set(object.path, object.version);
   }
 
+  function logRead(changes: ObjectChanges, from: Version | undefined): void {
+    logger.log(Event.StateRead, {
+      prefix,
+      call: currentCall,
+      objects: changes.objects.length,
+      bytes: changes.transfer?.bytes,
+      transferMs: changes.transfer === undefined ? undefined : Math.round(changes.transfer.durationMs),
+      tookMs: Math.round(clock.now() - callStartedAt),
+      from,
+      version: changes.version,
+    });
+  }
+
   function recordSuccess(): void {
     if (failures > 0) {
       logger.log(Event.PlatformAvailable, { prefix, failures });
@@ -152,6 +181,13 @@
       return;
     }
     failures += 1;
+    logger.log(Event.StateReadFailed, {
+      prefix,
+      call: currentCall,
+      failures,
+      tookMs: Math.round(clock.now() - callStartedAt),
+      error: describeError(error),
+    });
     if (failures === 1) {
       logger.log(Event.PlatformUnavailable, { prefix, error: describeError(error) });
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
 import type { ObjectStore } from "../objectStore";
-import { Event, type Logger, type Metrics } from "../observability";
+import { Event, type Logger, type Metrics, watchLoopDelay } from "../observability";
 import {
   type Address,
   type Clock,
@@ -287,6 +287,7 @@
       lease.confirm(version);
     },
   });
+  watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
   watchers.forEach((watcher) => void watcher.run(stop.signal));
   void freshness.run(stop.signal);
   void lease.run(stop.signal);
--- a/src/objectStore/types.ts
+++ b/src/objectStore/types.ts
@@ -13,6 +13,13 @@
   | { readonly kind: "written"; readonly version: Version }
   | { readonly kind: "conflict"; readonly current: StoredObject | undefined };
 
+/** Transfer of an answer, without the wait for it. */
+export interface Transfer {
+  readonly bytes: number;
+  /** Time from the head of the answer to its end, in milliseconds. */
+  readonly durationMs: number;
+}
+
 /** Listed or changed objects, as of a version. */
 export interface ObjectChanges {
   readonly objects: readonly StoredObject[];
@@ -20,6 +27,8 @@
   readonly removed?: readonly string[];
   /** Highest version in the object store at the time of the answer. */
   readonly version: Version;
+  /** Undefined when the adapter does not measure it. */
+  readonly transfer?: Transfer;
 }
 
 /** Priority of a platform call that waits for the rate limiter; a lower number goes first. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -31,6 +31,8 @@
     Severity.Warn,
     "change history no longer available; listing the objects again",
   ),
+  StateRead: defineEvent(1104, Severity.Info, "changed objects read from the platform"),
+  StateReadFailed: defineEvent(1105, Severity.Warn, "objects could not be read from the platform"),
   SnapshotAccepted: defineEvent(1201, Severity.Info, "newer snapshot accepted"),
   SnapshotInvalid: defineEvent(1202, Severity.Error, "snapshot rejected: invalid content"),
   MemberAlive: defineEvent(1301, Severity.Info, "member alive"),
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -4,4 +4,5 @@
 export * from "./events";
 export * from "./lineOutput";
 export * from "./logger";
+export * from "./loopDelay";
 export * from "./metrics";
--- a/test/observability.test.ts
+++ b/test/observability.test.ts
@@ -7,6 +7,8 @@
   createCounters,
   createLineOutput,
   createMetrics,
+  silentLogger,
+  watchLoopDelay,
 } from "../src/observability";
 import { createFakeClock } from "./support/fakeClock";
 
@@ -57,6 +59,31 @@
   });
 });
 
+describe("loop delay", () => {
+  test("a timer that runs 300 ms late is logged, and is the longest delay until the next scrape", async () => {
+    const clock = createFakeClock();
+    let shiftMs = 0;
+    const lines: (EventDetail | undefined)[] = [];
+    const metrics = createMetrics(createCounters("test"));
+    const stop = new AbortController();
+    watchLoopDelay({
+      clock: { ...clock, now: () => clock.now() + shiftMs },
+      logger: { ...silentLogger, log: (_kind, detail) => lines.push(detail) },
+      metrics,
+      signal: stop.signal,
+    });
+    await clock.advance(1000);
+    expect(lines).toEqual([]);
+    shiftMs = 300;
+    await clock.advance(100);
+    expect(lines).toEqual([{ pausedMs: 300 }]);
+    expect(await metrics.render()).toContain('hemlockbank_event_loop_delay_ms{name="max"} 300');
+    await clock.advance(100);
+    expect(await metrics.render()).toContain('hemlockbank_event_loop_delay_ms{name="max"} 0');
+    stop.abort();
+  });
+});
+
 describe("metrics", () => {
   test("counters, histograms and gauges are rendered in the Prometheus text format", async () => {
     const metrics = createMetrics(createCounters("test"));
