Reproduce CONFIG: failing tests of a configuration that reaches a daemon on a slow link late or never

What callers saw: routes served or refused as an older configuration says, seconds after the newer one was confirmed.

--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { afterEach, describe, expect, test } from "vitest";
+import { afterEach, describe, expect, test, vi } from "vitest";
 import { decodeConfiguration, decodeServer } from "../platform/decoding";
 import { createWireKeyControl } from "../platform/keyControl";
 import { createWireObjectStore } from "../platform/objectStore";
@@ -13,6 +13,7 @@
 import { type DiscoveredServer, ServerPhase } from "../src/discovery";
 import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
 import { CallPriority } from "../src/objectStore";
+import { createFakeClock, flushPromises } from "./support/fakeClock";
 
 const settings = `
 [self]
@@ -282,6 +283,79 @@
     await store.close();
   });
 
+  /**
+   * Starts a store whose answer to any call comes in two halves: the second one when `sendRest` is called.
+   * `schedule` of the clock is called once for each timeout that the client sets.
+   */
+  async function startTransfer() {
+    const content = JSON.stringify({ events: [{ object, deleted: false }], currentRev: 10 });
+    let pending: ServerResponse | undefined;
+    const port = await startHttpServer((_request, _body, response) => {
+      pending = response;
+      response.write(content.slice(0, 20));
+    });
+    const clock = createFakeClock();
+    let timeouts = 0;
+    const store = createWireObjectStore(
+      { host: "127.0.0.1", port },
+      {
+        ...clock,
+        schedule: (delayMs, callback) => {
+          timeouts += 1;
+          return clock.schedule(delayMs, callback);
+        },
+      },
+    );
+    /** Resolves when the first half has been sent and read, as far as the client shows that. */
+    const waitForFirstHalf = async () => {
+      await vi.waitUntil(() => pending !== undefined);
+      for (let turn = 0; turn < 200 && timeouts < 2; turn += 1) {
+        await flushPromises();
+      }
+    };
+    return { store, clock, waitForFirstHalf, sendRest: () => pending?.end(content.slice(20)) };
+  }
+
+  // Guards against giving up a large answer on a slow link, again and again, by a time limit on the whole transfer.
+  test("an answer that keeps arriving is read to its end, however long that takes", async () => {
+    const { store, clock, waitForFirstHalf, sendRest } = await startTransfer();
+    const changes = store.watch("kind/", 1, 0, new AbortController().signal);
+    const result = changes.then(
+      (each) => each.version,
+      (error: unknown) => error,
+    );
+    await clock.advance(600);
+    await waitForFirstHalf();
+    await clock.advance(600);
+    sendRest();
+    expect(await result).toBe(10);
+    await store.close();
+  });
+
+  // Guards against cancelling the transfer of the very changes that a lagging daemon is asked to read.
+  test("a cancelled watch whose answer is arriving still returns it", async () => {
+    const { store, waitForFirstHalf, sendRest } = await startTransfer();
+    const cancel = new AbortController();
+    const result = store.watch("kind/", 1, 25_000, cancel.signal).then(
+      (each) => each.version,
+      (error: unknown) => error,
+    );
+    await waitForFirstHalf();
+    cancel.abort();
+    sendRest();
+    expect(await result).toBe(10);
+    await store.close();
+  });
+
+  test("an answer that stops arriving fails the call", async () => {
+    const { store, clock, waitForFirstHalf } = await startTransfer();
+    const result = store.watch("kind/", 1, 0, new AbortController().signal).catch((error: unknown) => error);
+    await waitForFirstHalf();
+    await clock.advance(1000);
+    expect(await result).toBeInstanceOf(PlatformUnavailableError);
+    await store.close();
+  });
+
   const errorResponses: readonly (readonly [status: number, error: unknown])[] = [
     [429, PlatformUnavailableError],
     [503, PlatformUnavailableError],
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -15,10 +15,10 @@
 import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
 import { createAssignmentFeed, createOwnerTable } from "../src/keyRanges";
 import { createDatagramChannel } from "../src/membership";
-import { Freshness, type ObjectChanges, type ObjectStore } from "../src/objectStore";
+import { Freshness, type ObjectChanges, type ObjectStore, type StoredObject } from "../src/objectStore";
 import { createCounters, silentLogger } from "../src/observability";
-import type { Address } from "../src/types";
-import { createFakeClock } from "./support/fakeClock";
+import { type Address, sleep } from "../src/types";
+import { type FakeClock, createFakeClock } from "./support/fakeClock";
 
 const counters = createCounters("test");
 
@@ -214,6 +214,78 @@
   });
 });
 
+/**
+ * Creates an object store with one object, behind a link on which each copy of the object takes `copyMs`. A
+ * watch returns every version since the requested one. A series of changes starts on `changeEvery`.
+ */
+function createLinkedStore(clock: FakeClock, copyMs: number) {
+  const path = "config/main";
+  const history: StoredObject[] = [{ path, version: 1, value: 1 }];
+  const getLatest = () => history.at(-1) ?? { path, version: 1, value: 1 };
+  const answer = async (objects: readonly StoredObject[]): Promise<ObjectChanges> => {
+    const durationMs = objects.length * copyMs;
+    const { version } = getLatest();
+    await sleep(clock, durationMs);
+    return { objects: objects.slice(-1), version, transfer: { bytes: objects.length * 1000, durationMs } };
+  };
+  const store: ObjectStore = {
+    read: () => Promise.resolve(undefined),
+    write: () => Promise.resolve({ kind: "written", version: 1 }),
+    list: () => answer([getLatest()]),
+    watch: async (_prefix, since, waitMs, signal) => {
+      const endAt = clock.now() + waitMs;
+      while (getLatest().version <= since && clock.now() < endAt && !signal.aborted) {
+        await sleep(clock, 10, signal);
+      }
+      return answer(history.filter((object) => object.version > since));
+    },
+  };
+  return {
+    store,
+    changeEvery: async (intervalMs: number, count: number) => {
+      for (let change = 0; change < count; change += 1) {
+        const version = getLatest().version + 1;
+        history.push({ path, version, value: version });
+        await clock.advance(intervalMs);
+      }
+    },
+  };
+}
+
+describe("prefix watcher on a slow link", () => {
+  /** Time within which a configuration must be in force everywhere. */
+  const IN_FORCE_WITHIN_MS = 2000;
+
+  // Guards against replaying a history whose transfer takes longer than the changes it reports.
+  test("the last of a quick series of large changes is in force within two seconds", async () => {
+    const clock = createFakeClock();
+    const { store, changeEvery } = createLinkedStore(clock, 300);
+    const stop = new AbortController();
+    let latest = 0;
+    const update = (objects: readonly StoredObject[]) => {
+      latest = objects.at(-1)?.version ?? latest;
+    };
+    const watcher = createPrefixWatcher({
+      objects: store,
+      prefix: "config/",
+      pauseMs: 250,
+      isFreshnessChecked: () => false,
+      clock,
+      logger: silentLogger,
+      random: () => 0.5,
+      onList: update,
+      onChange: update,
+    });
+    void watcher.run(stop.signal);
+    await clock.advance(2000);
+    expect(latest).toBe(1);
+    await changeEvery(80, 25);
+    await clock.advance(IN_FORCE_WITHIN_MS);
+    expect(latest).toBe(26);
+    stop.abort();
+  });
+});
+
 /** Creates an in-memory network for datagrams between daemons. */
 function createNetwork() {
   const receivers = new Map<number, (content: Uint8Array) => void>();
