--- a/src/objectStore/types.ts
+++ b/src/objectStore/types.ts
@@ -51,8 +51,8 @@
   /** Lists the objects whose path starts with `prefix`. */
   list(prefix: string, priority: CallPriority, freshness?: Freshness): Promise<ObjectChanges>;
   /**
-   * Waits up to `waitMs` for changes after `since` under `prefix`. Throws HistoryGoneError when the
-   * store no longer has the changes since then. A stale watch may miss changes of the last seconds, which a
+   * Waits up to `waitMs` for changes after `since` under `prefix`; aborting the signal ends the wait, but not
+   * the transfer of an answer that has started. Throws HistoryGoneError when the store no longer has the changes since then. A stale watch may miss changes of the last seconds, which a
    * later one reports.
    */
   watch(
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -283,10 +283,7 @@
     await store.close();
   });
 
-  /**
-   * Starts a store whose answer to any call comes in two halves: the second one when `sendRest` is called.
-   * `schedule` of the clock is called once for each timeout that the client sets.
-   */
+  /** Starts a store whose answer comes in pieces: the first one at once, the next ones when they are sent. */
   async function startTransfer() {
     const content = JSON.stringify({ events: [{ object, deleted: false }], currentRev: 10 });
     let pending: ServerResponse | undefined;
@@ -296,36 +293,45 @@
     });
     const clock = createFakeClock();
     let timeouts = 0;
-    const store = createWireObjectStore(
-      { host: "127.0.0.1", port },
-      {
-        ...clock,
-        schedule: (delayMs, callback) => {
-          timeouts += 1;
-          return clock.schedule(delayMs, callback);
-        },
+    const countingClock = {
+      ...clock,
+      schedule: (delayMs: number, callback: () => void) => {
+        timeouts += 1;
+        return clock.schedule(delayMs, callback);
       },
-    );
-    /** Resolves when the first half has been sent and read, as far as the client shows that. */
-    const waitForFirstHalf = async () => {
-      await vi.waitUntil(() => pending !== undefined);
-      for (let turn = 0; turn < 200 && timeouts < 2; turn += 1) {
+    };
+    const store = createWireObjectStore({ host: "127.0.0.1", port }, countingClock);
+    const waitForHead = () => vi.waitUntil(() => pending !== undefined);
+    let pieces = 0;
+    /** Waits until the client has read what was sent: it sets three timeouts before, and one for each piece. */
+    const waitForPiece = async () => {
+      pieces += 1;
+      for (let turn = 0; turn < 1000 && timeouts < pieces + 3; turn += 1) {
         await flushPromises();
       }
     };
-    return { store, clock, waitForFirstHalf, sendRest: () => pending?.end(content.slice(20)) };
+    return {
+      store,
+      clock,
+      waitForFirstPiece: () => waitForHead().then(waitForPiece),
+      sendPiece: async () => {
+        pending?.write(content.slice(20, 40));
+        await waitForPiece();
+      },
+      sendRest: () => pending?.end(content.slice(40)),
+    };
   }
 
   // Guards against giving up a large answer on a slow link, again and again, by a time limit on the whole transfer.
   test("an answer that keeps arriving is read to its end, however long that takes", async () => {
-    const { store, clock, waitForFirstHalf, sendRest } = await startTransfer();
-    const changes = store.watch("kind/", 1, 0, new AbortController().signal);
-    const result = changes.then(
+    const { store, clock, waitForFirstPiece, sendPiece, sendRest } = await startTransfer();
+    const result = store.watch("kind/", 1, 0, new AbortController().signal).then(
       (each) => each.version,
       (error: unknown) => error,
     );
+    await waitForFirstPiece();
     await clock.advance(600);
-    await waitForFirstHalf();
+    await sendPiece();
     await clock.advance(600);
     sendRest();
     expect(await result).toBe(10);
@@ -334,23 +340,24 @@
 
   // Guards against cancelling the transfer of the very changes that a lagging daemon is asked to read.
   test("a cancelled watch whose answer is arriving still returns it", async () => {
-    const { store, waitForFirstHalf, sendRest } = await startTransfer();
+    const { store, waitForFirstPiece, sendRest, sendPiece } = await startTransfer();
     const cancel = new AbortController();
     const result = store.watch("kind/", 1, 25_000, cancel.signal).then(
       (each) => each.version,
       (error: unknown) => error,
     );
-    await waitForFirstHalf();
+    await waitForFirstPiece();
     cancel.abort();
+    await sendPiece();
     sendRest();
     expect(await result).toBe(10);
     await store.close();
   });
 
   test("an answer that stops arriving fails the call", async () => {
-    const { store, clock, waitForFirstHalf } = await startTransfer();
+    const { store, clock, waitForFirstPiece } = await startTransfer();
     const result = store.watch("kind/", 1, 0, new AbortController().signal).catch((error: unknown) => error);
-    await waitForFirstHalf();
+    await waitForFirstPiece();
     await clock.advance(1000);
     expect(await result).toBeInstanceOf(PlatformUnavailableError);
     await store.close();
