Read the state in place of its history while large objects change in quick succession

What callers saw: CONFIG; configurations late in force at daemons on small links while several changes followed each other. Cause: a watch returns each version since the last one in full. On a slow link its transfer takes longer than the pause until the next change, so each answer holds more copies than the one before. Change: after an answer of at least 64 KiB and the size of the whole state, the watcher lists until a list shows no change, then watches from its version. Cost: one more list after a single change of a large configuration.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -1,4 +1,7 @@
-/** Watches all objects under one prefix of the object store: lists them once, then watches for changes. */
+/**
+ * Watches all objects under one prefix of the object store: lists them once, then watches for changes. While
+ * large objects change in quick succession it lists them again, since a watch returns each version in full.
+ */
 import murmurhash from "murmurhash";
 import { HistoryGoneError, describeError } from "../errors";
 import {
@@ -17,6 +20,8 @@
 const RETRY_BASE_MS = 100;
 /** Maximum of the backoff before jitter, so that a recovered store is noticed within about a second. */
 const MAX_RETRY_MS = 700;
+/** A smaller answer takes less time on a link of 10 Mbit/s than the pause after it. */
+const LARGE_HISTORY_BYTES = 65_536;
 
 /** A refresh cancelled the pending watch; this is not a failure of the store. */
 class WatchCancelledError extends Error {}
@@ -67,6 +72,9 @@
   let since: number | undefined;
   let failures = 0;
   let mustPoll = false;
+  /** The state is read again instead of its history, which is at least as large. */
+  let mustList = false;
+  let stateBytes = 0;
   let pendingWatch: AbortController | undefined;
   /** Kind and start of the latest call, for logs. */
   let currentCall: "list" | "watch" | "poll" = "list";
@@ -74,13 +82,7 @@
 
   return {
     prefix,
-    computeDigest: () => {
-      let digest = 0;
-      for (const [path, version] of versions) {
-        digest ^= murmurhash.v3(`${path}@${version}`);
-      }
-      return digest >>> 0;
-    },
+    computeDigest,
     refresh: () => {
       if (pendingWatch !== undefined) {
         mustPoll = true;
@@ -90,7 +92,7 @@
     run: async (signal) => {
       while (!signal.aborted) {
         try {
-          await listOrWatch(signal);
+          await readNext(signal);
         } catch (error) {
           await handleFailure(error, signal);
         }
@@ -98,33 +100,52 @@
     },
   };
 
-  async function listOrWatch(signal: AbortSignal): Promise<void> {
+  async function readNext(signal: AbortSignal): Promise<void> {
     callStartedAt = clock.now();
-    if (since === undefined) {
-      currentCall = "list";
-      const listed = await objects.list(prefix, CallPriority.Configuration);
-      recordSuccess();
-      mustPoll = false;
-      versions.clear();
-      listed.objects.forEach(recordVersion);
+    const hasChanged = since === undefined || mustList ? await listState() : await readHistory(since, signal);
+    if (hasChanged) {
+      await sleep(clock, pauseMs, signal);
+    }
+  }
+
+  /** Lists all objects. Returns whether they differ from those known before. */
+  async function listState(): Promise<boolean> {
+    currentCall = "list";
+    const listed = await objects.list(prefix, CallPriority.Configuration);
+    recordSuccess();
+    mustPoll = false;
+    stateBytes = listed.transfer?.bytes ?? 0;
+    const isFirst = since === undefined;
+    const digest = computeDigest();
+    versions.clear();
+    listed.objects.forEach(recordVersion);
+    const hasChanged = digest !== computeDigest();
+    if (isFirst || hasChanged) {
       options.onList(listed.objects);
       logRead(listed, since);
-      since = listed.version;
-      return;
     }
-    const changes = await watchOrPoll(since, signal);
+    // Changes in quick succession are read as state until they end: their history would be larger each time.
+    mustList = !isFirst && hasChanged;
+    since = listed.version;
+    return mustList;
+  }
+
+  /** Reads the changes since a version. Returns whether there are any. */
+  async function readHistory(from: Version, signal: AbortSignal): Promise<boolean> {
+    const changes = await watchOrPoll(from, signal);
     recordSuccess();
     mustPoll = false;
-    const previous = since;
-    since = Math.max(since, changes.version);
+    since = Math.max(from, changes.version);
     const removed = changes.removed ?? [];
-    if (changes.objects.length + removed.length > 0) {
-      changes.objects.forEach(recordVersion);
-      removed.forEach((path) => versions.delete(path));
-      options.onChange(changes.objects, removed);
-      logRead(changes, previous);
-      await sleep(clock, pauseMs, signal);
+    if (changes.objects.length + removed.length === 0) {
+      return false;
     }
+    changes.objects.forEach(recordVersion);
+    removed.forEach((path) => versions.delete(path));
+    options.onChange(changes.objects, removed);
+    logRead(changes, from);
+    mustList = (changes.transfer?.bytes ?? 0) >= Math.max(stateBytes, LARGE_HISTORY_BYTES);
+    return true;
   }
 
   async function watchOrPoll(from: number, signal: AbortSignal) {
@@ -146,6 +167,14 @@
     }
   }
 
+  function computeDigest(): number {
+    let digest = 0;
+    for (const [path, version] of versions) {
+      digest ^= murmurhash.v3(`${path}@${version}`);
+    }
+    return digest >>> 0;
+  }
+
   function recordVersion(object: StoredObject): void {
     versions.set(object.path, object.version);
   }
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -215,18 +215,20 @@
 });
 
 /**
- * Creates an object store with one object, behind a link on which each copy of the object takes `copyMs`. A
- * watch returns every version since the requested one. A series of changes starts on `changeEvery`.
+ * Creates an object store with one object of `objectBytes` behind a link of 10 Mbit/s. A watch returns every
+ * version since the requested one.
  */
-function createLinkedStore(clock: FakeClock, copyMs: number) {
+function createLinkedStore(clock: FakeClock, objectBytes: number) {
+  const LINK_BYTES_PER_MS = 1250;
   const path = "config/main";
   const history: StoredObject[] = [{ path, version: 1, value: 1 }];
   const getLatest = () => history.at(-1) ?? { path, version: 1, value: 1 };
   const answer = async (objects: readonly StoredObject[]): Promise<ObjectChanges> => {
-    const durationMs = objects.length * copyMs;
+    const bytes = objects.length * objectBytes;
+    const durationMs = bytes / LINK_BYTES_PER_MS;
     const { version } = getLatest();
     await sleep(clock, durationMs);
-    return { objects: objects.slice(-1), version, transfer: { bytes: objects.length * 1000, durationMs } };
+    return { objects: objects.slice(-1), version, transfer: { bytes, durationMs } };
   };
   const store: ObjectStore = {
     read: () => Promise.resolve(undefined),
@@ -259,7 +261,7 @@
   // Guards against replaying a history whose transfer takes longer than the changes it reports.
   test("the last of a quick series of large changes is in force within two seconds", async () => {
     const clock = createFakeClock();
-    const { store, changeEvery } = createLinkedStore(clock, 300);
+    const { store, changeEvery } = createLinkedStore(clock, 375_000);
     const stop = new AbortController();
     let latest = 0;
     const update = (objects: readonly StoredObject[]) => {
