Reject an answer by its head, and bound what is read of an answer that never ends

Cause: the body of an answer was read before its head was judged. An unsigned answer or a refusal without an end kept its connection for good (1 MiB was read, the rest stayed unread), interim answers without an end cost processor time until the deadline, and a control call drained its answer however long it was.

--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -1,7 +1,7 @@
 /** Classifies how an attempt at a backend server ended, and records what it shows about the server. */
 import type { IncomingMessage } from "node:http";
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
-import { RejectionReason } from "./dispatchTypes";
+import { RejectionReason, type UnansweredAttempt } from "./dispatchTypes";
 import type { ServerFields, ServerProtocol } from "./protocols";
 import type { AnswerBody, SendResult } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
@@ -11,8 +11,7 @@
   | { readonly kind: "answered"; readonly message: IncomingMessage; readonly body: AnswerBody }
   /** The server answered with an error of its own. */
   | { readonly kind: "failed"; readonly message: IncomingMessage; readonly body: AnswerBody }
-  | { readonly kind: "notRun"; readonly reason: RejectionReason }
-  | { readonly kind: "unknown"; readonly reason: RejectionReason };
+  | UnansweredAttempt;
 
 const FIRST_SERVER_ERROR_STATUS = 500;
 const HTTP_MISDIRECTED = 421;
@@ -22,13 +21,17 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Classifies the result of one attempt. */
-export type AttemptClassifier = (
-  requestId: string,
-  server: DiscoveredServer,
-  result: SendResult,
-  latencyMs: number,
-) => AttemptResult;
+/** Classifies attempts. */
+export interface AttemptClassifier {
+  /** Returns why an answer is not returned to the caller, from its head; undefined when it is. */
+  findRejection(
+    requestId: string,
+    server: DiscoveredServer,
+    head: IncomingMessage,
+  ): UnansweredAttempt | undefined;
+  /** Classifies the result of an attempt that took `latencyMs` milliseconds. */
+  classify(server: DiscoveredServer, result: SendResult, latencyMs: number): AttemptResult;
+}
 
 /** Options for {@link createAttemptClassifier}. */
 export interface AttemptClassifierOptions {
@@ -46,14 +49,37 @@
 export function createAttemptClassifier(options: AttemptClassifierOptions): AttemptClassifier {
   const { directory, loads, protocol } = options;
 
-  return classify;
+  return { findRejection, classify };
 
-  function classify(
+  function findRejection(
     requestId: string,
     server: DiscoveredServer,
-    result: SendResult,
-    latencyMs: number,
-  ): AttemptResult {
+    head: IncomingMessage,
+  ): UnansweredAttempt | undefined {
+    const status = head.statusCode ?? 0;
+    const fields = protocol.read(status, head.headers);
+    if (fields.requestId !== undefined && fields.requestId !== requestId) {
+      return { kind: "unknown", reason: RejectionReason.Foreign };
+    }
+    if (fields.answeredBy !== undefined && fields.answeredBy !== server.name) {
+      loads.recordReplaced(server.name);
+    } else {
+      recordFields(server, fields);
+    }
+    if (fields.isNotRun) {
+      return {
+        kind: "notRun",
+        reason: status === HTTP_MISDIRECTED ? RejectionReason.OwnerUnusable : RejectionReason.Shed,
+      };
+    }
+    if (!fields.isSigned || head.headers["content-encoding"] !== undefined || NOT_RUN_STATUSES.has(status)) {
+      loads.recordFailure(server.name);
+      return { kind: "unknown", reason: RejectionReason.Unsigned };
+    }
+    return undefined;
+  }
+
+  function classify(server: DiscoveredServer, result: SendResult, latencyMs: number): AttemptResult {
     switch (result.kind) {
       case "notSent":
         loads.recordUnreachable(server.name);
@@ -66,47 +92,21 @@
         return { kind: "unknown", reason: RejectionReason.Late };
       case "abandoned":
         return { kind: "unknown", reason: RejectionReason.Abandoned };
+      case "rejected":
+        return result.rejection;
       case "answered":
-        return classifyAnswer(requestId, server, result, latencyMs);
+        return classifyAnswer(server, result, latencyMs);
       default:
         return result satisfies never;
     }
   }
 
   function classifyAnswer(
-    requestId: string,
     server: DiscoveredServer,
-    result: Extract<SendResult, { kind: "answered" }>,
+    { message, body }: Extract<SendResult, { kind: "answered" }>,
     latencyMs: number,
   ): AttemptResult {
-    const { message, body } = result;
-    const status = message.statusCode ?? 0;
-    const fields = protocol.read(status, message.headers);
-    if (fields.requestId !== undefined && fields.requestId !== requestId) {
-      // Answers no longer match requests on this connection, so the next one may belong to any request.
-      result.discardConnection();
-      return { kind: "unknown", reason: RejectionReason.Foreign };
-    }
-    if (fields.answeredBy !== undefined && fields.answeredBy !== server.name) {
-      loads.recordReplaced(server.name);
-    } else {
-      recordFields(server, fields);
-    }
-    if (fields.isNotRun) {
-      return {
-        kind: "notRun",
-        reason: status === HTTP_MISDIRECTED ? RejectionReason.OwnerUnusable : RejectionReason.Shed,
-      };
-    }
-    if (
-      !fields.isSigned ||
-      message.headers["content-encoding"] !== undefined ||
-      NOT_RUN_STATUSES.has(status)
-    ) {
-      loads.recordFailure(server.name);
-      return { kind: "unknown", reason: RejectionReason.Unsigned };
-    }
-    if (status >= FIRST_SERVER_ERROR_STATUS) {
+    if ((message.statusCode ?? 0) >= FIRST_SERVER_ERROR_STATUS) {
       loads.recordFailure(server.name);
       return { kind: "failed", message, body };
     }
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -21,6 +21,13 @@
 } as const;
 export type RejectionReason = (typeof RejectionReason)[keyof typeof RejectionReason];
 
+/** An attempt at a backend server that got no answer which could be returned to the caller. */
+export type UnansweredAttempt =
+  /** The server has not run the request and will not run it. */
+  | { readonly kind: "notRun"; readonly reason: RejectionReason }
+  /** The server may have run the request. */
+  | { readonly kind: "unknown"; readonly reason: RejectionReason };
+
 /** A request whose route and service have been determined. */
 export interface RoutedRequest {
   readonly id: string;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -99,7 +99,7 @@
     counters,
   } = options;
 
-  const classify = createAttemptClassifier(options);
+  const classifier = createAttemptClassifier(options);
 
   return async (request) => {
     const { route, service } = request;
@@ -235,8 +235,9 @@
         isIdempotent,
         deadlineAt: request.deadlineAt,
         signal: request.signal,
+        findRejection: (head) => classifier.findRejection(request.id, server, head),
       });
-      return classify(request.id, server, result, clock.now() - startedAt);
+      return classifier.classify(server, result, clock.now() - startedAt);
     } finally {
       finish();
     }
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -9,7 +9,9 @@
 import type { Socket } from "node:net";
 import type { DiscoveredServer } from "../discovery";
 import { describeError } from "../errors";
+import { discardBody } from "../http";
 import { type Clock, formatAddress } from "../types";
+import type { UnansweredAttempt } from "./dispatchTypes";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -25,6 +27,8 @@
 const MAX_IDLE_UNSAFE_MS = 250;
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
 const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
+/** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
+const MAX_INTERIM_ANSWERS = 16;
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
@@ -40,6 +44,8 @@
   readonly deadlineAt: number;
   /** Aborted when the caller no longer waits for the answer. */
   readonly signal: AbortSignal;
+  /** Returns why an answer is not returned to the caller; its body is not waited for then. */
+  readonly findRejection: (head: IncomingMessage) => UnansweredAttempt | undefined;
 }
 
 /** Body of an answer. */
@@ -55,9 +61,9 @@
       readonly kind: "answered";
       readonly message: IncomingMessage;
       readonly body: AnswerBody;
-      /** Closes the connection instead of reusing it: its next bytes may belong to any request. */
-      readonly discardConnection: () => void;
     }
+  /** The head of the answer was rejected. */
+  | { readonly kind: "rejected"; readonly rejection: UnansweredAttempt }
   /** No byte of the request has been sent. */
   | { readonly kind: "notSent"; readonly detail: string }
   /** The connection failed or the answer was cut short; the request may have run. */
@@ -168,9 +174,22 @@
       clientRequest.on("error", (error) => {
         fail(describeError(error));
       });
+      let interimAnswers = 0;
+      clientRequest.on("information", () => {
+        interimAnswers += 1;
+        if (interimAnswers > MAX_INTERIM_ANSWERS) {
+          fail("too many interim answers");
+          resetConnection();
+        }
+      });
       clientRequest.on("response", (answer) => {
         isAnswering = true;
-        void receive(answer);
+        const rejection = outgoing.findRejection(answer);
+        if (rejection === undefined) {
+          void receive(answer);
+        } else {
+          reject(answer, rejection);
+        }
       });
       clientRequest.on("close", () => {
         // Once an answer has started, its own events show whether it is complete.
@@ -219,12 +238,22 @@
             fail("connection closed before the end of the answer");
             return;
           }
-          settle({ kind: "answered", message: answer, body, discardConnection: () => socket.destroy() });
+          settle({ kind: "answered", message: answer, body });
         } catch (error) {
           fail(describeError(error));
         }
       }
 
+      function reject(answer: IncomingMessage, rejection: UnansweredAttempt): void {
+        settle({ kind: "rejected", rejection });
+        if (rejection.kind === "notRun") {
+          discardBody(answer, clock);
+        } else {
+          // After bytes that are no proper answer, the next ones may belong to any request.
+          answer.destroy();
+        }
+      }
+
       /**
        * Resets the connection: after a plain close, a request in transit could run once the network heals.
        */
--- a/src/ownership/httpServerControl.ts
+++ b/src/ownership/httpServerControl.ts
@@ -7,6 +7,8 @@
 import type { LeaseAnswer, ServerControl } from "./types";
 
 const CONTROL_TIMEOUT_MS = 300;
+/** An answer lists the numbers of running requests; the timeout alone would let a fast link fill the memory. */
+const MAX_ANSWER_BYTES = 1_048_576;
 const HTTP_OK = 200;
 const HTTP_CONFLICT = 409;
 
@@ -36,6 +38,7 @@
   const pool = new Pool(`http://${formatAddress(address)}`, {
     connections: 1,
     connect: { timeout: CONTROL_TIMEOUT_MS },
+    maxResponseSize: MAX_ANSWER_BYTES,
   });
 
   return {
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -14,6 +14,7 @@
 import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
 import { CallPriority } from "../src/objectStore";
 import { createFakeClock, flushPromises } from "./support/fakeClock";
+import { createEndlessAnswer, startRawServer } from "./support/rawServer";
 
 const settings = `
 [self]
@@ -412,4 +413,18 @@
       control.close();
     },
   );
+
+  // Guards against draining an answer without end, which would occupy the link and the connection forever.
+  test("a control call whose answer never ends is answered, and its connection is closed", async () => {
+    const { behaviour, closed } = createEndlessAnswer(() => "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(10_000));
+    const rawServer = await startRawServer();
+    rawServer.setBehaviour(behaviour);
+    const server = { name: "s1", address: { host: "127.0.0.1", port: rawServer.port } } as DiscoveredServer;
+    const control = createWireKeyControl();
+    const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: null };
+    expect((await control.grant(server, grant)).kind).toBe("granted");
+    await closed;
+    control.close();
+    await rawServer.close();
+  });
 });
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -22,7 +22,13 @@
 import { wireServerProtocol } from "../platform/protocols";
 import { createRandom } from "../standins/scenarios/callers";
 import { createFakeClock } from "./support/fakeClock";
-import { type RawBehaviour, type RawRequest, type RawServer, startRawServer } from "./support/rawServer";
+import {
+  type RawBehaviour,
+  type RawRequest,
+  type RawServer,
+  createEndlessAnswer,
+  startRawServer,
+} from "./support/rawServer";
 
 const SEED = 20_261_204;
 /** Far longer than a request and its answer take on this machine. */
@@ -270,6 +276,7 @@
       isIdempotent: true,
       deadlineAt: systemClock.now() + deadlineMs,
       signal,
+      findRejection: () => undefined,
     });
     expect(result.kind).toBe(expected);
     if (result.kind === "answered" && result.body.kind !== "streamed") {
@@ -302,6 +309,7 @@
         isIdempotent: false,
         deadlineAt: clock.now() + DEADLINE_MS,
         signal,
+        findRejection: () => undefined,
       });
     expect((await sendNonIdempotent()).kind).toBe("answered");
     await new Promise(setImmediate);
@@ -323,6 +331,7 @@
       isIdempotent: false,
       deadlineAt: systemClock.now() + DEADLINE_MS,
       signal,
+      findRejection: () => undefined,
     });
     expect(result.kind).toBe("notSent");
     server = await startRawServer();
@@ -470,6 +479,72 @@
     }
   });
 
+  interface EndlessCase {
+    readonly name: string;
+    readonly head: (request: RawRequest) => string;
+    readonly piece: string;
+    readonly expected: string;
+  }
+
+  const piece = "x".repeat(10_000);
+  const chunk = `${piece.length.toString(16)}\r\n${piece}\r\n`;
+  const createHead = (status: string, fields: string) => (request: RawRequest) =>
+    formatAnswer(addRequestId(request), `${status}\r\n${fields}`, "");
+  const endlessCases: readonly EndlessCase[] = [
+    {
+      name: "a header field that never ends",
+      head: () => "HTTP/1.1 200 OK\r\nX-Field: ",
+      piece,
+      expected: "unknown:broken",
+    },
+    {
+      name: "header fields that never end",
+      head: () => "HTTP/1.1 200 OK\r\n",
+      piece: "X-Field: x\r\n",
+      expected: "unknown:broken",
+    },
+    {
+      name: "interim answers that never end",
+      head: () => "",
+      piece: "HTTP/1.1 100 Continue\r\n\r\n",
+      expected: "unknown:broken",
+    },
+    {
+      name: "an unsigned body without length that never ends",
+      head: createHead("200 OK", "X: y"),
+      piece,
+      expected: "unknown:unsigned-answer",
+    },
+    {
+      name: "an unsigned body in chunks that never ends",
+      head: createHead("200 OK", "Transfer-Encoding: chunked"),
+      piece: chunk,
+      expected: "unknown:unsigned-answer",
+    },
+    {
+      name: "the body of another request's answer that never ends",
+      head: () => `HTTP/1.1 200 OK\r\nRequest-Id: other\r\n${SIGNATURE_FIELD}\r\n\r\n`,
+      piece,
+      expected: "unknown:foreign-answer",
+    },
+    {
+      name: "the body of a refusal that never ends",
+      head: createHead("503 Service Unavailable", "Not-Executed: 1"),
+      piece,
+      expected: "notRun:shed",
+    },
+  ];
+
+  // Guards against holding a request, or a connection after it, for a server whose answer never ends.
+  test.each(endlessCases)("$name ends the attempt, and its connection is closed", async (endless) => {
+    const { behaviour, closed } = createEndlessAnswer(endless.head, endless.piece);
+    server.setBehaviour(behaviour);
+    const dispatch = createTestDispatcher([createServer("s1")]);
+    const result = await dispatch(createRequest(RouteKind.Unsafe));
+    expect("reason" in result ? `${result.kind}:${result.reason}` : result.kind).toBe(endless.expected);
+    await closed;
+  });
+
   const createMisdirectedAnswer = (instance: string) =>
     createFramedAnswer("421 Misdirected Request", "", `Instance-Id: ${instance}\r\nNot-Executed: 1`);
 
--- a/test/support/rawServer.ts
+++ b/test/support/rawServer.ts
@@ -104,6 +104,43 @@
   }
 }
 
+/** An answer without an end. */
+export interface EndlessAnswer {
+  /** Writes a head, and after it a piece again and again until the connection is closed. */
+  readonly behaviour: RawBehaviour;
+  /** Resolves when the connection was closed by the other side. */
+  readonly closed: Promise<void>;
+}
+
+/**
+ * Creates an answer that never ends.
+ *
+ * @param createHead - Creates the bytes that come first.
+ * @param piece - Bytes that are repeated without end.
+ * @returns The answer.
+ */
+export function createEndlessAnswer(
+  createHead: (request: RawRequest) => string,
+  piece: string,
+): EndlessAnswer {
+  let finish: () => void = () => undefined;
+  const closed = new Promise<void>((resolve) => {
+    finish = resolve;
+  });
+  const behaviour: RawBehaviour = (socket, request) => {
+    const writePieces = () => {
+      while (!socket.destroyed && socket.write(piece));
+    };
+    socket.on("drain", writePieces);
+    socket.once("close", () => {
+      finish();
+    });
+    socket.write(createHead(request));
+    writePieces();
+  };
+  return { behaviour, closed };
+}
+
 /**
  * Creates an HTTP answer with status 200.
  *
