Break off a streamed answer at its deadline and at its caller's departure

What callers and servers saw: an answer of more than 1 MiB was streamed without any limit in time, so one without an end lasted until its caller closed; and when a caller left before the stream had begun to flow, the server's connection stayed paused for good. Until its end the answer did not count as in flight either, so the connections to a server whose entry was removed were closed under it. Cause: deadline, the caller's signal and the count of requests in flight were released at the head of a streamed answer. Change: they are held until the stream has ended. The connection is then reset, and the caller's is closed before the announced end. Evidence: both cases of the test time out on the code before (the server's connection is never closed) and pass now. Two further tests show that an answer which breaks off does not look complete, in chunks or with a length; they passed before.

--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -7,6 +7,7 @@
   request,
 } from "node:http";
 import type { Socket } from "node:net";
+import { finished } from "node:stream";
 import type { DiscoveredServer } from "../discovery";
 import { describeError } from "../errors";
 import { discardBody } from "../http";
@@ -40,7 +41,7 @@
   readonly body: Buffer;
   /** Whether the request may run more than once, so that a connection that was idle for long may be used. */
   readonly isIdempotent: boolean;
-  /** Local time after which the answer is no longer waited for. */
+  /** Local time after which the answer is no longer waited for; a streamed one is broken off. */
   readonly deadlineAt: number;
   /** Aborted when the caller no longer waits for the answer. */
   readonly signal: AbortSignal;
@@ -132,11 +133,11 @@
     const pool = getPool(outgoing.server);
     closeIdle(pool.agent, outgoing.isIdempotent ? MAX_IDLE_MS : MAX_IDLE_UNSAFE_MS);
     pool.inFlight += 1;
-    try {
-      return await exchange(pool.agent, outgoing);
-    } finally {
+    const result = await exchange(pool.agent, outgoing);
+    onTransferEnd(result, () => {
       pool.inFlight -= 1;
-    }
+    });
+    return result;
   }
 
   function exchange(agent: Agent, outgoing: OutgoingRequest): Promise<SendResult> {
@@ -271,9 +272,11 @@
           return;
         }
         isSettled = true;
-        cancelDeadline();
         cancelConnectTimeout?.();
-        signal.removeEventListener("abort", onAbort);
+        onTransferEnd(result, () => {
+          cancelDeadline();
+          signal.removeEventListener("abort", onAbort);
+        });
         resolve(result);
       }
     });
@@ -311,6 +314,15 @@
   }
 }
 
+/** Calls back when nothing more is to be received: at once, or at the end of the answer that is streamed. */
+function onTransferEnd(result: SendResult, callback: () => void): void {
+  if (result.kind === "answered" && result.body.kind === "streamed") {
+    finished(result.body.rest, callback);
+  } else {
+    callback();
+  }
+}
+
 function destroyOnData(this: Socket): void {
   this.destroy();
 }
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -1,8 +1,9 @@
 /**
- * Caller listener during a graceful shutdown. Node.js treats a connection as idle once its answer has ended,
- * so closing idle connections could cut off the part of an answer that is not yet written to the socket.
+ * Caller listener. Node.js treats a connection as idle once its answer has ended, so closing idle connections
+ * during a graceful shutdown could cut off the part of an answer that is not yet written to the socket.
  */
 import { connect } from "node:net";
+import { PassThrough } from "node:stream";
 import { expect, test } from "vitest";
 import { createCallerListener, createRouteMatcher } from "../src/gateway";
 import type { DispatchResult, RoutingConfiguration } from "../src/gateway";
@@ -34,13 +35,8 @@
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
 };
 
-test("closing idle connections does not cut off an answer that its caller has not read yet", async () => {
+async function startListener(result: DispatchResult) {
   const port = await findFreePort();
-  const result = {
-    kind: "answered",
-    message: { statusCode: 200, rawHeaders: [], headers: {} },
-    body: { kind: "whole", content: Buffer.alloc(ANSWER_BYTES, "x") },
-  } as unknown as DispatchResult;
   const listener = await createCallerListener({
     address: { host: HOST, port },
     findActive: () => ({ configuration, matcher: createRouteMatcher(configuration) }),
@@ -51,6 +47,16 @@
     logger: silentLogger,
     metrics: createMetrics(createCounters("test")),
   });
+  return { listener, port };
+}
+
+test("closing idle connections does not cut off an answer that its caller has not read yet", async () => {
+  const result = {
+    kind: "answered",
+    message: { statusCode: 200, rawHeaders: [], headers: {} },
+    body: { kind: "whole", content: Buffer.alloc(ANSWER_BYTES, "x") },
+  } as unknown as DispatchResult;
+  const { listener, port } = await startListener(result);
   let received = 0;
   const caller = connect(port, HOST);
   caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n");
@@ -77,3 +83,41 @@
   clearInterval(closeTimer);
   expect(await listener.countConnections()).toBe(0);
 });
+
+const framings = [
+  { name: "in chunks", rawHeaders: [] },
+  { name: "with a length", rawHeaders: ["Content-Length", "1000000"] },
+];
+
+// Guards against an answer that was broken off, for example at its deadline, and looks complete.
+test.each(framings)(
+  "a streamed answer $name that breaks off does not look complete",
+  async ({ rawHeaders }) => {
+    const rest = new PassThrough();
+    const result = {
+      kind: "answered",
+      message: { statusCode: 200, rawHeaders, headers: {} },
+      body: { kind: "streamed", head: [Buffer.from("first")], rest },
+    } as unknown as DispatchResult;
+    const { listener, port } = await startListener(result);
+    const caller = connect(port, HOST);
+    caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n");
+    let received = "";
+    const closed = new Promise<void>((resolve) => {
+      caller.once("close", () => {
+        resolve();
+      });
+    });
+    caller.on("error", () => undefined);
+    caller.on("data", (chunk) => {
+      received += chunk.toString();
+      if (received.includes("first")) {
+        rest.destroy(new Error("broken off"));
+      }
+    });
+    await closed;
+    expect(received).toContain("first");
+    expect(received).not.toContain("0\r\n\r\n");
+    listener.close();
+  },
+);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -318,6 +318,51 @@
     connections.close();
   });
 
+  const endings = [
+    { name: "its deadline", advanceMs: 1000, isCallerGone: false },
+    { name: "the departure of its caller", advanceMs: 0, isCallerGone: true },
+  ];
+
+  // Guards against an answer that is streamed without end, and against work for a caller that has left.
+  test.each(endings)("a streamed answer is broken off at $name", async ({ advanceMs, isCallerGone }) => {
+    const piece = "x".repeat(10_000);
+    const { behaviour, closed } = createEndlessAnswer(
+      (request) => formatAnswer(addRequestId(request), `200 OK\r\n${SIGNATURE_FIELD}`, ""),
+      piece,
+    );
+    server.setBehaviour(behaviour);
+    const clock = createFakeClock();
+    const caller = new AbortController();
+    const connections = createServerConnections(clock, () => 1);
+    const target = createServer();
+    const result = await connections.send({
+      server: target,
+      method: "GET",
+      path: "/",
+      headers: { host: "a.example", "request-id": "q1" },
+      body: Buffer.alloc(0),
+      isIdempotent: true,
+      deadlineAt: clock.now() + 1000,
+      signal: caller.signal,
+      findRejection: () => undefined,
+    });
+    if (result.kind !== "answered" || result.body.kind !== "streamed") {
+      throw new Error(`the answer was not streamed but ${result.kind}`);
+    }
+    const { rest } = result.body;
+    rest.resume();
+    const failed = new Promise((resolve) => rest.once("error", resolve));
+    expect(connections.hasRoom(target)).toBe(false);
+    if (isCallerGone) {
+      caller.abort();
+    }
+    await clock.advance(advanceMs);
+    await failed;
+    await closed;
+    expect(connections.hasRoom(target)).toBe(true);
+    connections.close();
+  });
+
   test("a request to a server that refuses connections is not sent", async () => {
     const { port } = server;
     await server.close();
