Do not count a server as unreachable because a caller left before its request was sent

What callers saw: requests refused as unreachable although their server was healthy, for 300 ms and more after a caller had left while its request waited for a key. Cause: such an attempt was reported as not sent, like a failed connection. Change: it is reported as abandoned, which says nothing about the server. Evidence: the test fails on the code before (the next request is refused as unreachable) and passes now.

--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -71,7 +71,7 @@
   | { readonly kind: "broken"; readonly detail: string }
   /** The deadline expired first; the request may have run. */
   | { readonly kind: "late" }
-  /** The caller disconnected; the request may have run. */
+  /** The caller disconnected; the request may have run if it was sent by then. */
   | { readonly kind: "abandoned" };
 
 /** Connections to all backend servers. */
@@ -148,7 +148,7 @@
       let isSettled = false;
       let cancelConnectTimeout: (() => void) | undefined;
       if (signal.aborted) {
-        resolve({ kind: "notSent", detail: "caller disconnected before the request was sent" });
+        resolve({ kind: "abandoned" });
         return;
       }
       let clientRequest: ClientRequest;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -603,6 +603,14 @@
     expect(server.receivedRequests.length - before).toBe(1);
   });
 
+  // Guards against refusing requests to a healthy server because callers of earlier ones have left.
+  test("a caller that leaves before its request is sent does not make its server unreachable", async () => {
+    server.setBehaviour((socket, request) => socket.write(createFramedAnswer("200 OK", "x")(request)));
+    const dispatch = createTestDispatcher([createServer("s1")]);
+    await dispatch(createRequest(RouteKind.Safe, { signal: AbortSignal.abort() }));
+    expect(await dispatch(createRequest(RouteKind.Safe))).toMatchObject({ kind: "answered" });
+  });
+
   test("an owner that does not hold the key gets the request again only under a new assignment", async () => {
     server.setBehaviour((socket, request) => socket.write(createMisdirectedAnswer("s1")(request)));
     const before = server.receivedRequests.length;
