Send no request whose caller's departure already waits in the socket

What callers and servers saw: GONE; requests reached servers seconds after their callers had left, and were cut off milliseconds later. Cause: a request is read before the close behind it. A daemon short of processor time reads both late, dispatched the request in the turn in which it read it, and saw the close in the next. The same held for a request sent again, and for one that had waited for a key. Change: before each attempt the dispatcher lets the event loop poll the caller's socket once more, and refuses as not run if the caller has left; a caller's half-close counts as its departure, since the server side of the connection is closed with it. Evidence: both cases of the test fail on the code before, with an idle connection to the server (it gets /left), and pass now.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -6,6 +6,7 @@
 import { listen } from "../http";
 import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
+import { type CallerWatch, watchCaller } from "./callerWatch";
 import type { AnswerBody } from "./serverConnections";
 import { type DispatchResult, type Dispatcher, RejectionReason, type RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
@@ -167,12 +168,7 @@
     arrivedAt: number,
   ): Promise<void> {
     counters.increment("callers.requests");
-    const callerAbort = new AbortController();
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        callerAbort.abort();
-      }
-    });
+    const caller = watchCaller(message, response);
     const active = options.findActive();
     if (active === undefined) {
       refuse(
@@ -214,15 +210,7 @@
       default:
         body satisfies never;
     }
-    const request = createRequest(
-      message,
-      route,
-      service,
-      fields,
-      body.content,
-      arrivedAt,
-      callerAbort.signal,
-    );
+    const request = createRequest(message, route, service, fields, body.content, arrivedAt, caller);
     heldBytes += body.content.byteLength;
     const result = await options.dispatch(request).finally(() => {
       heldBytes -= body.content.byteLength;
@@ -239,7 +227,7 @@
     fields: CallerFields,
     body: Buffer,
     arrivedAt: number,
-    signal: AbortSignal,
+    caller: CallerWatch,
   ): RoutedRequest {
     const callerTimeoutMs = fields.remainingMs ?? route.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs ?? callerTimeoutMs);
@@ -258,7 +246,7 @@
       body,
       deadlineAt: arrivedAt + timeoutMs,
       arrivedAt,
-      signal,
+      caller,
     };
   }
 
--- /dev/null
+++ b/src/gateway/callerWatch.ts
@@ -0,0 +1,51 @@
+/** Follows whether the caller of a request still waits for its answer. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** View of the caller of one request. */
+export interface CallerWatch {
+  /** Aborted when the caller has closed its connection or its side of it. */
+  readonly signal: AbortSignal;
+  /**
+   * Reads what has arrived on the caller's connection and returns whether the caller is still there. The
+   * signal alone lags while the process is short of processor time: a request is read before the close behind it.
+   */
+  confirmPresence(): Promise<boolean>;
+}
+
+/**
+ * Starts to follow the caller of a request, until its answer is finished or its connection is closed.
+ *
+ * @param message - The request.
+ * @param response - The answer to it.
+ * @returns The view of the caller.
+ */
+export function watchCaller(message: IncomingMessage, response: ServerResponse): CallerWatch {
+  const { socket } = message;
+  const departure = new AbortController();
+  const recordDeparture = () => {
+    departure.abort();
+  };
+  socket.once("end", recordDeparture);
+  response.once("close", () => {
+    socket.removeListener("end", recordDeparture);
+    if (!response.writableFinished) {
+      recordDeparture();
+    }
+  });
+  return {
+    signal: departure.signal,
+    confirmPresence: async () => {
+      // The first turn may end a poll that has passed the socket already; the second one polls it again.
+      await nextTurn();
+      await nextTurn();
+      if (socket.destroyed || socket.readableEnded) {
+        recordDeparture();
+      }
+      return !departure.signal.aborted;
+    },
+  };
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -1,6 +1,7 @@
 /** Types of the dispatcher: routed requests and their results. */
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { ServerName } from "../types";
+import type { CallerWatch } from "./callerWatch";
 import type { AnswerBody } from "./serverConnections";
 import type { Route, ServicePolicy } from "./types";
 
@@ -42,8 +43,7 @@
   /** Local time at which the timeout of the caller or of the route expires, whichever is earlier. */
   readonly deadlineAt: number;
   readonly arrivedAt: number;
-  /** Aborted when the caller has disconnected. */
-  readonly signal: AbortSignal;
+  readonly caller: CallerWatch;
 }
 
 /** What this daemon knew about a request's server when the request ended without an answer; logged. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -218,6 +218,9 @@
   }
 
   async function attempt(request: RoutedRequest, server: DiscoveredServer): Promise<AttemptResult> {
+    if (!(await request.caller.confirmPresence())) {
+      return { kind: "notRun", reason: RejectionReason.Abandoned };
+    }
     const startedAt = clock.now();
     const remainingMs = request.deadlineAt - startedAt;
     if (remainingMs < MIN_REMAINING_MS) {
@@ -234,7 +237,7 @@
         body: request.body,
         isIdempotent,
         deadlineAt: request.deadlineAt,
-        signal: request.signal,
+        signal: request.caller.signal,
         findRejection: (head) => classifier.findRejection(request.id, server, head),
       });
       return classifier.classify(server, result, clock.now() - startedAt);
@@ -245,7 +248,7 @@
 
   function canRetry(request: RoutedRequest, lastResult: AttemptResult): boolean {
     const remainingMs = request.deadlineAt - clock.now();
-    if (request.signal.aborted || remainingMs < MIN_REMAINING_MS) {
+    if (request.caller.signal.aborted || remainingMs < MIN_REMAINING_MS) {
       return false;
     }
     switch (lastResult.kind) {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,5 +1,5 @@
 /** Parts of the gateway: route matching, server connections, fleet-wide limits, and what may be retried. */
-import type { Socket } from "node:net";
+import { type Socket, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { type DiscoveredServer, ServerPhase, createServerDirectory } from "../src/discovery";
 import {
@@ -10,6 +10,7 @@
   type RoutedRequest,
   type RoutingConfiguration,
   type ServicePolicy,
+  createCallerListener,
   createColdAdmission,
   createDispatcher,
   createRetryBudgetShare,
@@ -17,10 +18,11 @@
   createServerConnections,
   createServerLoads,
 } from "../src/gateway";
-import { createCounters, silentLogger } from "../src/observability";
+import { createCounters, createMetrics, silentLogger } from "../src/observability";
 import { systemClock } from "../src/types";
-import { wireServerProtocol } from "../platform/protocols";
+import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
 import { createRandom } from "../standins/scenarios/callers";
+import { findFreePort } from "../standins/scenarios/ports";
 import { createFakeClock } from "./support/fakeClock";
 import {
   type RawBehaviour,
@@ -438,7 +440,7 @@
       body: Buffer.alloc(0),
       arrivedAt: systemClock.now(),
       deadlineAt: systemClock.now() + DEADLINE_MS,
-      signal,
+      caller: { signal, confirmPresence: () => Promise.resolve(true) },
       ...change,
     };
   }
@@ -524,6 +526,52 @@
     }
   });
 
+  const departures = [
+    { name: "closes", leave: (caller: Socket) => caller.destroy() },
+    { name: "resets", leave: (caller: Socket) => caller.resetAndDestroy() },
+  ];
+
+  // Guards against sending a request whose caller's departure is already in the socket, behind the request: a
+  // daemon short of processor time reads both late.
+  test.each(departures)(
+    "a request reaches no server if its caller $name the connection before it is read",
+    async ({ leave }) => {
+      const port = await findFreePort();
+      const active = createConfiguration([createRoute()]);
+      const listener = await createCallerListener({
+        address: { host: "127.0.0.1", port },
+        findActive: () => ({ configuration: active, matcher: createRouteMatcher(active) }),
+        dispatch: createTestDispatcher([createServer()]),
+        callerProtocol: wireCallerProtocol,
+        serverProtocol: wireServerProtocol,
+        clock: systemClock,
+        logger: silentLogger,
+        metrics: createMetrics(createCounters("test")),
+      });
+      const send = async (path: string) => {
+        const caller = connect(port, "127.0.0.1");
+        await new Promise<void>((resolve) => caller.once("connect", resolve));
+        caller.on("error", () => undefined);
+        caller.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n`);
+        return caller;
+      };
+      server.setBehaviour((socket, request) => socket.write(createFramedAnswer("200 OK", "x")(request)));
+      const before = server.receivedRequests.length;
+      const waitForAnswer = async (caller: Socket) => {
+        await new Promise((resolve) => caller.once("data", resolve));
+        caller.destroy();
+      };
+      // Leaves a connection to the server on which a request could be sent at once.
+      await waitForAnswer(await send("/first"));
+      // Both happen before the event loop reads the request.
+      leave(await send("/left"));
+      await waitForAnswer(await send("/stays"));
+      const paths = server.receivedRequests.slice(before).map((request) => request.head.split(" ")[1]);
+      expect(paths).toEqual(["/first", "/stays"]);
+      listener.close();
+    },
+  );
+
   interface EndlessCase {
     readonly name: string;
     readonly head: (request: RawRequest) => string;
@@ -607,7 +655,8 @@
   test("a caller that leaves before its request is sent does not make its server unreachable", async () => {
     server.setBehaviour((socket, request) => socket.write(createFramedAnswer("200 OK", "x")(request)));
     const dispatch = createTestDispatcher([createServer("s1")]);
-    await dispatch(createRequest(RouteKind.Safe, { signal: AbortSignal.abort() }));
+    const caller = { signal: AbortSignal.abort(), confirmPresence: () => Promise.resolve(false) };
+    await dispatch(createRequest(RouteKind.Safe, { caller }));
     expect(await dispatch(createRequest(RouteKind.Safe))).toMatchObject({ kind: "answered" });
   });
 
