Read the state after an outage of the store, and return to watching when few small changes are left

Change: after a failed read the state is listed. A list is followed by another one only while at least 64 KiB of it change, so a prefix of many small objects, some of which always change, goes back to watching. Evidence: both tests fail on the code before (the configuration is not in force two seconds after an outage; lists without end) and pass now.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -72,7 +72,7 @@
   let since: number | undefined;
   let failures = 0;
   let mustPoll = false;
-  /** The state is read again instead of its history, which is at least as large. */
+  /** The state is read again instead of its history, which may be larger. */
   let mustList = false;
   let stateBytes = 0;
   let pendingWatch: AbortController | undefined;
@@ -116,18 +116,19 @@
     mustPoll = false;
     stateBytes = listed.transfer?.bytes ?? 0;
     const isFirst = since === undefined;
-    const digest = computeDigest();
+    const added = listed.objects.filter((object) => versions.get(object.path) !== object.version);
+    const hasChanged = added.length > 0 || listed.objects.length !== versions.size;
     versions.clear();
     listed.objects.forEach(recordVersion);
-    const hasChanged = digest !== computeDigest();
     if (isFirst || hasChanged) {
       options.onList(listed.objects);
       logRead(listed, since);
     }
-    // Changes in quick succession are read as state until they end: their history would be larger each time.
-    mustList = !isFirst && hasChanged;
     since = listed.version;
-    return mustList;
+    // Large changes in quick succession are read as state until they end: their history would grow.
+    const changedBytes = stateBytes * (added.length / Math.max(1, listed.objects.length));
+    mustList = !isFirst && changedBytes >= LARGE_HISTORY_BYTES;
+    return !isFirst && hasChanged;
   }
 
   /** Reads the changes since a version. Returns whether there are any. */
@@ -149,7 +150,7 @@
   }
 
   async function watchOrPoll(from: number, signal: AbortSignal) {
-    if (failures > 0 || mustPoll) {
+    if (mustPoll) {
       currentCall = "poll";
       return objects.watch(prefix, from, 0, signal);
     }
@@ -210,6 +211,8 @@
       return;
     }
     failures += 1;
+    // The history has grown meanwhile, and may be larger than the state.
+    mustList = true;
     logger.log(Event.StateReadFailed, {
       prefix,
       call: currentCall,
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -155,6 +155,46 @@
 }
 
 describe("prefix watcher", () => {
+  // Guards against listing all backend servers again and again because some of them change all the time.
+  test("a list with a few small changes is followed by a watch, not by another list", async () => {
+    const clock = createFakeClock();
+    const calls: string[] = [];
+    let version = 1;
+    const createObjects = () =>
+      Array.from({ length: 100 }, (_value, index) => ({
+        path: `servers/${index}`,
+        version: index === 0 ? version : 1,
+        value: index,
+      }));
+    const read = (call: string, objects: readonly StoredObject[], bytes: number) => {
+      calls.push(call);
+      version += 1;
+      return Promise.resolve({ objects, version, transfer: { bytes, durationMs: 1 } });
+    };
+    const unused = () => Promise.reject(new Error("not expected"));
+    const stop = new AbortController();
+    const watcher = createPrefixWatcher({
+      objects: {
+        read: unused,
+        write: unused,
+        list: () => read("list", createObjects(), 100_000),
+        watch: () => read("watch", createObjects().slice(0, 1), calls.length === 1 ? 200_000 : 1000),
+      },
+      prefix: "servers/",
+      pauseMs: 500,
+      isFreshnessChecked: () => false,
+      clock,
+      logger: silentLogger,
+      random: () => 0.5,
+      onList: () => undefined,
+      onChange: () => undefined,
+    });
+    void watcher.run(stop.signal);
+    await clock.advance(2400);
+    expect(calls).toEqual(["list", "watch", "list", "watch", "watch", "watch"]);
+    stop.abort();
+  });
+
   function startWatcher(isFreshnessChecked = false) {
     const clock = createFakeClock();
     const silentStore = createSilentStore();
@@ -230,11 +270,16 @@
     await sleep(clock, durationMs);
     return { objects: objects.slice(-1), version, transfer: { bytes, durationMs } };
   };
+  let isDown = false;
+  const fail = () => Promise.reject(new PlatformUnavailableError("down", { props: { step: "call" } }));
   const store: ObjectStore = {
     read: () => Promise.resolve(undefined),
     write: () => Promise.resolve({ kind: "written", version: 1 }),
-    list: () => answer([getLatest()]),
+    list: () => (isDown ? fail() : answer([getLatest()])),
     watch: async (_prefix, since, waitMs, signal) => {
+      if (isDown) {
+        return fail();
+      }
       const endAt = clock.now() + waitMs;
       while (getLatest().version <= since && clock.now() < endAt && !signal.aborted) {
         await sleep(clock, 10, signal);
@@ -244,6 +289,9 @@
   };
   return {
     store,
+    setDown: (next: boolean) => {
+      isDown = next;
+    },
     changeEvery: async (intervalMs: number, count: number) => {
       for (let change = 0; change < count; change += 1) {
         const version = getLatest().version + 1;
@@ -258,17 +306,16 @@
   /** Time within which a configuration must be in force everywhere. */
   const IN_FORCE_WITHIN_MS = 2000;
 
-  // Guards against replaying a history whose transfer takes longer than the changes it reports.
-  test("the last of a quick series of large changes is in force within two seconds", async () => {
+  function startWatcher() {
     const clock = createFakeClock();
-    const { store, changeEvery } = createLinkedStore(clock, 375_000);
+    const linkedStore = createLinkedStore(clock, 375_000);
     const stop = new AbortController();
     let latest = 0;
     const update = (objects: readonly StoredObject[]) => {
       latest = objects.at(-1)?.version ?? latest;
     };
     const watcher = createPrefixWatcher({
-      objects: store,
+      objects: linkedStore.store,
       prefix: "config/",
       pauseMs: 250,
       isFreshnessChecked: () => false,
@@ -279,11 +326,31 @@
       onChange: update,
     });
     void watcher.run(stop.signal);
+    return { ...linkedStore, clock, watcher, stop, getLatest: () => latest };
+  }
+
+  // Guards against replaying a history whose transfer takes longer than the changes it reports.
+  test("the last of a quick series of large changes is in force within two seconds", async () => {
+    const { clock, changeEvery, stop, getLatest } = startWatcher();
     await clock.advance(2000);
-    expect(latest).toBe(1);
+    expect(getLatest()).toBe(1);
     await changeEvery(80, 25);
     await clock.advance(IN_FORCE_WITHIN_MS);
-    expect(latest).toBe(26);
+    expect(getLatest()).toBe(26);
+    stop.abort();
+  });
+
+  // Guards against replaying what changed during an outage of the store, one version after the other.
+  test("the last of several large changes during an outage is in force within two seconds of its end", async () => {
+    const { clock, changeEvery, setDown, watcher, stop, getLatest } = startWatcher();
+    await clock.advance(2000);
+    setDown(true);
+    watcher.refresh();
+    await clock.advance(1000);
+    await changeEvery(500, 25);
+    setDown(false);
+    await clock.advance(IN_FORCE_WITHIN_MS);
+    expect(getLatest()).toBe(26);
     stop.abort();
   });
 });
