--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -425,6 +425,26 @@
     },
   );
 
+  // Guards against a listener that stays on a kept connection after each call over it.
+  test("calls over a kept connection leave no listeners on it", async () => {
+    const port = await startHttpServer((_request, _body, response) => {
+      response.end();
+    });
+    const warnings: string[] = [];
+    const collectWarning = (warning: Error) => warnings.push(warning.name);
+    process.on("warning", collectWarning);
+    const server = { name: "s1", address: { host: "127.0.0.1", port } } as DiscoveredServer;
+    const control = createWireKeyControl();
+    const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: null };
+    for (let call = 0; call < 20; call += 1) {
+      await control.grant(server, grant);
+      await flushPromises();
+    }
+    expect(warnings).toEqual([]);
+    process.removeListener("warning", collectWarning);
+    control.close();
+  });
+
   // Guards against draining an answer without end, which would occupy the link and the connection forever.
   test("a control call whose answer never ends is answered, and its connection is closed", async () => {
     const { behaviour, closed } = createEndlessAnswer(() => "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(10_000));
