Route no request whose caller's departure already waits in the socket, on the other platform too

The view of the caller moves to src/http and is used by both. The test fails on the code before (/desk/left is routed) and passes now.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -3,10 +3,9 @@
 import type { Socket } from "node:net";
 import { pipeline } from "node:stream/promises";
 import { describeError } from "../errors";
-import { listen } from "../http";
+import { type CallerWatch, listen, watchCaller } from "../http";
 import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
-import { type CallerWatch, watchCaller } from "./callerWatch";
 import type { AnswerBody } from "./serverConnections";
 import { type DispatchResult, type Dispatcher, RejectionReason, type RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -1,7 +1,7 @@
 /** Types of the dispatcher: routed requests and their results. */
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import type { CallerWatch } from "../http";
 import type { ServerName } from "../types";
-import type { CallerWatch } from "./callerWatch";
 import type { AnswerBody } from "./serverConnections";
 import type { Route, ServicePolicy } from "./types";
 
--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -5,7 +5,7 @@
 import { pipeline } from "node:stream/promises";
 import express from "express";
 import { describeError } from "../errors";
-import { listen } from "../http";
+import { listen, watchCaller } from "../http";
 import { type Counters, Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
@@ -111,12 +111,7 @@
       sendFailure(response, requestId, createNotRunFailure(readResult.reason), readResult.detail);
       return;
     }
-    const callerAbort = new AbortController();
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        callerAbort.abort();
-      }
-    });
+    const caller = watchCaller(message, response);
     const body = await readCallerBody(message);
     if (body === undefined) {
       sendFailure(
@@ -127,7 +122,12 @@
       );
       return;
     }
-    const result = await options.router(readResult.request, body, callerAbort.signal);
+    if (!(await caller.confirmPresence())) {
+      const failure = createNotRunFailure(RefusalReason.CallerGone);
+      sendFailure(response, requestId, failure, "the caller has disconnected");
+      return;
+    }
+    const result = await options.router(readResult.request, body, caller.signal);
     if (result.kind === "failure") {
       sendFailure(response, requestId, result.failure);
       return;
--- a/test/callerServer.test.ts
+++ b/test/callerServer.test.ts
@@ -88,6 +88,22 @@
 ];
 
 describe("caller server", () => {
+  // Guards against routing a request whose caller's departure already waits in the socket, behind the request.
+  test("a request is not routed if its caller closes the connection before it is read", async () => {
+    const send = async (path: string) => {
+      const caller = connect(port, "127.0.0.1");
+      await new Promise<void>((resolve) => caller.once("connect", resolve));
+      caller.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`);
+      return caller;
+    };
+    // Both happen before the event loop reads the request.
+    (await send("/desk/left")).destroy();
+    const staying = await send("/desk/stays");
+    await new Promise((resolve) => staying.once("data", resolve));
+    staying.destroy();
+    expect(routedRequests.map((each) => each.key)).toEqual(["stays"]);
+  });
+
   test.each(invalidInputs)(
     "$name: status $status, outcome not-run, and the next request is served",
     async ({ path, headers, status, reason }) => {
