Log an answer that was broken off at the level of warnings

The event was 1701, of the level debug, which daemons do not write: a broken-off answer left no line. Now 1834, with what the caller had left; the test of broken-off answers expects it.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -324,9 +324,11 @@
       await pipeline(joinBody(body), response);
     } catch (error) {
       // Closing before the announced end of the body shows the caller that the answer is incomplete.
-      logger.log(Event.RequestFailed, {
+      logger.log(Event.AnswerBrokenOff, {
         requestId: request.id,
-        step: "send answer",
+        service: request.service.name,
+        heldMs: Math.round(clock.now() - request.arrivedAt),
+        leftMs: Math.round(request.deadlineAt - clock.now()),
         error: describeError(error),
       });
       response.destroy();
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -94,6 +94,7 @@
   RequestRefused: defineEvent(1831, Severity.Info, "request refused; it has not run"),
   RequestOutcomeUnknown: defineEvent(1832, Severity.Warn, "request ended without an answer; it may have run"),
   RequestRetried: defineEvent(1833, Severity.Info, "request retried"),
+  AnswerBrokenOff: defineEvent(1834, Severity.Warn, "answer broken off; the caller got a part of it"),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   RequestFailed: defineEvent(1701, Severity.Debug, "request ended without an answer"),
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -7,7 +7,7 @@
 import { expect, test } from "vitest";
 import { createCallerListener, createRouteMatcher } from "../src/gateway";
 import type { DispatchResult, RoutingConfiguration } from "../src/gateway";
-import { createCounters, createMetrics, silentLogger } from "../src/observability";
+import { Event, type EventKind, createCounters, createMetrics, silentLogger } from "../src/observability";
 import { systemClock } from "../src/types";
 import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
 import { findFreePort } from "../standins/scenarios/ports";
@@ -37,6 +37,7 @@
 
 async function startListener(result: DispatchResult) {
   const port = await findFreePort();
+  const loggedEvents: EventKind[] = [];
   const listener = await createCallerListener({
     address: { host: HOST, port },
     findActive: () => ({ configuration, matcher: createRouteMatcher(configuration) }),
@@ -44,10 +45,10 @@
     callerProtocol: wireCallerProtocol,
     serverProtocol: wireServerProtocol,
     clock: systemClock,
-    logger: silentLogger,
+    logger: { ...silentLogger, log: (kind) => loggedEvents.push(kind) },
     metrics: createMetrics(createCounters("test")),
   });
-  return { listener, port };
+  return { listener, port, loggedEvents };
 }
 
 test("closing idle connections does not cut off an answer that its caller has not read yet", async () => {
@@ -99,7 +100,7 @@
       message: { statusCode: 200, rawHeaders, headers: {} },
       body: { kind: "streamed", head: [Buffer.from("first")], rest },
     } as unknown as DispatchResult;
-    const { listener, port } = await startListener(result);
+    const { listener, port, loggedEvents } = await startListener(result);
     const caller = connect(port, HOST);
     caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n");
     let received = "";
@@ -118,6 +119,7 @@
     await closed;
     expect(received).toContain("first");
     expect(received).not.toContain("0\r\n\r\n");
+    expect(loggedEvents).toContain(Event.AnswerBrokenOff);
     listener.close();
   },
 );
