Send no request on a new connection if its caller has left while the connection was made

What servers saw: GONE, as before: the close was read in the turn after the one in which the connection was ready. Cause: Node.js sends a request as soon as its connection is made. Change: the request is sent once the connection is made and the caller's presence is confirmed. Until then it counts as not sent, which also makes the refusal truthful and a repetition safe when a server resets a connection that it has just accepted. Evidence: the test fails on the code before (the server answers) and passes now.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -237,7 +237,7 @@
         body: request.body,
         isIdempotent,
         deadlineAt: request.deadlineAt,
-        signal: request.caller.signal,
+        caller: request.caller,
         findRejection: (head) => classifier.findRejection(request.id, server, head),
       });
       return classifier.classify(server, result, clock.now() - startedAt);
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -10,7 +10,7 @@
 import { finished } from "node:stream";
 import type { DiscoveredServer } from "../discovery";
 import { describeError } from "../errors";
-import { discardBody } from "../http";
+import { type CallerWatch, discardBody } from "../http";
 import { type Clock, formatAddress } from "../types";
 import type { UnansweredAttempt } from "./dispatchTypes";
 
@@ -43,8 +43,7 @@
   readonly isIdempotent: boolean;
   /** Local time after which the answer is no longer waited for; a streamed one is broken off. */
   readonly deadlineAt: number;
-  /** Aborted when the caller no longer waits for the answer. */
-  readonly signal: AbortSignal;
+  readonly caller: CallerWatch;
   /** Returns why an answer is not returned to the caller; its body is not waited for then. */
   readonly findRejection: (head: IncomingMessage) => UnansweredAttempt | undefined;
 }
@@ -141,13 +140,13 @@
   }
 
   function exchange(agent: Agent, outgoing: OutgoingRequest): Promise<SendResult> {
-    const { server, signal, deadlineAt } = outgoing;
+    const { server, caller, deadlineAt } = outgoing;
     return new Promise((resolve) => {
-      let isConnected = false;
+      let isSent = false;
       let isAnswering = false;
       let isSettled = false;
       let cancelConnectTimeout: (() => void) | undefined;
-      if (signal.aborted) {
+      if (caller.signal.aborted) {
         resolve({ kind: "abandoned" });
         return;
       }
@@ -164,13 +163,13 @@
       };
       const cancelDeadline = clock.schedule(Math.max(0, deadlineAt - clock.now()), () => {
         settle(
-          isConnected
+          isSent
             ? { kind: "late" }
             : { kind: "notSent", detail: "deadline expired before a connection was made" },
         );
         resetConnection();
       });
-      signal.addEventListener("abort", onAbort);
+      caller.signal.addEventListener("abort", onAbort);
       clientRequest.on("socket", onSocket);
       clientRequest.on("error", (error) => {
         fail(describeError(error));
@@ -198,7 +197,6 @@
           fail("connection closed without an answer");
         }
       });
-      clientRequest.end(outgoing.body.byteLength === 0 ? undefined : outgoing.body);
 
       function createClientRequest(): ClientRequest {
         return request({
@@ -215,7 +213,7 @@
       function onSocket(socket: Socket): void {
         socket.removeListener("data", destroyOnData);
         if (!socket.connecting) {
-          isConnected = true;
+          sendRequest();
           return;
         }
         openedCount += 1;
@@ -225,11 +223,29 @@
           clientRequest.destroy();
         });
         socket.once("connect", () => {
-          isConnected = true;
           cancelConnectTimeout?.();
+          void sendToPresentCaller();
         });
       }
 
+      /** Sends the request on a new connection, unless its caller has left while the connection was made. */
+      async function sendToPresentCaller(): Promise<void> {
+        const isPresent = await caller.confirmPresence();
+        if (isSettled) {
+          return;
+        }
+        if (isPresent) {
+          sendRequest();
+        } else {
+          onAbort();
+        }
+      }
+
+      function sendRequest(): void {
+        isSent = true;
+        clientRequest.end(outgoing.body.byteLength === 0 ? undefined : outgoing.body);
+      }
+
       async function receive(answer: IncomingMessage): Promise<void> {
         const { socket } = answer;
         try {
@@ -264,7 +280,7 @@
       }
 
       function fail(detail: string): void {
-        settle(isConnected ? { kind: "broken", detail } : { kind: "notSent", detail });
+        settle(isSent ? { kind: "broken", detail } : { kind: "notSent", detail });
       }
 
       function settle(result: SendResult): void {
@@ -275,7 +291,7 @@
         cancelConnectTimeout?.();
         onTransferEnd(result, () => {
           cancelDeadline();
-          signal.removeEventListener("abort", onAbort);
+          caller.signal.removeEventListener("abort", onAbort);
         });
         resolve(result);
       }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -35,7 +35,7 @@
 const SEED = 20_261_204;
 /** Far longer than a request and its answer take on this machine. */
 const DEADLINE_MS = 10_000;
-const signal = new AbortController().signal;
+const presentCaller = { signal: new AbortController().signal, confirmPresence: () => Promise.resolve(true) };
 
 function createRoute(change: Partial<Route> = {}): Route {
   return {
@@ -277,7 +277,7 @@
       body: Buffer.alloc(0),
       isIdempotent: true,
       deadlineAt: systemClock.now() + deadlineMs,
-      signal,
+      caller: presentCaller,
       findRejection: () => undefined,
     });
     expect(result.kind).toBe(expected);
@@ -310,7 +310,7 @@
         body: Buffer.from("x"),
         isIdempotent: false,
         deadlineAt: clock.now() + DEADLINE_MS,
-        signal,
+        caller: presentCaller,
         findRejection: () => undefined,
       });
     expect((await sendNonIdempotent()).kind).toBe("answered");
@@ -345,7 +345,7 @@
       body: Buffer.alloc(0),
       isIdempotent: true,
       deadlineAt: clock.now() + 1000,
-      signal: caller.signal,
+      caller: { signal: caller.signal, confirmPresence: () => Promise.resolve(true) },
       findRejection: () => undefined,
     });
     if (result.kind !== "answered" || result.body.kind !== "streamed") {
@@ -365,6 +365,26 @@
     connections.close();
   });
 
+  // Guards against sending a request whose caller has left while a connection to the server was made.
+  test("a request is not sent on a new connection if its caller has left meanwhile", async () => {
+    const before = server.receivedRequests.length;
+    const connections = createServerConnections(systemClock, () => 4);
+    const result = await connections.send({
+      server: createServer(),
+      method: "POST",
+      path: "/",
+      headers: {},
+      body: Buffer.from("x"),
+      isIdempotent: false,
+      deadlineAt: systemClock.now() + DEADLINE_MS,
+      caller: { ...presentCaller, confirmPresence: () => Promise.resolve(false) },
+      findRejection: () => undefined,
+    });
+    expect(result.kind).toBe("abandoned");
+    expect(server.receivedRequests.length).toBe(before);
+    connections.close();
+  });
+
   test("a request to a server that refuses connections is not sent", async () => {
     const { port } = server;
     await server.close();
@@ -377,7 +397,7 @@
       body: Buffer.from("x"),
       isIdempotent: false,
       deadlineAt: systemClock.now() + DEADLINE_MS,
-      signal,
+      caller: presentCaller,
       findRejection: () => undefined,
     });
     expect(result.kind).toBe("notSent");
@@ -440,7 +460,7 @@
       body: Buffer.alloc(0),
       arrivedAt: systemClock.now(),
       deadlineAt: systemClock.now() + DEADLINE_MS,
-      caller: { signal, confirmPresence: () => Promise.resolve(true) },
+      caller: presentCaller,
       ...change,
     };
   }
