--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -9,6 +9,7 @@
 export * from "./retryBudgetShare";
 export * from "./routeMatcher";
 export * from "./routingState";
+export * from "./routingState";
 export * from "./serverCapacity";
 export * from "./serverChoice";
 export * from "./serverConnections";
