End the coordinator's watches after two seconds, so that an outage which ends all watches is noticed

Cause: watches that wait while the store falls silent die without an error. Daemons compare their state with the coordinator's, and the coordinator with the majority; when all watches have died, all agree on the old state. Only the end of a watch, after 26 s, showed it. Change: the watches of a daemon that no other checks, the coordinator above all, wait 2 s; a dead one ends after 3 s, and the others follow by the comparison. Cost: about one call a second for each quiet prefix, by one daemon. Evidence: the test fails on the code before (25 s) and passes now.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -14,8 +14,13 @@
 import { Event, type Logger } from "../observability";
 import { type Clock, type Version, sleep } from "../types";
 
-/** Bounds the calls while nothing changes: one call per prefix in this time. */
-const WATCH_WAIT_MS = 25_000;
+/** Bounds the calls of checked daemons while nothing changes: one call per prefix in this time. */
+const CHECKED_WATCH_WAIT_MS = 25_000;
+/**
+ * The same for the coordinator, whose state the others are compared with. When all watches have died at once,
+ * all daemons agree; only the end of a watch shows it.
+ */
+const UNCHECKED_WATCH_WAIT_MS = 2000;
 /** Base of the exponential backoff after failed calls. */
 const RETRY_BASE_MS = 100;
 /** Maximum of the backoff before jitter, so that a recovered store is noticed within about a second. */
@@ -158,9 +163,11 @@
     const current = new AbortController();
     pendingWatch = current;
     try {
-      const freshness = options.isFreshnessChecked() ? Freshness.Stale : Freshness.Newest;
+      const isChecked = options.isFreshnessChecked();
+      const waitMs = isChecked ? CHECKED_WATCH_WAIT_MS : UNCHECKED_WATCH_WAIT_MS;
+      const freshness = isChecked ? Freshness.Stale : Freshness.Newest;
       const combined = AbortSignal.any([signal, current.signal]);
-      return await objects.watch(prefix, from, WATCH_WAIT_MS, combined, freshness);
+      return await objects.watch(prefix, from, waitMs, combined, freshness);
     } catch (error) {
       throw current.signal.aborted ? new WatchCancelledError() : error;
     } finally {
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -110,6 +110,7 @@
  */
 function createSilentStore() {
   const calls: string[] = [];
+  const waitTimes: number[] = [];
   let changes: ObjectChanges = { objects: [], version: 1 };
   let stale: ObjectChanges | undefined;
   let error: Error | undefined;
@@ -122,6 +123,7 @@
     },
     watch: (_prefix, since, waitMs, signal, freshness) => {
       const kind = waitMs === 0 ? "poll" : "watch";
+      waitTimes.push(waitMs);
       calls.push(freshness === Freshness.Stale ? `${kind} stale` : kind);
       if (error !== undefined) {
         const thrown = error;
@@ -141,6 +143,7 @@
   return {
     store,
     calls,
+    waitTimes,
     setChanges: (next: ObjectChanges) => {
       changes = next;
     },
@@ -241,6 +244,18 @@
     stop.abort();
   });
 
+  // Guards against an outage that ends all watches without an error: all daemons then agree on an old state.
+  test.each([
+    { isChecked: false, name: "the coordinator's", maxWaitMs: 2000 },
+    { isChecked: true, name: "a checked daemon's", maxWaitMs: 30_000 },
+  ])("$name watch waits for at most $maxWaitMs ms", async ({ isChecked, maxWaitMs }) => {
+    const { clock, silentStore, stop } = startWatcher(isChecked);
+    await clock.advance(100);
+    expect(silentStore.waitTimes).toHaveLength(1);
+    expect(Math.max(...silentStore.waitTimes)).toBeLessThanOrEqual(maxWaitMs);
+    stop.abort();
+  });
+
   test("objects are listed again when the store no longer has the history of their changes", async () => {
     const { clock, silentStore, seen, watcher, stop } = startWatcher();
     await clock.advance(100);
