Soak: series of large configurations, a slow link to the store, added routes, callers that leave

Now the last daemon reads from the store at 400 kB/s, a configuration has 900 unused routes (about 180 kB) and comes in series of eight, each version adds a route that callers ask for two seconds later, and one caller in eleven leaves early. Two checks more: an added route is not served; a request reaches a server over half a second after its caller has left, links undisturbed.

--- a/standins/edge/backendServer.ts
+++ b/standins/edge/backendServer.ts
@@ -40,6 +40,8 @@
   readonly server: string;
   readonly service: string;
   readonly isUnsafe: boolean;
+  /** When the server read the request, which may then have waited in its queue. */
+  readonly arrivedAt: number;
   readonly at: number;
   /** When the server announced that it is draining; undefined when it had not. */
   readonly drainingSince: number | undefined;
@@ -264,6 +266,7 @@
   async function handleWork(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = String(request.headers[WireHeader.RequestId] ?? "");
     const key = Number(request.headers[WireHeader.Key]);
+    const arrivedAt = performance.now();
     response.setHeader(WireHeader.RequestId, requestId);
     response.setHeader(WireHeader.Load, `${running},${queue.length},${options.slots}`);
     if (options.isKeyed && !self.isOwner(key, performance.now())) {
@@ -292,6 +295,7 @@
       server: options.name,
       service: options.service,
       isUnsafe: request.method === "POST",
+      arrivedAt,
       at: performance.now(),
       drainingSince,
     });
--- a/standins/edge/objectStore.ts
+++ b/standins/edge/objectStore.ts
@@ -7,6 +7,9 @@
 const HOST = "127.0.0.1";
 const HISTORY_RETENTION_MS = 20_000;
 const MAX_WRITE_DELAY_MS = 3000;
+const MILLISECONDS_PER_SECOND = 1000;
+/** Unit in which responses share a slow link. */
+const PIECE_BYTES = 16_384;
 /** HTTP status codes of the store's responses. */
 const Status = { Ok: 200, Created: 201, NotFound: 404, Conflict: 409, Gone: 410, Busy: 503 } as const;
 
@@ -41,12 +44,14 @@
 export interface StoreEndpoint {
   readonly port: number;
   setFault(fault: StoreFault): void;
+  /** Returns whether the endpoint had no fault for `ms`. */
+  isHealthyFor(ms: number): boolean;
 }
 
 /** An object store in memory. */
 export interface EdgeObjectStore {
-  /** Opens an endpoint that has a fault setting of its own. */
-  openEndpoint(): Promise<StoreEndpoint>;
+  /** Opens an endpoint that has a fault setting of its own, and answers at most `bytesPerSecond`. */
+  openEndpoint(bytesPerSecond?: number): Promise<StoreEndpoint>;
   /** Writes an object unconditionally, as operators and backend servers do. */
   put(kind: string, name: string, spec: unknown): void;
   remove(kind: string, name: string): void;
@@ -86,10 +91,12 @@
     },
   };
 
-  async function openEndpoint(): Promise<StoreEndpoint> {
+  async function openEndpoint(bytesPerSecond = Number.POSITIVE_INFINITY): Promise<StoreEndpoint> {
     let fault: StoreFault = StoreFault.None;
+    let healthySince = performance.now();
+    const send = createPacedSender(bytesPerSecond);
     const server = createServer((request, response) => {
-      void handle(request, response, fault).catch(() => {
+      void handle(request, response, fault, send).catch(() => {
         response.destroy();
       });
     });
@@ -99,7 +106,9 @@
       port: (server.address() as AddressInfo).port,
       setFault: (next) => {
         fault = next;
+        healthySince = performance.now();
       },
+      isHealthyFor: (ms) => fault === StoreFault.None && performance.now() - healthySince >= ms,
     };
   }
 
@@ -107,6 +116,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     fault: StoreFault,
+    send: PacedSender,
   ): Promise<void> {
     const body = await readText(request);
     switch (fault) {
@@ -134,7 +144,7 @@
     const url = new URL(request.url ?? "/", `http://${HOST}`);
     const isWatch = url.searchParams.has("watch");
     const result = isWatch ? await watch(url, request) : execute(request, body);
-    reply(response, result.status, result.body);
+    await send(response, result.status, result.body);
   }
 
   function execute(request: IncomingMessage, text: string): { status: number; body: unknown } {
@@ -255,6 +265,32 @@
   }
 }
 
+type PacedSender = (response: ServerResponse, status: number, body: unknown) => Promise<void>;
+
+/** Creates a sender of JSON responses that share a link: together they send at most `bytesPerSecond`. */
+function createPacedSender(bytesPerSecond: number): PacedSender {
+  let linkFreeAt = 0;
+  return async (response, status, body) => {
+    const content = Buffer.from(JSON.stringify(body));
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "content-length": String(content.byteLength),
+    });
+    for (let sent = 0; sent < content.byteLength && !response.destroyed; sent += PIECE_BYTES) {
+      const piece = content.subarray(sent, sent + PIECE_BYTES);
+      linkFreeAt =
+        Math.max(linkFreeAt, performance.now()) +
+        (piece.byteLength / bytesPerSecond) * MILLISECONDS_PER_SECOND;
+      const waitMs = linkFreeAt - performance.now();
+      if (waitMs > 1) {
+        await delay(waitMs);
+      }
+      response.write(piece);
+    }
+    response.end();
+  };
+}
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -9,6 +9,7 @@
 import { type EdgeObjectStore, type StoreEndpoint, createEdgeObjectStore } from "../edge/objectStore";
 import { type SoakDaemon, createSoakFolder, startSoakDaemon } from "./daemons";
 import { type LinkProxy, startLinkProxy } from "./proxy";
+import { sleep, systemClock } from "../../src/types";
 
 /** Host name of the configured routes. */
 export const SOAK_HOST = "soak.example";
@@ -28,6 +29,13 @@
 const READY_POLL_INTERVAL_MS = 100;
 /** Seeds that run at the same time need different loopback addresses for their daemons. */
 const ADDRESS_BLOCKS = 200;
+/** The last daemon reads from the store over a link on which one copy of the configuration takes 0.45 s. */
+const SLOW_LINK_BYTES_PER_SECOND = 400_000;
+/** Routes without requests, which give the configuration the size of that of a large organisation. */
+const UNUSED_ROUTES = 900;
+/** Versions of the configuration in one series, and the pause between them. */
+const SERIES_LENGTH = 8;
+const SERIES_PAUSE_MS = 100;
 
 /** A backend server and the proxy in front of it. */
 export interface ProxiedServer {
@@ -52,8 +60,12 @@
   readonly runs: readonly RunRecord[];
   /** Descriptions of keys that two backend servers owned at once. */
   readonly ownershipConflicts: readonly string[];
-  /** Writes the next version of the configuration. */
+  /** Writes the next version of the configuration, which adds a route and keeps all earlier ones. */
   writeConfiguration(): void;
+  /** Writes several versions in quick succession. */
+  writeConfigurationSeries(): Promise<void>;
+  /** Returns the version of the newest route that was written at least `ms` ago. */
+  findAddedRoute(ms: number): number | undefined;
   close(): Promise<void>;
 }
 
@@ -76,6 +88,7 @@
   const servers: ProxiedServer[] = [];
   const daemons: ConnectedDaemon[] = [];
   let version = 0;
+  const writtenVersions: { readonly version: number; readonly at: number }[] = [];
   for (const options of listServerOptions()) {
     const server = await startEdgeServer(options, store, () => servers.map((each) => each.server), {
       onRunStarted: (run) => runs.push(run),
@@ -87,7 +100,8 @@
   }
   writeConfiguration();
   for (let index = 0; index < DAEMON_COUNT; index += 1) {
-    const endpoint = await store.openEndpoint();
+    const isLast = index === DAEMON_COUNT - 1;
+    const endpoint = await store.openEndpoint(isLast ? SLOW_LINK_BYTES_PER_SECOND : undefined);
     const daemon = startSoakDaemon({
       name: `d${index}`,
       dataCentre: getDataCentre(index),
@@ -103,12 +117,38 @@
     await close();
     throw error;
   }
-  return { store, servers, daemons, folder, runs, ownershipConflicts, writeConfiguration, close };
+  return {
+    store,
+    servers,
+    daemons,
+    folder,
+    runs,
+    ownershipConflicts,
+    writeConfiguration,
+    writeConfigurationSeries,
+    findAddedRoute: (ms) =>
+      writtenVersions.findLast((written) => performance.now() - written.at >= ms)?.version,
+    close,
+  };
 
   function writeConfiguration(): void {
     // Versions increase in irregular steps, of 1 to 3.
-    version += 1 + randomInt(3);
-    store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(version));
+    writeVersion(version + 1 + randomInt(3));
+  }
+
+  async function writeConfigurationSeries(): Promise<void> {
+    writeConfiguration();
+    for (let count = 1; count < SERIES_LENGTH; count += 1) {
+      await sleep(systemClock, SERIES_PAUSE_MS);
+      writeVersion(version + 1);
+    }
+  }
+
+  function writeVersion(next: number): void {
+    version = next;
+    writtenVersions.push({ version, at: performance.now() });
+    const added = writtenVersions.map((written) => written.version);
+    store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(version, added));
   }
 
   async function waitUntilReady(): Promise<void> {
@@ -163,7 +203,17 @@
   ];
 }
 
-function createConfiguration(version: number): unknown {
+/**
+ * Returns the path prefix of the route that a version of the configuration adds, without its slashes.
+ *
+ * @param version - Version of the configuration.
+ * @returns The prefix.
+ */
+export function getAddedPrefix(version: number): string {
+  return `added-${version}`;
+}
+
+function createConfiguration(version: number, addedVersions: readonly number[]): unknown {
   const createRoute = (name: string, kind: string, service: string) => ({
     type: "routes",
     metadata: { name },
@@ -190,6 +240,10 @@
       createRoute("lookup", "safe", "desk"),
       createRoute("order", "unsafe", "ledger"),
       createRoute("bundle", "download", "vault"),
+      ...addedVersions.map((added) => createRoute(getAddedPrefix(added), "safe", "ledger")),
+      ...Array.from({ length: UNUSED_ROUTES }, (_, index) =>
+        createRoute(`unused-${index}`, "safe", "ledger"),
+      ),
       createService("desk", true),
       createService("ledger", false),
       createService("vault", false),
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -5,7 +5,8 @@
 import { LinkFault } from "./proxy";
 
 const MIN_FAULT_MS = 300;
-const MAX_FAULT_MS = 4000;
+/** Maximum duration of a fault in milliseconds. */
+export const MAX_FAULT_MS = 4000;
 /** Mean time from the start of a fault to that of the next; most faults last longer, so that they overlap. */
 const MEAN_FAULT_INTERVAL_MS = 700;
 
@@ -17,6 +18,8 @@
   readonly injectedFaults: readonly string[];
   /** Returns whether for `ms` no fault has changed a link or the process of a backend server. */
   areLinksUndisturbedFor(ms: number): boolean;
+  /** Returns whether between two times no fault has changed a link or the process of a backend server. */
+  wereLinksUndisturbed(from: number, to: number): boolean;
 }
 
 interface Fault {
@@ -38,11 +41,12 @@
 ): FaultInjector {
   const { daemons, servers, store } = deployment;
   const injectedFaults: string[] = [];
-  let linksDisturbedAt = Number.NEGATIVE_INFINITY;
+  const linkDisturbances: number[] = [];
 
   return {
     injectedFaults,
-    areLinksUndisturbedFor: (ms) => performance.now() - linksDisturbedAt >= ms,
+    areLinksUndisturbedFor: (ms) => wereLinksUndisturbed(performance.now() - ms, performance.now()),
+    wereLinksUndisturbed,
     run: async (durationMs) => {
       const endAt = performance.now() + durationMs;
       const running: Promise<void>[] = [];
@@ -57,6 +61,10 @@
     },
   };
 
+  function wereLinksUndisturbed(from: number, to: number): boolean {
+    return !linkDisturbances.some((at) => at > from && at <= to);
+  }
+
   async function runFault(fault: Fault, lengthMs: number): Promise<void> {
     await fault.start();
     await sleep(systemClock, lengthMs);
@@ -170,9 +178,7 @@
       }),
       createFault(
         "configuration changes",
-        () => {
-          deployment.writeConfiguration();
-        },
+        () => deployment.writeConfigurationSeries(),
         () => {
           deployment.writeConfiguration();
         },
@@ -181,7 +187,7 @@
   }
 
   function recordLinkDisturbance(): void {
-    linksDisturbedAt = performance.now();
+    linkDisturbances.push(performance.now());
   }
 
   async function changeServer(change: () => Promise<void>): Promise<void> {
--- a/standins/soak/promises.ts
+++ b/standins/soak/promises.ts
@@ -3,6 +3,10 @@
 
 /** Longest time for which a backend server may get new work after it has announced that it drains. */
 const DRAIN_LIMIT_MS = 2000;
+/** Longest time after a caller's departure in which its request may still reach a backend server. */
+const DEPARTURE_LIMIT_MS = 500;
+/** Callers that leave early do so within this time; the others wait longer for an answer. */
+export const MIN_PATIENCE_MS = 1000;
 /** Tolerance for delays of the soak's own clock and event loop. */
 const TOLERANCE_MS = 250;
 
@@ -10,9 +14,12 @@
 export interface AttemptRecord {
   readonly requestId: string;
   readonly daemon: string;
-  readonly kind: "lookup" | "order" | "bundle";
+  /** An `added` request uses a route that was added to the configuration some time ago. */
+  readonly kind: "lookup" | "order" | "bundle" | "added";
   readonly sentAt: number;
   readonly endedAt: number;
+  /** When the caller closed its connection without an answer; undefined when it did not. */
+  readonly leftAt: number | undefined;
   /** HTTP status; undefined when the connection broke or no complete answer arrived in time. */
   readonly status: number | undefined;
   /** Whether the answer was the backend server's, complete and with its signature. */
@@ -27,6 +34,8 @@
    * end.
    */
   readonly isDaemonUndisturbed: boolean;
+  /** Whether the daemon must know all routes that were added two seconds before the attempt. */
+  readonly isConfigurationDue: boolean;
 }
 
 /** A promise, named by its violation, and the cases that broke it. */
@@ -38,6 +47,8 @@
   readonly runs: readonly RunRecord[];
   /** Descriptions of keys that two backend servers owned at once. */
   readonly ownershipConflicts: readonly string[];
+  /** Returns whether no fault disturbed links or backend servers while the request could be on its way. */
+  readonly wereLinksUndisturbed: (attempt: AttemptRecord, run: RunRecord) => boolean;
   /** Time from which on all requests must be served again. */
   readonly recoveredAt: number;
   /** Whether promises with a time bound are checked. */
@@ -62,7 +73,9 @@
   }
   const getRuns = (requestId: string) => runsById.get(requestId) ?? [];
   const attemptsById = new Map(facts.attempts.map((attempt) => [attempt.requestId, attempt]));
-  const attemptsAfterRecovery = facts.attempts.filter((attempt) => attempt.sentAt >= facts.recoveredAt);
+  const attemptsAfterRecovery = facts.attempts.filter(
+    (attempt) => attempt.sentAt >= facts.recoveredAt && !hasLeftEarly(attempt),
+  );
   const servedAfterRecovery = attemptsAfterRecovery.filter((attempt) => attempt.status === 200);
   const untimedChecks: readonly Check[] = [
     ["a key had two owners", facts.ownershipConflicts],
@@ -95,7 +108,24 @@
     ],
     [
       "an undisturbed request was broken off",
-      listIds(facts.attempts, (each) => each.isUndisturbed && isBrokenOff(each)),
+      listIds(facts.attempts, (each) => each.isUndisturbed && !hasLeftEarly(each) && isBrokenOff(each)),
+    ],
+    [
+      "an added route was not served",
+      listIds(facts.attempts, (each) => each.isConfigurationDue && isRouteMissing(each)),
+    ],
+    [
+      "a request reached a server long after its caller had left",
+      facts.runs
+        .filter((run) => {
+          const attempt = attemptsById.get(run.requestId);
+          return (
+            attempt !== undefined &&
+            isAfterDeparture(attempt, run) &&
+            facts.wereLinksUndisturbed(attempt, run)
+          );
+        })
+        .map((run) => run.requestId),
     ],
     [
       `less than ${MIN_SERVED_SHARE} of the requests were served after the faults`,
@@ -129,6 +159,19 @@
   return drainingSince !== undefined && at - drainingSince > DRAIN_LIMIT_MS + TOLERANCE_MS;
 }
 
+/** Returns whether the caller left by its own choice, before its timeout. */
+function hasLeftEarly({ leftAt, sentAt }: AttemptRecord): boolean {
+  return leftAt !== undefined && leftAt - sentAt < MIN_PATIENCE_MS;
+}
+
+function isAfterDeparture({ leftAt }: AttemptRecord, { arrivedAt }: RunRecord): boolean {
+  return leftAt !== undefined && arrivedAt - leftAt > DEPARTURE_LIMIT_MS + TOLERANCE_MS;
+}
+
+function isRouteMissing({ kind, status }: AttemptRecord): boolean {
+  return kind === "added" && status === 404;
+}
+
 /** Returns whether a request got no answer, or the daemon had no route for it (404). */
 function isBrokenOff({ status }: AttemptRecord): boolean {
   return status === undefined || status === 404;
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { sleep, systemClock } from "../../src/types";
 import { startDeployment } from "./deployment";
-import { createFaultInjector } from "./faults";
+import { MAX_FAULT_MS, createFaultInjector } from "./faults";
 import { findBrokenPromises } from "./promises";
 import { createSoakCallers } from "./soakCallers";
 
@@ -47,8 +47,9 @@
     seed,
     // A generator of its own: the number of requests must not change which faults a seed injects.
     randomInt: createRandomInt(seed + 1),
-    daemons: deployment.daemons.map(({ daemon }) => daemon),
+    daemons: deployment.daemons,
     areLinksUndisturbedFor: (ms) => injector.areLinksUndisturbedFor(ms),
+    findAddedRoute: (ms) => deployment.findAddedRoute(ms),
   });
   const stopLoad = new AbortController();
   const load = callers.run(stopLoad.signal);
@@ -70,6 +71,9 @@
         attempts,
         runs,
         ownershipConflicts,
+        // A fault that disturbs a link may have started before the request and ended after it.
+        wereLinksUndisturbed: (attempt, run) =>
+          injector.wereLinksUndisturbed(attempt.sentAt - MAX_FAULT_MS, run.arrivedAt),
         recoveredAt,
         checksTimeBounds,
       }),
--- a/standins/soak/soakCallers.ts
+++ b/standins/soak/soakCallers.ts
@@ -4,7 +4,7 @@
 import { createAnswer } from "../edge/backendServer";
 import { sleep, systemClock } from "../../src/types";
 import type { SoakDaemon } from "./daemons";
-import { AnswerBytes, SOAK_HOST, SOAK_TIMEOUT_MS } from "./deployment";
+import { AnswerBytes, type ConnectedDaemon, SOAK_HOST, SOAK_TIMEOUT_MS, getAddedPrefix } from "./deployment";
 import type { AttemptRecord } from "./promises";
 
 const REQUESTS_PER_SECOND = 60;
@@ -16,15 +16,31 @@
 const CONNECTIONS = 200;
 /** Time without a disturbance after which a daemon has recovered from the last one. */
 const MIN_UNDISTURBED_MS = 3000;
+/** Time within which a configuration must be in force everywhere. */
+const CONFIGURATION_LIMIT_MS = 2000;
+/** Callers that leave early do so within this time. */
+const MAX_DEPARTURE_MS = 150;
+
+interface SoakRequest {
+  readonly daemon: SoakDaemon;
+  readonly kind: AttemptRecord["kind"];
+  /** First part of the path, which selects the route. */
+  readonly path: string;
+  readonly requestId: string;
+  /** When the caller leaves, in milliseconds; undefined when it waits for its timeout. */
+  readonly leavesAfterMs: number | undefined;
+}
 
 /** Options for {@link createSoakCallers}. */
 export interface SoakCallersOptions {
   readonly seed: number;
   /** Returns a seeded random integer from 0 to below its argument. */
   readonly randomInt: (limit: number) => number;
-  readonly daemons: readonly SoakDaemon[];
+  readonly daemons: readonly ConnectedDaemon[];
   /** Returns whether for `ms` no fault has changed a link or the process of a backend server. */
   readonly areLinksUndisturbedFor: (ms: number) => boolean;
+  /** Returns the version of the newest route that was added at least `ms` ago. */
+  readonly findAddedRoute: (ms: number) => number | undefined;
 }
 
 /** The callers of a soak. */
@@ -65,15 +81,19 @@
   };
 
   async function sendOne(index: number): Promise<void> {
-    const daemon = daemons[randomInt(daemons.length)];
-    if (daemon === undefined) {
+    const target = daemons[randomInt(daemons.length)];
+    if (target === undefined) {
       return;
     }
-    const kind = index % 5 === 0 ? "bundle" : index % 3 === 0 ? "order" : "lookup";
+    const { daemon, endpoint } = target;
+    const addedVersion = index % 7 === 0 ? options.findAddedRoute(CONFIGURATION_LIMIT_MS) : undefined;
+    const kind = addedVersion === undefined ? chooseKind(index) : "added";
+    const path = addedVersion === undefined ? kind : getAddedPrefix(addedVersion);
+    const leavesAfterMs = index % 11 === 0 ? randomInt(MAX_DEPARTURE_MS) : undefined;
     const requestId = `s${seed}-${index}`;
     const sentAt = performance.now();
     const wasUndisturbed = isUndisturbed(daemon);
-    const { status, isWhole } = await sendRequest(daemon, kind, requestId);
+    const { status, isWhole, leftAt } = await sendRequest({ daemon, kind, path, requestId, leavesAfterMs });
     const endedAt = performance.now();
     attempts.push({
       requestId,
@@ -81,20 +101,27 @@
       kind,
       sentAt,
       endedAt,
+      leftAt,
       status,
       isWhole,
       isUndisturbed: wasUndisturbed && isUndisturbed(daemon),
       isDaemonUndisturbed: daemon.isUndisturbedFor(endedAt - sentAt + MIN_UNDISTURBED_MS),
+      isConfigurationDue:
+        daemon.isUndisturbedFor(endedAt - sentAt + MIN_UNDISTURBED_MS) &&
+        endpoint.isHealthyFor(endedAt - sentAt + MIN_UNDISTURBED_MS),
     });
   }
 
-  async function sendRequest(
-    daemon: SoakDaemon,
-    kind: AttemptRecord["kind"],
-    requestId: string,
-  ): Promise<Pick<AttemptRecord, "status" | "isWhole">> {
+  async function sendRequest({
+    daemon,
+    kind,
+    path,
+    requestId,
+    leavesAfterMs,
+  }: SoakRequest): Promise<Pick<AttemptRecord, "status" | "isWhole" | "leftAt">> {
+    const departure = AbortSignal.timeout(leavesAfterMs ?? REQUEST_TIMEOUT_MS);
     try {
-      const answer = await request(`${daemon.url}/${kind}/x`, {
+      const answer = await request(`${daemon.url}/${path}/x`, {
         dispatcher: agent,
         method: kind === "order" ? "POST" : "GET",
         headers: {
@@ -104,15 +131,16 @@
           [WireHeader.Key]: String(randomInt(KEY_COUNT)),
         },
         ...(kind === "order" ? { body: requestId } : {}),
-        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+        signal: departure,
       });
       const content = Buffer.from(await answer.body.arrayBuffer());
       const expected = createAnswer(requestId, kind === "bundle" ? AnswerBytes.bundle : AnswerBytes.short);
       const isSigned = answer.headers[WireHeader.Signature] === `signed-${requestId}`;
-      return { status: answer.statusCode, isWhole: isSigned && content.equals(expected) };
+      return { status: answer.statusCode, isWhole: isSigned && content.equals(expected), leftAt: undefined };
     } catch {
-      // After a broken connection or a timeout the outcome is unknown; the record then has no status.
-      return { status: undefined, isWhole: false };
+      // After a broken connection or a departure the outcome is unknown; the record then has no status.
+      const leftAt = departure.aborted ? performance.now() : undefined;
+      return { status: undefined, isWhole: false, leftAt };
     }
   }
 
@@ -120,3 +148,7 @@
     return daemon.isUndisturbedFor(MIN_UNDISTURBED_MS) && options.areLinksUndisturbedFor(MIN_UNDISTURBED_MS);
   }
 }
+
+function chooseKind(index: number): AttemptRecord["kind"] {
+  return index % 5 === 0 ? "bundle" : index % 3 === 0 ? "order" : "lookup";
+}
--- a/test/soakPromises.test.ts
+++ b/test/soakPromises.test.ts
@@ -9,16 +9,19 @@
   kind: "order",
   sentAt: 1000,
   endedAt: 1100,
+  leftAt: undefined,
   status: 200,
   isWhole: true,
   isUndisturbed: true,
   isDaemonUndisturbed: true,
+  isConfigurationDue: true,
 };
 const run: RunRecord = {
   requestId: "r1",
   server: "ledger-0",
   service: "ledger",
   isUnsafe: true,
+  arrivedAt: 1040,
   at: 1050,
   drainingSince: undefined,
 };
@@ -26,6 +29,7 @@
   attempts: [attempt],
   runs: [run],
   ownershipConflicts: [],
+  wereLinksUndisturbed: () => true,
   recoveredAt: 0,
   checksTimeBounds: true,
 };
@@ -91,6 +95,43 @@
     change: { attempts: [{ ...attempt, status: 504, isWhole: false }] },
     expected: [/served after the faults/],
   },
+  {
+    name: "an added route that an undisturbed daemon does not know",
+    change: {
+      attempts: [{ ...attempt, kind: "added", status: 404, isUndisturbed: false }],
+      recoveredAt: 2000,
+    },
+    expected: [/added route was not served/],
+  },
+  {
+    name: "an added route that a daemon without its store does not know is allowed",
+    change: {
+      attempts: [{ ...attempt, kind: "added", status: 404, isUndisturbed: false, isConfigurationDue: false }],
+      recoveredAt: 2000,
+    },
+    expected: [],
+  },
+  {
+    name: "a request that reaches a server a second after its caller has left",
+    change: {
+      attempts: [{ ...attempt, status: undefined, isWhole: false, leftAt: 1100 }],
+      runs: [{ ...run, arrivedAt: 2100 }],
+    },
+    expected: [/after its caller had left/],
+  },
+  {
+    name: "a request whose caller leaves early counts neither as broken off nor as not served",
+    change: { attempts: [{ ...attempt, status: undefined, isWhole: false, leftAt: 1100 }] },
+    expected: [],
+  },
+  {
+    name: "a request that waits for its timeout counts as broken off",
+    change: {
+      attempts: [{ ...attempt, status: undefined, isWhole: false, endedAt: 4000, leftAt: 4000 }],
+      recoveredAt: 5000,
+    },
+    expected: [/broken off/],
+  },
 ];
 
 describe("promises of a soak", () => {
