Do not read a history that is larger than the state

Cause: a series of changes had started while the first list was read, so the next watch returned five copies, 886 kB, in 2.2 s. The rule that read the state in place of the history looked at the answer before, when it was too late for this one. Change: a watch has a size limit, 1.25 times the state and 64 KiB at least. A larger answer is cut off (at its head, if it announces its length) and counts as gone history, so that the state is listed. The rule on the previous answer goes, and with it the extra list after each single change. The parameters of a watch are an options object now. Evidence: the test of a series that starts during the first list fails on the code before and passes now.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -1,6 +1,6 @@
 /**
- * Watches all objects under one prefix of the object store: lists them once, then watches for changes. While
- * large objects change in quick succession it lists them again, since a watch returns each version in full.
+ * Watches all objects under one prefix of the object store: lists them once, then watches for changes. A watch
+ * returns each version in full; a history that is larger than the state is not read, but the state listed again.
  */
 import murmurhash from "murmurhash";
 import { HistoryGoneError, describeError } from "../errors";
@@ -27,6 +27,8 @@
 const MAX_RETRY_MS = 700;
 /** A smaller answer takes less time on a link of 10 Mbit/s than the pause after it. */
 const LARGE_HISTORY_BYTES = 65_536;
+/** Maximum size of a history relative to that of the state: one copy of the state, and its framing. */
+const MAX_HISTORY_RATIO = 1.25;
 
 /** A refresh cancelled the pending watch; this is not a failure of the store. */
 class WatchCancelledError extends Error {}
@@ -150,14 +152,14 @@
     removed.forEach((path) => versions.delete(path));
     options.onChange(changes.objects, removed);
     logRead(changes, from);
-    mustList = (changes.transfer?.bytes ?? 0) >= Math.max(stateBytes, LARGE_HISTORY_BYTES);
     return true;
   }
 
   async function watchOrPoll(from: number, signal: AbortSignal) {
+    const maxBytes = Math.max(LARGE_HISTORY_BYTES, stateBytes * MAX_HISTORY_RATIO);
     if (mustPoll) {
       currentCall = "poll";
-      return objects.watch(prefix, from, 0, signal);
+      return objects.watch(prefix, from, { waitMs: 0, signal, maxBytes });
     }
     currentCall = "watch";
     const current = new AbortController();
@@ -167,7 +169,7 @@
       const waitMs = isChecked ? CHECKED_WATCH_WAIT_MS : UNCHECKED_WATCH_WAIT_MS;
       const freshness = isChecked ? Freshness.Stale : Freshness.Newest;
       const combined = AbortSignal.any([signal, current.signal]);
-      return await objects.watch(prefix, from, waitMs, combined, freshness);
+      return await objects.watch(prefix, from, { waitMs, signal: combined, freshness, maxBytes });
     } catch (error) {
       throw current.signal.aborted ? new WatchCancelledError() : error;
     } finally {
@@ -213,8 +215,8 @@
       return;
     }
     if (error instanceof HistoryGoneError) {
-      logger.log(Event.HistoryLost, { prefix, since });
-      since = undefined;
+      logger.log(Event.HistoryLost, { prefix, since, error: describeError(error) });
+      mustList = true;
       return;
     }
     failures += 1;
--- a/src/objectStore/httpCall.ts
+++ b/src/objectStore/httpCall.ts
@@ -1,5 +1,5 @@
 /** HTTP calls to a platform, which may take as long as their answer keeps arriving. */
-import { type Dispatcher, errors, request } from "undici";
+import { type Dispatcher, request } from "undici";
 import { AnswerTooLargeError, describeError } from "../errors";
 import type { CancelTimer, Clock } from "../types";
 import type { Transfer } from "./types";
@@ -19,6 +19,8 @@
   readonly body?: string | undefined;
   /** Maximum wait for the head of the answer, in milliseconds. */
   readonly timeoutMs: number;
+  /** Maximum size of the answer's body in bytes; {@link MAX_ANSWER_BYTES} unless set. */
+  readonly maxBytes?: number | undefined;
   /** Ends the wait for the answer when aborted, but not the transfer of an answer that has started. */
   readonly signal?: AbortSignal | undefined;
 }
@@ -33,11 +35,11 @@
 /**
  * Makes a call.
  *
- * @param dispatcher - Connections to the platform; must limit answers to {@link MAX_ANSWER_BYTES}.
+ * @param dispatcher - Connections to the platform.
  * @param clock - Clock that time limits are measured by.
  * @param call - The call.
  * @returns The whole answer, whatever its status.
- * @throws AnswerTooLargeError when the answer exceeds {@link MAX_ANSWER_BYTES}.
+ * @throws AnswerTooLargeError when the answer exceeds the size limit; the rest of it is not read.
  * @throws Error when no answer starts in time, or when one that has started stalls or takes too long.
  */
 export async function callOverHttp(
@@ -45,7 +47,7 @@
   clock: Clock,
   call: HttpCall,
 ): Promise<HttpAnswer> {
-  const { url, method, body, timeoutMs, signal } = call;
+  const { url, method, body, timeoutMs, maxBytes = MAX_ANSWER_BYTES, signal } = call;
   const abort = new AbortController();
   const cancel = () => {
     abort.abort(new Error("cancelled"));
@@ -64,35 +66,41 @@
     cancelTimeout();
     signal?.removeEventListener("abort", cancel);
   });
-  return { status: response.statusCode, ...(await receive(response.body, clock, abort)) };
+  try {
+    return { status: response.statusCode, ...(await receive(response, clock, abort, maxBytes)) };
+  } catch (error) {
+    // Closes the connection: the rest of the answer is not read.
+    abort.abort(error);
+    throw error;
+  }
 }
 
 /** Receives the body of an answer, as long as it keeps arriving and stays within the limits. */
 async function receive(
-  body: AsyncIterable<Buffer>,
+  response: Dispatcher.ResponseData,
   clock: Clock,
   abort: AbortController,
+  maxBytes: number,
 ): Promise<Omit<HttpAnswer, "status">> {
   const startedAt = clock.now();
   const chunks: Buffer[] = [];
-  let bytes = 0;
+  let bytes = Number(response.headers["content-length"] ?? 0);
+  checkSize();
+  bytes = 0;
   const cancelTransferTimeout = abortAfter(clock, abort, MAX_TRANSFER_MS, "the answer did not end");
   let cancelStallTimeout = abortOnStall();
   try {
-    for await (const chunk of body) {
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
       cancelStallTimeout();
       cancelStallTimeout = abortOnStall();
       chunks.push(chunk);
       bytes += chunk.byteLength;
+      checkSize();
     }
   } catch (error) {
-    if (error instanceof errors.ResponseExceededMaxSizeError) {
-      throw new AnswerTooLargeError(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`, {
-        props: { step: "receive answer" },
-        cause: error,
-      });
-    }
-    throw new Error(`${describeError(error)}, after ${bytes} bytes of the answer`, { cause: error });
+    throw error instanceof AnswerTooLargeError
+      ? error
+      : new Error(`${describeError(error)}, after ${bytes} bytes of the answer`, { cause: error });
   } finally {
     cancelStallTimeout();
     cancelTransferTimeout();
@@ -100,6 +108,13 @@
   const transfer = { bytes, durationMs: clock.now() - startedAt };
   return { text: Buffer.concat(chunks, bytes).toString(), transfer };
 
+  function checkSize(): void {
+    if (bytes > maxBytes) {
+      const message = `the answer has at least ${bytes} bytes, more than ${maxBytes}`;
+      throw new AnswerTooLargeError(message, { props: { step: "receive answer" } });
+    }
+  }
+
   function abortOnStall(): CancelTimer {
     return abortAfter(clock, abort, STALL_TIMEOUT_MS, "nothing of the answer came");
   }
--- a/src/objectStore/httpPlatform.ts
+++ b/src/objectStore/httpPlatform.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import { PlatformUnavailableError, describeError } from "../errors";
 import { type Clock, systemClock } from "../types";
-import { MAX_ANSWER_BYTES, callOverHttp } from "./httpCall";
+import { callOverHttp } from "./httpCall";
 import { createRateLimiter } from "./rateLimiter";
 import { CallPriority, type ObjectStore, type VmList, type VmRecord, type WriteResult } from "./types";
 
@@ -52,11 +52,7 @@
  * @returns The clients.
  */
 export function createHttpPlatform(options: HttpPlatformOptions, clock: Clock = systemClock): Platform {
-  const agent = new Agent({
-    connections: MAX_CONNECTIONS,
-    connect: { timeout: options.timeoutMs },
-    maxResponseSize: MAX_ANSWER_BYTES,
-  });
+  const agent = new Agent({ connections: MAX_CONNECTIONS, connect: { timeout: options.timeoutMs } });
   const reads = createRateLimiter(clock, options.readsPerSecond);
   const writes = createRateLimiter(clock, options.writesPerSecond);
 
@@ -81,7 +77,7 @@
       const answer = await call("list", "GET", `/objects?prefix=${encodeURIComponent(prefix)}`);
       return changesSchema.parse(answer.body);
     },
-    watch: async (prefix, since, waitMs, signal) => {
+    watch: async (prefix, since, { waitMs, signal }) => {
       await reads.acquire(CallPriority.Configuration);
       const path = `/watch?prefix=${encodeURIComponent(prefix)}&since=${since}&wait=${waitMs}`;
       const answer = await call("watch", "GET", path, undefined, waitMs + WATCH_MARGIN_MS, signal);
--- a/src/objectStore/relayedObjectStore.ts
+++ b/src/objectStore/relayedObjectStore.ts
@@ -38,7 +38,7 @@
   const { direct } = options;
   return {
     list: (prefix, priority) => direct.list(prefix, priority),
-    watch: (prefix, since, waitMs, signal) => direct.watch(prefix, since, waitMs, signal),
+    watch: (prefix, since, watchOptions) => direct.watch(prefix, since, watchOptions),
     read: async (path, priority) => {
       if (options.isReachable()) {
         return direct.read(path, priority);
--- a/src/objectStore/types.ts
+++ b/src/objectStore/types.ts
@@ -39,6 +39,18 @@
 export const Freshness = { Newest: "newest", Stale: "stale" } as const;
 export type Freshness = (typeof Freshness)[keyof typeof Freshness];
 
+/** Options of a watch. */
+export interface WatchOptions {
+  /** Maximum wait for a change in milliseconds; with 0 the answer comes at once. */
+  readonly waitMs: number;
+  /** Ends the wait when aborted, but not the transfer of an answer that has started. */
+  readonly signal: AbortSignal;
+  /** {@link Freshness.Newest} unless set. */
+  readonly freshness?: Freshness;
+  /** Maximum size of the answer in bytes, where the adapter knows it; without it the adapter's own limit holds. */
+  readonly maxBytes?: number;
+}
+
 /**
  * The object store. Every method throws PlatformUnavailableError when no answer arrives; a write without an
  * answer is in doubt: it may have taken effect.
@@ -51,17 +63,11 @@
   /** Lists the objects whose path starts with `prefix`. */
   list(prefix: string, priority: CallPriority, freshness?: Freshness): Promise<ObjectChanges>;
   /**
-   * Waits up to `waitMs` for changes after `since` under `prefix`; aborting the signal ends the wait, but not
-   * the transfer of an answer that has started. Throws HistoryGoneError when the store no longer has the changes since then. A stale watch may miss changes of the last seconds, which a
-   * later one reports.
+   * Waits for changes after a version under `prefix`. Throws HistoryGoneError when the store no longer has the
+   * changes since then, or when the answer exceeds `maxBytes`. A stale watch may miss changes of the last
+   * seconds, which a later one reports.
    */
-  watch(
-    prefix: string,
-    since: Version,
-    waitMs: number,
-    signal: AbortSignal,
-    freshness?: Freshness,
-  ): Promise<ObjectChanges>;
+  watch(prefix: string, since: Version, options: WatchOptions): Promise<ObjectChanges>;
 }
 
 /** One entry of the platform's VM list. */
--- a/src/snapshots/platformWatcher.ts
+++ b/src/snapshots/platformWatcher.ts
@@ -62,7 +62,7 @@
       return;
     }
     if (isWatcher) {
-      const result = await objects.watch("", since, WATCH_WAIT_MS, signal);
+      const result = await objects.watch("", since, { waitMs: WATCH_WAIT_MS, signal });
       recordReachability(true);
       applyAll(result.objects);
       since = Math.max(since, result.version);
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -12,7 +12,7 @@
 import { loadEdgeSettings } from "../platform/settings";
 import { type DiscoveredServer, ServerPhase } from "../src/discovery";
 import { HistoryGoneError, PlatformUnavailableError } from "../src/errors";
-import { CallPriority, MAX_ANSWER_BYTES } from "../src/objectStore";
+import { CallPriority } from "../src/objectStore";
 import { createFakeClock, flushPromises } from "./support/fakeClock";
 import { createEndlessAnswer, startRawServer } from "./support/rawServer";
 
@@ -278,7 +278,7 @@
       response.end(JSON.stringify({ events, currentRev: 10 }));
     });
     const store = createWireObjectStore({ host: "127.0.0.1", port });
-    const changes = await store.watch("kind/", 1, 1000, new AbortController().signal);
+    const changes = await store.watch("kind/", 1, { waitMs: 1000, signal: new AbortController().signal });
     expect(changes.objects.map((each) => each.version)).toEqual([10]);
     expect(changes.removed).toEqual(["kind/y"]);
     await store.close();
@@ -326,7 +326,7 @@
   // Guards against giving up a large answer on a slow link, again and again, by a time limit on the whole transfer.
   test("an answer that keeps arriving is read to its end, however long that takes", async () => {
     const { store, clock, waitForFirstPiece, sendPiece, sendRest } = await startTransfer();
-    const result = store.watch("kind/", 1, 0, new AbortController().signal).then(
+    const result = store.watch("kind/", 1, { waitMs: 0, signal: new AbortController().signal }).then(
       (each) => each.version,
       (error: unknown) => error,
     );
@@ -343,7 +343,7 @@
   test("a cancelled watch whose answer is arriving still returns it", async () => {
     const { store, waitForFirstPiece, sendRest, sendPiece } = await startTransfer();
     const cancel = new AbortController();
-    const result = store.watch("kind/", 1, 25_000, cancel.signal).then(
+    const result = store.watch("kind/", 1, { waitMs: 25_000, signal: cancel.signal }).then(
       (each) => each.version,
       (error: unknown) => error,
     );
@@ -357,23 +357,38 @@
 
   test("an answer that stops arriving fails the call", async () => {
     const { store, clock, waitForFirstPiece } = await startTransfer();
-    const result = store.watch("kind/", 1, 0, new AbortController().signal).catch((error: unknown) => error);
+    const result = store
+      .watch("kind/", 1, { waitMs: 0, signal: new AbortController().signal })
+      .catch((error: unknown) => error);
     await waitForFirstPiece();
     await clock.advance(1000);
     expect(await result).toBeInstanceOf(PlatformUnavailableError);
     await store.close();
   });
 
-  // Guards against reading a history again and again that is too large to be held.
-  test("a history that exceeds the size limit counts as gone, so that the state is listed", async () => {
-    const port = await startHttpServer((_request, _body, response) => {
-      response.end(" ".repeat(MAX_ANSWER_BYTES + 1));
-    });
-    const store = createWireObjectStore({ host: "127.0.0.1", port });
-    const result = store.watch("kind/", 1, 1000, new AbortController().signal);
-    await expect(result).rejects.toThrow(HistoryGoneError);
-    await store.close();
-  });
+  const largeHistories = [
+    { name: "whose length is announced", isAnnounced: true },
+    { name: "that comes in chunks", isAnnounced: false },
+  ];
+
+  // Guards against reading a history that is larger than the state, which a list would have returned sooner.
+  test.each(largeHistories)(
+    "a history above the size limit $name counts as gone",
+    async ({ isAnnounced }) => {
+      const { behaviour, closed } = createEndlessAnswer(
+        () => `HTTP/1.1 200 OK\r\n${isAnnounced ? "Content-Length: 1000000000\r\n" : ""}\r\n`,
+        "x".repeat(10_000),
+      );
+      const rawServer = await startRawServer();
+      rawServer.setBehaviour(behaviour);
+      const store = createWireObjectStore({ host: "127.0.0.1", port: rawServer.port });
+      const options = { waitMs: 1000, signal: new AbortController().signal, maxBytes: 100_000 };
+      await expect(store.watch("kind/", 1, options)).rejects.toThrow(HistoryGoneError);
+      await closed;
+      await store.close();
+      await rawServer.close();
+    },
+  );
 
   const errorResponses: readonly (readonly [status: number, error: unknown])[] = [
     [429, PlatformUnavailableError],
@@ -388,7 +403,9 @@
         response.end();
       });
       const store = createWireObjectStore({ host: "127.0.0.1", port });
-      await expect(store.watch("kind/", 1, 1000, new AbortController().signal)).rejects.toThrow(error);
+      await expect(
+        store.watch("kind/", 1, { waitMs: 1000, signal: new AbortController().signal }),
+      ).rejects.toThrow(error);
       await store.close();
     },
   );
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -121,7 +121,7 @@
       calls.push(freshness === Freshness.Stale ? "list stale" : "list");
       return Promise.resolve(freshness === Freshness.Stale ? (stale ?? changes) : changes);
     },
-    watch: (_prefix, since, waitMs, signal, freshness) => {
+    watch: (_prefix, since, { waitMs, signal, freshness }) => {
       const kind = waitMs === 0 ? "poll" : "watch";
       waitTimes.push(waitMs);
       calls.push(freshness === Freshness.Stale ? `${kind} stale` : kind);
@@ -181,7 +181,10 @@
         read: unused,
         write: unused,
         list: () => read("list", createObjects(), 100_000),
-        watch: () => read("watch", createObjects().slice(0, 1), calls.length === 1 ? 200_000 : 1000),
+        watch: () =>
+          calls.length === 1
+            ? Promise.reject(new HistoryGoneError("gone", { props: { step: "watch" } }))
+            : read("watch", createObjects().slice(0, 1), 1000),
       },
       prefix: "servers/",
       pauseMs: 500,
@@ -194,7 +197,7 @@
     });
     void watcher.run(stop.signal);
     await clock.advance(2400);
-    expect(calls).toEqual(["list", "watch", "list", "watch", "watch", "watch"]);
+    expect(calls).toEqual(["list", "list", "watch", "watch", "watch", "watch"]);
     stop.abort();
   });
 
@@ -291,7 +294,7 @@
     read: () => Promise.resolve(undefined),
     write: () => Promise.resolve({ kind: "written", version: 1 }),
     list: () => (isDown ? fail() : answer([getLatest()])),
-    watch: async (_prefix, since, waitMs, signal) => {
+    watch: async (_prefix, since, { waitMs, signal, maxBytes = Number.POSITIVE_INFINITY }) => {
       if (isDown) {
         return fail();
       }
@@ -299,7 +302,12 @@
       while (getLatest().version <= since && clock.now() < endAt && !signal.aborted) {
         await sleep(clock, 10, signal);
       }
-      return answer(history.filter((object) => object.version > since));
+      const changes = history.filter((object) => object.version > since);
+      if (changes.length * objectBytes > maxBytes) {
+        await sleep(clock, maxBytes / LINK_BYTES_PER_MS);
+        throw new HistoryGoneError("too large", { props: { step: "watch" } });
+      }
+      return answer(changes);
     },
   };
   return {
@@ -355,6 +363,15 @@
     stop.abort();
   });
 
+  // Guards against a history that has grown while a list was read.
+  test("the last of a series that starts during the first list is in force within two seconds", async () => {
+    const { clock, changeEvery, stop, getLatest } = startWatcher();
+    await changeEvery(40, 12);
+    await clock.advance(IN_FORCE_WITHIN_MS);
+    expect(getLatest()).toBe(13);
+    stop.abort();
+  });
+
   // Guards against replaying what changed during an outage of the store, one version after the other.
   test("the last of several large changes during an outage is in force within two seconds of its end", async () => {
     const { clock, changeEvery, setDown, watcher, stop, getLatest } = startWatcher();
