--- a/standins/soak/regressionSeeds.ts
+++ b/standins/soak/regressionSeeds.ts
@@ -9,5 +9,8 @@
     cause:
       "after a lost write, keys whose release was under way were taken for free with the rest of their range",
   },
+  { seed: 9001, cause: "the watches of all daemons had died at once, and all agreed on an old state" },
+  { seed: 9003, cause: "polls with a time limit on the whole transfer never ended on a slow link" },
+  { seed: 9338, cause: "a history that had grown while a list was read was larger than the state" },
   { seed: 138, cause: "a restarted server had taken a renewal meant for its earlier process" },
 ];
