--- a/standins/edge/objectStore.ts
+++ b/standins/edge/objectStore.ts
@@ -8,7 +8,7 @@
 const HISTORY_RETENTION_MS = 20_000;
 const MAX_WRITE_DELAY_MS = 3000;
 const MILLISECONDS_PER_SECOND = 1000;
-/** Unit in which responses share a slow link. */
+/** Responses take turns on a slow link in pieces of this size. */
 const PIECE_BYTES = 16_384;
 /** HTTP status codes of the store's responses. */
 const Status = { Ok: 200, Created: 201, NotFound: 404, Conflict: 409, Gone: 410, Busy: 503 } as const;
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -1,5 +1,6 @@
 /** A small deployment for a soak: object store, backend servers behind proxies, and daemons. */
 import { CONFIGURATION_NAME, StoreKind } from "../../platform/wireNames";
+import { sleep, systemClock } from "../../src/types";
 import {
   type EdgeServer,
   type EdgeServerOptions,
@@ -9,7 +10,6 @@
 import { type EdgeObjectStore, type StoreEndpoint, createEdgeObjectStore } from "../edge/objectStore";
 import { type SoakDaemon, createSoakFolder, startSoakDaemon } from "./daemons";
 import { type LinkProxy, startLinkProxy } from "./proxy";
-import { sleep, systemClock } from "../../src/types";
 
 /** Host name of the configured routes. */
 export const SOAK_HOST = "soak.example";
--- a/standins/soak/promises.ts
+++ b/standins/soak/promises.ts
@@ -6,7 +6,7 @@
 /** Longest time after a caller's departure in which its request may still reach a backend server. */
 const DEPARTURE_LIMIT_MS = 500;
 /** Callers that leave early do so within this time; the others wait longer for an answer. */
-export const MIN_PATIENCE_MS = 1000;
+const MIN_PATIENCE_MS = 1000;
 /** Tolerance for delays of the soak's own clock and event loop. */
 const TOLERANCE_MS = 250;
 
--- a/standins/soak/soakCallers.ts
+++ b/standins/soak/soakCallers.ts
@@ -81,11 +81,11 @@
   };
 
   async function sendOne(index: number): Promise<void> {
-    const target = daemons[randomInt(daemons.length)];
-    if (target === undefined) {
+    const connected = daemons[randomInt(daemons.length)];
+    if (connected === undefined) {
       return;
     }
-    const { daemon, endpoint } = target;
+    const { daemon, endpoint } = connected;
     const addedVersion = index % 7 === 0 ? options.findAddedRoute(CONFIGURATION_LIMIT_MS) : undefined;
     const kind = addedVersion === undefined ? chooseKind(index) : "added";
     const path = addedVersion === undefined ? kind : getAddedPrefix(addedVersion);
