Check the announced and the read size of an answer in one function

A second reading stumbled over a variable that held first the announced length and then the bytes read. No change of behaviour; the tests of both adapters and of the watchers pass.

--- a/src/objectStore/httpCall.ts
+++ b/src/objectStore/httpCall.ts
@@ -7,7 +7,7 @@
 /** An answer that is arriving counts as lost when nothing of it has come for this long. */
 const STALL_TIMEOUT_MS = 900;
 /** Bounds the memory of an answer; the history of a large object in quick succession takes a few megabytes. */
-export const MAX_ANSWER_BYTES = 16_777_216;
+const MAX_ANSWER_BYTES = 16_777_216;
 /** The largest answer takes half of this time on an idle link of 10 Mbit/s. */
 const MAX_TRANSFER_MS = 30_000;
 
@@ -84,9 +84,8 @@
 ): Promise<Omit<HttpAnswer, "status">> {
   const startedAt = clock.now();
   const chunks: Buffer[] = [];
-  let bytes = Number(response.headers["content-length"] ?? 0);
-  checkSize();
-  bytes = 0;
+  let bytes = 0;
+  checkSize(Number(response.headers["content-length"] ?? 0), maxBytes);
   const cancelTransferTimeout = abortAfter(clock, abort, MAX_TRANSFER_MS, "the answer did not end");
   let cancelStallTimeout = abortOnStall();
   try {
@@ -95,7 +94,7 @@
       cancelStallTimeout = abortOnStall();
       chunks.push(chunk);
       bytes += chunk.byteLength;
-      checkSize();
+      checkSize(bytes, maxBytes);
     }
   } catch (error) {
     throw error instanceof AnswerTooLargeError
@@ -108,18 +107,18 @@
   const transfer = { bytes, durationMs: clock.now() - startedAt };
   return { text: Buffer.concat(chunks, bytes).toString(), transfer };
 
-  function checkSize(): void {
-    if (bytes > maxBytes) {
-      const message = `the answer has at least ${bytes} bytes, more than ${maxBytes}`;
-      throw new AnswerTooLargeError(message, { props: { step: "receive answer" } });
-    }
-  }
-
   function abortOnStall(): CancelTimer {
     return abortAfter(clock, abort, STALL_TIMEOUT_MS, "nothing of the answer came");
   }
 }
 
+function checkSize(bytes: number, maxBytes: number): void {
+  if (bytes > maxBytes) {
+    const message = `the answer has at least ${bytes} bytes, more than ${maxBytes}`;
+    throw new AnswerTooLargeError(message, { props: { step: "receive answer" } });
+  }
+}
+
 function abortAfter(clock: Clock, abort: AbortController, delayMs: number, detail: string): CancelTimer {
   return clock.schedule(delayMs, () => {
     abort.abort(new Error(`${detail} within ${delayMs} ms`));
