--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -27,8 +27,8 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const READY_TIMEOUT_MS = 60_000;
 const READY_POLL_INTERVAL_MS = 100;
-/** Seeds that run at the same time need different loopback addresses for their daemons. */
-const ADDRESS_BLOCKS = 200;
+/** Seeds that run at the same time need different loopback addresses; those equal modulo this number share them. */
+export const ADDRESS_BLOCKS = 200;
 /** The last daemon reads from the store over a link on which one copy of the configuration takes 0.45 s. */
 const SLOW_LINK_BYTES_PER_SECOND = 400_000;
 /** Routes without requests, which give the configuration the size of that of a large organisation. */
--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the soak: runs seeds, several at a time, and reports the promises that each one broke. */
 import meow from "meow";
+import { ADDRESS_BLOCKS } from "./deployment";
 import { regressionSeeds } from "./regressionSeeds";
 import { type SoakResult, runSoak } from "./soak";
 
@@ -41,13 +42,22 @@
     : Array.from({ length: cli.flags.seeds }, (_, index) => first + index);
   const count = seeds.length;
   const failed: number[] = [];
+  const usedBlocks = new Set<number>();
+  /** Takes the next seed whose addresses no running seed uses. */
+  const takeSeed = () => {
+    const index = seeds.findIndex((seed) => !usedBlocks.has(seed % ADDRESS_BLOCKS));
+    return index === -1 ? undefined : seeds.splice(index, 1)[0];
+  };
   const runSeeds = async () => {
-    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+    for (let seed = takeSeed(); seed !== undefined; seed = takeSeed()) {
+      const block = seed % ADDRESS_BLOCKS;
+      usedBlocks.add(block);
       const result = await runSoak({
         seed,
         faultsMs: cli.flags.seconds * MILLISECONDS_PER_SECOND,
         checksTimeBounds: true,
       });
+      usedBlocks.delete(block);
       printResult(result);
       if (result.brokenPromises.length > 0) {
         failed.push(seed);
