Failing test: a server gets more requests than its rate limit allows

Callers' requests go on reaching a server in need as if it had named no limit: on all 60 requests of the test reach a server that names 5 a second, where four seconds may see 35.

--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -19,7 +19,7 @@
   createServerLoads,
 } from "../src/gateway";
 import { createCounters, createMetrics, silentLogger } from "../src/observability";
-import { systemClock } from "../src/types";
+import { type Clock, systemClock } from "../src/types";
 import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
 import { createRandom } from "../standins/scenarios/callers";
 import { findFreePort } from "../standins/scenarios/ports";
@@ -414,9 +414,12 @@
     coldRequestsPerSecond: null,
   };
 
-  function createTestDispatcher(servers: readonly DiscoveredServer[]): Dispatcher {
+  function createTestDispatcher(
+    servers: readonly DiscoveredServer[],
+    clock: Clock = systemClock,
+  ): Dispatcher {
     const directory = createServerDirectory({
-      clock: systemClock,
+      clock,
       logger: silentLogger,
       decode: (_name, value) => value as DiscoveredServer,
       getColdMs: () => 0,
@@ -430,16 +433,16 @@
         waitForChange: () => Promise.resolve(false),
         recordRequest: () => undefined,
       },
-      connections: createServerConnections(systemClock, () => 4),
-      loads: createServerLoads(systemClock),
+      connections: createServerConnections(clock, () => 4),
+      loads: createServerLoads(clock),
       coldAdmission: createColdAdmission(
-        systemClock,
+        clock,
         () => 0,
         () => 1,
       ),
-      retryBudget: createRetryBudgetShare(systemClock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
+      retryBudget: createRetryBudgetShare(clock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
       protocol: wireServerProtocol,
-      clock: systemClock,
+      clock,
       random: createRandom(SEED),
       logger: silentLogger,
       counters: createCounters("test"),
@@ -658,6 +661,24 @@
     await closed;
   });
 
+  // Guards against a server in need that names a rate limit in its answers and gets all requests all the same.
+  test("a server gets no more requests than the rate limit that its answers name allows", async () => {
+    const perSecond = 5;
+    const fields = `${SIGNATURE_FIELD}\r\nServer-Limit: ${perSecond}`;
+    server.setBehaviour((socket, request) =>
+      socket.write(createFramedAnswer("200 OK", "x", fields)(request)),
+    );
+    const before = server.receivedRequests.length;
+    const clock = createFakeClock();
+    const dispatch = createTestDispatcher([createServer()], clock);
+    const deadlineAt = clock.now() + DEADLINE_MS;
+    for (let sent = 0; sent < 60; sent += 1) {
+      await dispatch(createRequest(RouteKind.Safe, { deadlineAt }));
+    }
+    // The clock stands still, so this is what any four seconds may see.
+    expect(server.receivedRequests.length - before).toBeLessThanOrEqual(4 * perSecond * 1.5 + 5);
+  });
+
   const createMisdirectedAnswer = (instance: string) =>
     createFramedAnswer("421 Misdirected Request", "", `Instance-Id: ${instance}\r\nNot-Executed: 1`);
 
