Log and count the rate limits that backend servers name

Neither logs nor metrics said whether a daemon had read a server's rate limit, so the hypotheses of the incident (not read; kept to by each daemon for itself; keys cannot leave) could not be told apart. Events 1804 and 1805 and the gauge rate_limited_servers tell them apart. A limit is taken only from an answer that the server must have produced, and a garbled figure changes nothing.

--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -20,5 +20,15 @@
   readonly coldForMs: number;
 }
 
+/** What a daemon knows of the rate limit that a backend server named. */
+export interface StatedRateLimit {
+  readonly server: ServerName;
+  readonly bornAt: number;
+  /** Requests per second from all daemons together; null when the server named no limit. */
+  readonly requestsPerSecond: number | null;
+  /** Age of the server's statement in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Decodes a stored entry; returns undefined when it does not describe a usable backend server. */
 export type ServerDecoder = (name: string, value: unknown) => DiscoveredServer | undefined;
--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -5,6 +5,7 @@
 import type { ServerFields, ServerProtocol } from "./protocols";
 import type { AnswerBody, SendResult } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
+import type { ServerRateLimits } from "./serverRateLimits";
 
 /** Result of one attempt. */
 export type AttemptResult =
@@ -37,6 +38,7 @@
 export interface AttemptClassifierOptions {
   readonly directory: ServerDirectory;
   readonly loads: ServerLoads;
+  readonly rateLimits: Pick<ServerRateLimits, "record">;
   readonly protocol: ServerProtocol;
 }
 
@@ -47,7 +49,7 @@
  * @returns The classifier.
  */
 export function createAttemptClassifier(options: AttemptClassifierOptions): AttemptClassifier {
-  const { directory, loads, protocol } = options;
+  const { directory, loads, rateLimits, protocol } = options;
 
   return { findRejection, classify };
 
@@ -115,6 +117,7 @@
   }
 
   function recordFields(server: DiscoveredServer, fields: ServerFields): void {
+    rateLimits.record(server, fields.rateLimit);
     if (fields.load !== undefined) {
       loads.recordLoad(server.name, fields.load);
     }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -16,6 +16,7 @@
 import { type DistanceCosts, chooseServer } from "./serverChoice";
 import type { ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
+import type { ServerRateLimits } from "./serverRateLimits";
 import { RouteKind } from "./types";
 
 /** Maximum wait for a key that is being moved; a move takes a release, a write and a grant. */
@@ -62,6 +63,7 @@
   readonly owners: KeyOwners;
   readonly connections: ServerConnections;
   readonly loads: ServerLoads;
+  readonly rateLimits: ServerRateLimits;
   readonly coldAdmission: ColdAdmission;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -46,6 +46,7 @@
 import { createServerConnections } from "./serverConnections";
 import { estimateCapacities } from "./serverCapacity";
 import { createServerLoads } from "./serverLoads";
+import { createServerRateLimits } from "./serverRateLimits";
 import type { GatewayLimits, RoutingConfiguration, ServicePolicy } from "./types";
 
 /** Share of a server's connections for all daemons; the rest is for control calls and replaced daemons. */
@@ -164,6 +165,7 @@
     getColdMs: (service) => findPolicy(service)?.coldMs ?? 0,
   });
   const loads = createServerLoads(clock);
+  const rateLimits = createServerRateLimits({ directory, clock, logger });
   const connections = createServerConnections(clock, (server) => {
     const maxConnections = findPolicy(server.service)?.maxConnections ?? 1;
     const share = Math.floor((maxConnections * CONNECTION_SHARE) / freshness.getClusterSize());
@@ -182,6 +184,7 @@
     },
     connections,
     loads,
+    rateLimits,
     coldAdmission,
     retryBudget: createRetryBudgetShare(
       clock,
@@ -242,6 +245,7 @@
     owners,
     directory,
     connections,
+    rateLimits,
     isCoordinator: () => lease.isHeld(),
   });
   await startReadinessServer();
@@ -382,6 +386,7 @@
     const services = [...(routing.findActive()?.configuration.services.keys() ?? [])];
     connections.retain(services.flatMap((service) => directory.getByService(service)));
     loads.retain((name) => directory.get(name) !== undefined);
+    rateLimits.evict();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
       return server !== undefined && directory.isCold(server);
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -6,6 +6,7 @@
 import type { CallerListener } from "./callerListener";
 import type { RoutingState } from "./routingState";
 import type { ServerConnections } from "./serverConnections";
+import type { ServerRateLimits } from "./serverRateLimits";
 
 /** Options for {@link addGatewayGauges}. */
 export interface GatewayGaugeOptions {
@@ -15,6 +16,7 @@
   readonly owners: OwnerTable;
   readonly directory: ServerDirectory;
   readonly connections: ServerConnections;
+  readonly rateLimits: Pick<ServerRateLimits, "count">;
   readonly isCoordinator: () => boolean;
 }
 
@@ -24,7 +26,7 @@
  * @param options - The metrics and the components that the gauges read.
  */
 export function addGatewayGauges(options: GatewayGaugeOptions): void {
-  const { metrics, callerListener, routing, owners, directory, connections } = options;
+  const { metrics, callerListener, routing, owners, directory, connections, rateLimits } = options;
   metrics.addGauge("requests_in_flight", "Requests not answered yet", "state", () => ({
     open: callerListener.countInFlight(),
   }));
@@ -43,6 +45,9 @@
   metrics.addGauge("server_connections_opened", "Connections to backend servers so far", "name", () => ({
     all: connections.countOpened(),
   }));
+  metrics.addGauge("rate_limited_servers", "Backend servers that name a rate limit", "name", () => ({
+    all: rateLimits.count(),
+  }));
 
   function mapServices(read: (service: ServiceName) => number): Readonly<Record<string, number>> {
     const services = [...(routing.findActive()?.configuration.services.keys() ?? [])];
--- a/src/gateway/protocols.ts
+++ b/src/gateway/protocols.ts
@@ -29,6 +29,15 @@
   readonly slowness: number;
 }
 
+/** What an answer states about the rate of requests that its server accepts from all daemons together. */
+export type RateLimitStatement =
+  | { readonly kind: "limited"; readonly requestsPerSecond: number }
+  | { readonly kind: "unlimited" }
+  /** The figure cannot be read. */
+  | { readonly kind: "unreadable"; readonly text: string }
+  /** The answer may not come from the server, so that a missing figure means nothing. */
+  | { readonly kind: "unstated" };
+
 /** Contents of the header fields of a backend server's answer. */
 export interface ServerFields {
   /** The request that the answer belongs to; undefined when the answer does not say. */
@@ -40,6 +49,7 @@
   /** Whether the server states that it has not run the request. */
   readonly isNotRun: boolean;
   readonly load: ServerLoad | undefined;
+  readonly rateLimit: RateLimitStatement;
   /** Time for which the server stays cold, in milliseconds; undefined when the answer does not say. */
   readonly coldForMs: number | undefined;
 }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -72,6 +72,16 @@
     Severity.Warn,
     "backend server entry cannot be parsed; it is ignored",
   ),
+  ServerRateLimitChanged: defineEvent(
+    1804,
+    Severity.Info,
+    "backend server named, changed or withdrew its rate limit",
+  ),
+  ServerRateLimitInvalid: defineEvent(
+    1805,
+    Severity.Warn,
+    "rate limit of a backend server cannot be read; the previous statement holds",
+  ),
   ConfigurationAccepted: defineEvent(1811, Severity.Info, "routing configuration in force"),
   ConfigurationRefused: defineEvent(
     1812,
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -17,6 +17,7 @@
   createRouteMatcher,
   createServerConnections,
   createServerLoads,
+  createServerRateLimits,
 } from "../src/gateway";
 import { createCounters, createMetrics, silentLogger } from "../src/observability";
 import { type Clock, systemClock } from "../src/types";
@@ -435,6 +436,7 @@
       },
       connections: createServerConnections(clock, () => 4),
       loads: createServerLoads(clock),
+      rateLimits: createServerRateLimits({ directory, clock, logger: silentLogger }),
       coldAdmission: createColdAdmission(
         clock,
         () => 0,
