Keep the requests of all daemons together to the rate limit of a server

What callers saw: a server in need got three times the requests that it had said it takes, so its answers were late or failed (LIMIT in the users' record: 79 requests in 4 s where 42 are allowed).

Cause: no daemon kept to the limit, and a limit that each keeps to for itself would not bound the sum.

Change: while a server names a limit, each request to it takes a permit from a token bucket at the coordinator, by one datagram each way. A request without a permit goes to another server, or is refused at once as not run where a key has only one owner. A daemon that gets no answer keeps to half of an equal share for a moment; a new coordinator starts with an empty bucket. Permits instead of equal shares, since the platform spreads callers unevenly and an unused share would be lost.

--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -12,6 +12,7 @@
   OwnerUnusable: "owner-unusable",
   Overloaded: "overloaded",
   Cold: "cold",
+  RateLimited: "rate-limited",
   Unreachable: "unreachable",
   Shed: "shed",
   Late: "late",
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -10,6 +10,7 @@
   RejectionReason,
   type RoutedRequest,
 } from "./dispatchTypes";
+import type { PermitExchange } from "./permitExchange";
 import type { ServerProtocol } from "./protocols";
 import type { RetryBudgetShare } from "./retryBudgetShare";
 import { type AttemptResult, createAttemptClassifier } from "./attemptClassifier";
@@ -63,7 +64,8 @@
   readonly owners: KeyOwners;
   readonly connections: ServerConnections;
   readonly loads: ServerLoads;
-  readonly rateLimits: ServerRateLimits;
+  readonly rateLimits: Pick<ServerRateLimits, "record">;
+  readonly permits: Pick<PermitExchange, "isExhausted" | "acquire">;
   readonly coldAdmission: ColdAdmission;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
@@ -93,6 +95,7 @@
     owners,
     connections,
     loads,
+    permits,
     coldAdmission,
     retryBudget,
     protocol,
@@ -134,14 +137,39 @@
     return createResult(request, lastResult, tried);
   };
 
+  /** Selects a server and takes a permit if it limits its rate; tries the next one while permits are denied. */
   async function selectServer(request: RoutedRequest, tried: ReadonlySet<ServerName>): Promise<Selection> {
-    if (request.service.isKeyed && request.key !== undefined) {
-      return selectOwner(request, request.key, tried);
+    const denied = new Set<ServerName>();
+    for (;;) {
+      const selection = await findCandidate(request, tried, denied);
+      if (selection.kind === "none" || (await permits.acquire(selection.server.name))) {
+        return selection;
+      }
+      denied.add(selection.server.name);
+    }
+  }
+
+  async function findCandidate(
+    request: RoutedRequest,
+    tried: ReadonlySet<ServerName>,
+    denied: ReadonlySet<ServerName>,
+  ): Promise<Selection> {
+    const { service, key } = request;
+    if (!service.isKeyed || key === undefined) {
+      return selectByLoad(request, tried, denied);
+    }
+    if (denied.size > 0) {
+      // A key has only one owner.
+      return { kind: "none", reason: RejectionReason.RateLimited };
     }
-    return selectByLoad(request, tried);
+    return selectOwner(request, key, tried);
   }
 
-  function selectByLoad(request: RoutedRequest, tried: ReadonlySet<ServerName>): Selection {
+  function selectByLoad(
+    request: RoutedRequest,
+    tried: ReadonlySet<ServerName>,
+    denied: ReadonlySet<ServerName>,
+  ): Selection {
     const { route, service } = request;
     const candidates = directory.getUsable(service.name);
     let refusal: RejectionReason =
@@ -154,7 +182,9 @@
       tried,
       random: options.random,
       isAdmitted: (candidate) => {
-        const reason = findRejectionReason(request, candidate);
+        const reason = denied.has(candidate.name)
+          ? RejectionReason.RateLimited
+          : findRejectionReason(request, candidate);
         refusal = reason ?? refusal;
         return reason === undefined;
       },
@@ -212,6 +242,9 @@
     if (!connections.hasRoom(server) || (isBusy && expectedMs > usefulMs)) {
       return RejectionReason.Overloaded;
     }
+    if (permits.isExhausted(server.name)) {
+      return RejectionReason.RateLimited;
+    }
     const { coldRequestsPerSecond } = service;
     if (coldRequestsPerSecond !== null && directory.isCold(server)) {
       return coldAdmission.tryAcquire(server.name, coldRequestsPerSecond) ? undefined : RejectionReason.Cold;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,6 +41,7 @@
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import type { CallerProtocol, ServerProtocol } from "./protocols";
+import { createPermitExchange } from "./permitExchange";
 import { createRetryBudgetShare } from "./retryBudgetShare";
 import { createRoutingState } from "./routingState";
 import { createServerConnections } from "./serverConnections";
@@ -171,6 +172,19 @@
     const share = Math.floor((maxConnections * CONNECTION_SHARE) / freshness.getClusterSize());
     return Math.max(2, Math.min(share, server.slots * MAX_REQUESTS_PER_SLOT));
   });
+  const channel = createDatagramChannel(await createUdpTransport(options.peers), counters);
+  const permits = createPermitExchange({
+    channel,
+    address: options.peers,
+    rateLimits,
+    isCoordinator: () => lease.isHeld(),
+    findCoordinator: () => lease.findCoordinator(),
+    getClusterSize: () => freshness.getClusterSize(),
+    clock,
+    random,
+    logger,
+    counters,
+  });
   const coldAdmission = createColdAdmission(clock, random, () => freshness.getClusterSize());
   const dispatch = createDispatcher({
     directory,
@@ -185,6 +199,7 @@
     connections,
     loads,
     rateLimits,
+    permits,
     coldAdmission,
     retryBudget: createRetryBudgetShare(
       clock,
@@ -199,7 +214,6 @@
     dataCentre: options.dataCentre,
     distance: { shortMs: SHORT_ANSWER_REMOTE_COST_MS, largeMs: LARGE_ANSWER_REMOTE_COST_MS },
   });
-  const channel = createDatagramChannel(await createUdpTransport(options.peers), counters);
   const lease = createCoordinatorLease({
     objects,
     self,
@@ -387,6 +401,7 @@
     connections.retain(services.flatMap((service) => directory.getByService(service)));
     loads.retain((name) => directory.get(name) !== undefined);
     rateLimits.evict();
+    permits.evict();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
       return server !== undefined && directory.isCold(server);
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -5,6 +5,8 @@
 export * from "./callerListener";
 export * from "./gateway";
 export * from "./gracefulShutdown";
+export * from "./permitExchange";
+export * from "./permitPool";
 export * from "./protocols";
 export * from "./retryBudgetShare";
 export * from "./routeMatcher";
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -82,6 +82,11 @@
     Severity.Warn,
     "rate limit of a backend server cannot be read; the previous statement holds",
   ),
+  PermitReplyMissing: defineEvent(
+    1806,
+    Severity.Info,
+    "coordinator did not answer a request for a permit; this daemon keeps to its own share for a moment",
+  ),
   ConfigurationAccepted: defineEvent(1811, Severity.Info, "routing configuration in force"),
   ConfigurationRefused: defineEvent(
     1812,
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -13,12 +13,14 @@
   createCallerListener,
   createColdAdmission,
   createDispatcher,
+  createPermitExchange,
   createRetryBudgetShare,
   createRouteMatcher,
   createServerConnections,
   createServerLoads,
   createServerRateLimits,
 } from "../src/gateway";
+import { createDatagramChannel } from "../src/membership";
 import { createCounters, createMetrics, silentLogger } from "../src/observability";
 import { type Clock, systemClock } from "../src/types";
 import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
@@ -36,6 +38,7 @@
 const SEED = 20_261_204;
 /** Far longer than a request and its answer take on this machine. */
 const DEADLINE_MS = 10_000;
+const unconnectedTransport = { send: () => undefined, receive: () => undefined, close: () => undefined };
 const presentCaller = { signal: new AbortController().signal, confirmPresence: () => Promise.resolve(true) };
 
 function createRoute(change: Partial<Route> = {}): Route {
@@ -426,6 +429,7 @@
       getColdMs: () => 0,
     });
     directory.replaceAll(servers.map((each) => ({ path: `servers/${each.name}`, version: 1, value: each })));
+    const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
     return createDispatcher({
       directory,
       owners: {
@@ -436,7 +440,19 @@
       },
       connections: createServerConnections(clock, () => 4),
       loads: createServerLoads(clock),
-      rateLimits: createServerRateLimits({ directory, clock, logger: silentLogger }),
+      rateLimits,
+      permits: createPermitExchange({
+        channel: createDatagramChannel(unconnectedTransport, createCounters("test")),
+        address: { host: "127.0.0.1", port: 1 },
+        rateLimits,
+        isCoordinator: () => true,
+        findCoordinator: () => undefined,
+        getClusterSize: () => 1,
+        clock,
+        random: createRandom(SEED),
+        logger: silentLogger,
+        counters: createCounters("test"),
+      }),
       coldAdmission: createColdAdmission(
         clock,
         () => 0,
