Tell all daemons the rate limits that one of them was told

What callers saw: nothing yet. A daemon that was restarted, or that has sent a server nothing since it named its limit, knew no limit and sent its requests without a permit until the first answer; the coordinator often was such a daemon, and then took the requester's figure, which may be older than others'.

Cause: a limit was known only where its answer was passed on, though it binds the sum over all daemons.

Change: daemons send the newest statements, with their age, in the state that they send the coordinator every 400 ms, and get those of the others in its reply.

Evidence: the new test fails without the change (the fake is not called); a limit told to one of three daemons is known to all within 2 s.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -7,6 +7,7 @@
 import type { DatagramChannel } from "../membership";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
 import type { PrefixWatcher } from "./prefixWatcher";
+import type { StatedRateLimit } from "./types";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
@@ -33,12 +34,22 @@
 
 const addressSchema = z.object({ host: z.string(), port: z.int() });
 const digestsSchema = z.record(z.string(), z.number());
+const rateLimitsSchema = z.array(
+  z.object({
+    server: z.string(),
+    bornAt: z.int(),
+    requestsPerSecond: z.number().nonnegative().nullable(),
+    ageMs: z.number().nonnegative(),
+  }),
+);
 const stateSchema = z.object({
   daemon: z.string(),
   address: addressSchema,
   /** Processor capacity of the daemon's VM, in cores. */
   processors: z.number().positive(),
   digests: digestsSchema,
+  /** Rate limits of backend servers; daemons of earlier versions send none. */
+  rateLimits: rateLimitsSchema.default([]),
 });
 const replySchema = z.object({
   digests: digestsSchema,
@@ -48,6 +59,7 @@
   daemons: z.int().positive().nullable(),
   /** Processor capacity of the cluster's largest VM, in cores. */
   largestProcessors: z.number().positive(),
+  rateLimits: rateLimitsSchema.default([]),
 });
 type Digests = z.output<typeof digestsSchema>;
 
@@ -68,6 +80,15 @@
   readonly getLeaseVersion: () => Version;
   /** Records that the coordinator still holds its lease at this version. */
   readonly confirmLease: (version: Version) => void;
+  readonly rateLimits: SharedRateLimits;
+}
+
+/** Rate limits of backend servers that daemons tell each other by way of the coordinator. */
+export interface SharedRateLimits {
+  /** Returns what this daemon knows. */
+  share(): readonly StatedRateLimit[];
+  /** Applies what another daemon knows. */
+  merge(shared: readonly StatedRateLimit[]): void;
 }
 
 /** State that another daemon sent. */
@@ -145,6 +166,7 @@
 
   channel.receive(MessageKind.State, stateSchema, (state) => {
     peers.record(state);
+    options.rateLimits.merge(state.rateLimits);
     // Only the coordinator's watchers always read the newest state, so only its digests serve as a reference.
     if (options.isCoordinator()) {
       const daemons = countDaemons();
@@ -153,6 +175,7 @@
         leaseVersion: options.getLeaseVersion(),
         daemons,
         largestProcessors: computeLargestProcessors(),
+        rateLimits: options.rateLimits.share(),
       });
     }
   });
@@ -161,6 +184,7 @@
     repliedAt = contactAt;
     clusterSize = reply.daemons ?? clusterSize;
     ({ largestProcessors } = reply);
+    options.rateLimits.merge(reply.rateLimits);
     options.confirmLease(reply.leaseVersion);
     compareDigests((prefix) => reply.digests[prefix]);
   });
@@ -188,6 +212,7 @@
         address,
         processors,
         digests: computeDigests(),
+        rateLimits: options.rateLimits.share(),
       });
     }
     refreshWithoutContact();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -304,6 +304,7 @@
     confirmLease: (version) => {
       lease.confirm(version);
     },
+    rateLimits,
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
   watchers.forEach((watcher) => void watcher.run(stop.signal));
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -7,6 +7,7 @@
   type DiscoveredServer,
   type FreshnessCheck,
   ServerPhase,
+  type StatedRateLimit,
   createPrefixWatcher,
   createFreshnessCheck,
   createPeerStates,
@@ -419,6 +420,7 @@
     const refreshes = digests.map(() => 0);
     const checks: FreshnessCheck[] = [];
     const confirmed: number[] = [];
+    const stated: (readonly StatedRateLimit[])[] = [];
     digests.forEach((digest, index) => {
       const port = index + 1;
       const check = createFreshnessCheck({
@@ -444,11 +446,17 @@
         confirmLease: (version) => {
           confirmed[index] = version;
         },
+        rateLimits: {
+          share: () => stated[index] ?? [],
+          merge: (shared) => {
+            stated[index] = [...(stated[index] ?? []), ...shared].slice(0, 1);
+          },
+        },
       });
       checks.push(check);
       void check.run(stop.signal);
     });
-    return { clock, network, refreshes, checks, confirmed, stop };
+    return { clock, network, refreshes, checks, confirmed, stated, stop };
   }
 
   interface FreshnessCase {
@@ -511,6 +519,16 @@
     stop.abort();
   });
 
+  // Guards against a daemon that was restarted, or has sent a server nothing yet, and knows no limit of it.
+  test("a rate limit that one daemon was told reaches the others within two seconds", async () => {
+    const { clock, stated, stop } = startDaemons([1, 1, 1]);
+    const limit = { server: "s", bornAt: 1, requestsPerSecond: 5, ageMs: 0 };
+    stated[1] = [limit];
+    await clock.advance(2000);
+    expect(stated).toEqual([[limit], [limit], [limit]]);
+    stop.abort();
+  });
+
   test("freshness is checked only on daemons in contact with the coordinator", async () => {
     const { clock, network, checks, stop } = startDaemons([1, 1, 1]);
     const listChecked = () => checks.map((check) => check.isFreshnessChecked());
