Move keys away from a server that limits its rate

What callers saw: with the limit kept, requests for the keys of a server in need would be refused at three times its limit, while other servers of the service are idle: a request for a key has only one server.

Change: a server's capacity, by which keys are placed and moved, is at most the rate that it names, as it already is at most that of a cold server. A server that accepts nothing keeps a capacity above zero, since capacities are divided by each other.

Evidence: cases of test/serverCapacity.test.ts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -367,13 +367,19 @@
         slots: server.slots,
         processingMs: loads.getProcessingMs(server.name),
         answers: loads.countAnswers(server.name),
-        coldRequestsPerSecond: directory.isCold(server)
-          ? (findPolicy(server.service)?.coldRequestsPerSecond ?? null)
-          : null,
+        maxRequestsPerSecond: findMaxRate(server),
       })),
     );
   }
 
+  /** Returns the requests per second that a server accepts now; null when it sets no limit. */
+  function findMaxRate(server: DiscoveredServer): number | null {
+    const policy = findPolicy(server.service);
+    const coldRate = directory.isCold(server) ? (policy?.coldRequestsPerSecond ?? null) : null;
+    const rates = [coldRate, rateLimits.find(server.name)].filter((rate) => typeof rate === "number");
+    return rates.length === 0 ? null : Math.min(...rates);
+  }
+
   /**
    * Resigns the lease in favour of a much larger VM, at most once per {@link MIN_RESIGNATION_INTERVAL_MS}: if that VM
    * cannot take the lease, this daemon may get it again and would resign it repeatedly.
--- a/src/gateway/serverCapacity.ts
+++ b/src/gateway/serverCapacity.ts
@@ -4,6 +4,8 @@
 const PRIOR_ANSWERS = 4;
 /** Maximum estimated speed relative to the median: a noisy estimate must not draw all keys to one server. */
 const MAX_RELATIVE_SPEED = 2;
+/** Capacities are divided by each other, so that of a server which accepts nothing is not 0. */
+const MIN_REQUESTS_PER_SECOND = 0.1;
 const MILLISECONDS_PER_SECOND = 1000;
 
 /** Processing time that is assumed until a service has given its first answer. */
@@ -16,8 +18,8 @@
   readonly processingMs: number;
   /** Number of answers that the mean is taken over. */
   readonly answers: number;
-  /** Requests per second that the server can handle while cold; null when it is warm or needs no limit. */
-  readonly coldRequestsPerSecond: number | null;
+  /** Requests per second that the server accepts, for example while it is cold; null without a limit. */
+  readonly maxRequestsPerSecond: number | null;
 }
 
 /**
@@ -33,13 +35,14 @@
 }
 
 function estimateCapacity(server: CapacityInputs, medianProcessingMs: number): number {
-  const { slots, processingMs, answers, coldRequestsPerSecond } = server;
+  const { slots, processingMs, answers, maxRequestsPerSecond } = server;
   const blendedMs = (answers * processingMs + PRIOR_ANSWERS * medianProcessingMs) / (answers + PRIOR_ANSWERS);
   const warmCapacity = slots / Math.max(medianProcessingMs / MAX_RELATIVE_SPEED, blendedMs);
-  if (coldRequestsPerSecond === null) {
+  if (maxRequestsPerSecond === null) {
     return warmCapacity;
   }
-  return Math.min(warmCapacity, coldRequestsPerSecond / MILLISECONDS_PER_SECOND);
+  const accepted = Math.max(maxRequestsPerSecond, MIN_REQUESTS_PER_SECOND);
+  return Math.min(warmCapacity, accepted / MILLISECONDS_PER_SECOND);
 }
 
 function findMedian(values: readonly number[]): number | undefined {
--- a/test/serverCapacity.test.ts
+++ b/test/serverCapacity.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, test } from "vitest";
 import { type CapacityInputs, estimateCapacities } from "../src/gateway";
 
-const typical: CapacityInputs = { slots: 4, processingMs: 100, answers: 1, coldRequestsPerSecond: null };
+const typical: CapacityInputs = { slots: 4, processingMs: 100, answers: 1, maxRequestsPerSecond: null };
 /** Other servers of the service; one is an outlier, which must not affect the estimate. */
 const others = [typical, typical, typical, { ...typical, processingMs: 3000 }];
 /** Requests per millisecond: 4 slots at a processing time of 100 ms. */
@@ -47,11 +47,17 @@
     maxCapacity: 0.11 * typicalCapacity,
   },
   {
-    name: "a cold server is limited to its cold rate",
-    change: { coldRequestsPerSecond: 4 },
+    name: "a server that limits its rate has no more than that rate",
+    change: { maxRequestsPerSecond: 4 },
     minCapacity: 0.001,
     maxCapacity: 0.004,
   },
+  {
+    name: "a server that accepts nothing keeps a capacity above zero",
+    change: { maxRequestsPerSecond: 0 },
+    minCapacity: 0.000_01,
+    maxCapacity: 0.001,
+  },
 ];
 
 describe("server capacity", () => {
