Let a busy key leave a server whose capacity has fallen

Cause: a key with more load than is to be moved left its owner only if the load of the new owner ended below three quarters of the old owner's, both as plain loads, and never if it was all of its range; the fastest server took it only while it was not overloaded itself. Among servers of like capacity that prevents moves to and fro; a server that takes a seventh of the others' requests kept its busiest key for good.

Change: both loads are taken relative to the servers' shares, and the whole range may go. The highest relative load still falls by a quarter with each such move, so no key goes to and fro.

--- a/src/keyRanges/rebalancing.ts
+++ b/src/keyRanges/rebalancing.ts
@@ -24,8 +24,8 @@
 /** A piece with at most this fraction of the wanted load is not worth a move. */
 const MIN_CUT_RATIO = 0.1;
 /**
- * Keys with more than the wanted load move only if the load of their new owner ends up at or below this
- * fraction of the old owner's load.
+ * Keys with more than the wanted load move only if the load of their new owner, relative to its share, ends up at
+ * or below this fraction of the old owner's.
  */
 const MAX_TARGET_LOAD_RATIO = 0.75;
 /** A load that exceeds the share by more than this many standard deviations is not random variation. */
@@ -147,7 +147,8 @@
     .sort((left, right) => right.load / right.share - left.load / left.share);
   for (const source of sources) {
     const wanted = Math.min(source.load - source.share, leastLoaded.share - leastLoaded.load);
-    const maxLoad = source.load * MAX_TARGET_LOAD_RATIO - leastLoaded.load;
+    const maxLoad =
+      (source.load / source.share) * MAX_TARGET_LOAD_RATIO * leastLoaded.share - leastLoaded.load;
     const cut = cutPiece(source.parts, wanted, weigh) ?? cutBusyKey(source.parts, wanted, maxLoad, weigh);
     if (cut !== undefined) {
       return applyMove(source, leastLoaded, cut, weigh);
@@ -268,7 +269,7 @@
 
 /**
  * Finds the shortest piece above {@link CUT_TOLERANCE} at each end of the busiest part and returns the
- * lighter one; undefined if that is the whole part or its load is above `maxLoad`.
+ * lighter one, which may be the whole part; undefined if its load is above `maxLoad`.
  */
 function cutBusyKey(
   parts: readonly Part[],
@@ -287,8 +288,7 @@
         : { from: (piece?.from ?? busiest.to + 1) - 1, to: busiest.to },
   );
   const [lighter] = pieces.sort((left, right) => weigh(left) - weigh(right));
-  const isWhole = lighter === undefined || (lighter.from <= busiest.from && lighter.to >= busiest.to);
-  return isWhole || weigh(lighter) > maxLoad ? undefined : { part: busiest, ...lighter };
+  return lighter === undefined || weigh(lighter) > maxLoad ? undefined : { part: busiest, ...lighter };
 }
 
 /**
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -488,6 +488,30 @@
     expect(moves.some(({ piece }) => piece.from <= busyKey && busyKey <= piece.to)).toBe(false);
   });
 
+  // Guards against a server in need that cannot get rid of its busiest key, for which most requests are refused.
+  test("a single busy key leaves a server whose capacity has fallen far below the others'", () => {
+    const loadOfBusyKeys = new Map([
+      [160, 200],
+      [161, 600],
+    ]);
+    const names = ["s1", "s2", "s3", "s4"];
+    const owned = [
+      createRange(0, 159, "s3"),
+      createRange(160, 160, "s1", 2),
+      createRange(161, 161, "s2", 3),
+      createRange(162, 32_767, "s3", 4),
+      createRange(32_768, LAST_KEY, "s4", 5),
+    ];
+    const getLoad = (range: KeyRange) =>
+      [...loadOfBusyKeys]
+        .filter(([key]) => range.from <= key && key <= range.to)
+        .reduce((total, [, requests]) => total + requests, 0) +
+      ((range.to - range.from + 1) / KEY_COUNT) * 200;
+    const servers = names.map((name) => ({ name, bornAt: 1, capacity: name === "s1" ? 6 : 40 }));
+    const moves = planRebalance({ owned, candidates: servers, getLoad, maxMoves: 12, isMovable: () => true });
+    expect(moves.some(({ source, piece }) => source.server === "s1" && piece.from === 160)).toBe(true);
+  });
+
   test("adjacent pieces of one range are reclaimed by one release, with its handover", () => {
     const source = createRange(0, 999, "s1");
     const createMove = (from: number, to: number, server: string, range = source) => ({
