Soak: backend servers that name a rate limit

A fault of the soak lets a server name a limit of 0.5 requests a second for 4 to 8 s; the new promise is that it gets, from undisturbed daemons together, no more than the limit's bound in any 4 s once the limit has been named for 3 s.

--- a/standins/edge/backendServer.ts
+++ b/standins/edge/backendServer.ts
@@ -45,6 +45,14 @@
   readonly at: number;
   /** When the server announced that it is draining; undefined when it had not. */
   readonly drainingSince: number | undefined;
+  /** The limit that the server named when the request arrived; undefined when it named none. */
+  readonly rateLimit: RateLimit | undefined;
+}
+
+/** A limit of requests per second, and since when a server has named it. */
+export interface RateLimit {
+  readonly requestsPerSecond: number;
+  readonly since: number;
 }
 
 /** Callbacks for events at the servers. */
@@ -59,6 +67,8 @@
   readonly options: EdgeServerOptions;
   /** Announces that the server is draining. */
   drain(): void;
+  /** Names a limit of requests per second in all answers, or none if undefined. */
+  setRateLimit(requestsPerSecond: number | undefined): void;
   /** Stops without notice: resets connections and lets the entry expire. Does nothing when not up. */
   crash(): Promise<void>;
   /** Starts again with the same name, as a new process without grants would. Does nothing while up. */
@@ -96,6 +106,7 @@
   let sequence = 0;
   let drainingSince: number | undefined;
   let isUp = true;
+  let rateLimit: RateLimit | undefined;
   let advertisedPort: number | undefined;
   let expiryTimer: NodeJS.Timeout | undefined;
   const sockets = new Set<Socket>();
@@ -118,6 +129,10 @@
       drainingSince = performance.now();
       register();
     },
+    setRateLimit: (requestsPerSecond) => {
+      rateLimit =
+        requestsPerSecond === undefined ? undefined : { requestsPerSecond, since: performance.now() };
+    },
     crash: async () => {
       if (!isUp) {
         return;
@@ -145,6 +160,7 @@
       queue = [];
       running = 0;
       drainingSince = undefined;
+      rateLimit = undefined;
       bornAt = Date.now();
       server = await listen(address.port);
       isUp = true;
@@ -267,8 +283,12 @@
     const requestId = String(request.headers[WireHeader.RequestId] ?? "");
     const key = Number(request.headers[WireHeader.Key]);
     const arrivedAt = performance.now();
+    const rateLimitOnArrival = rateLimit;
     response.setHeader(WireHeader.RequestId, requestId);
     response.setHeader(WireHeader.Load, `${running},${queue.length},${options.slots}`);
+    if (rateLimit !== undefined) {
+      response.setHeader(WireHeader.RateLimit, rateLimit.requestsPerSecond);
+    }
     if (options.isKeyed && !self.isOwner(key, performance.now())) {
       refuse(response, Status.Misdirected);
       return;
@@ -298,6 +318,7 @@
       arrivedAt,
       at: performance.now(),
       drainingSince,
+      rateLimit: rateLimitOnArrival,
     });
     const bornAtRunStart = bornAt;
     await new Promise((resolve) => setTimeout(resolve, options.workMs * (0.5 + Math.random())));
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -7,6 +7,8 @@
 const MIN_FAULT_MS = 300;
 /** Maximum duration of a fault in milliseconds. */
 export const MAX_FAULT_MS = 4000;
+/** Limit of a backend server in need, in requests per second; far below what it gets otherwise. */
+const LOW_RATE_LIMIT = 0.5;
 /** Mean time from the start of a fault to that of the next; most faults last longer, so that they overlap. */
 const MEAN_FAULT_INTERVAL_MS = 700;
 
@@ -140,6 +142,16 @@
         () => changeServer(() => server.crash()),
         () => changeServer(() => server.restart()),
       ),
+      createFault(
+        `rate limit of ${name}`,
+        () => {
+          server.setRateLimit(LOW_RATE_LIMIT);
+        },
+        async () => {
+          await sleep(systemClock, MAX_FAULT_MS);
+          server.setRateLimit(undefined);
+        },
+      ),
       createFault(
         `drain ${name}`,
         () => {
--- a/standins/soak/promises.ts
+++ b/standins/soak/promises.ts
@@ -1,6 +1,13 @@
 /** Checks the records of callers and backend servers against the promises. */
 import type { RunRecord } from "../edge/backendServer";
 
+/** Time after which the rate limit that a backend server names holds. */
+const RATE_LIMIT_DELAY_MS = 3000;
+/** In any window of this length, a server may get this multiple of its rate limit, and some requests more. */
+const RATE_LIMIT_WINDOW_MS = 4000;
+const RATE_LIMIT_RATIO = 1.5;
+const RATE_LIMIT_SLACK = 5;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Longest time for which a backend server may get new work after it has announced that it drains. */
 const DRAIN_LIMIT_MS = 2000;
 /** Longest time after a caller's departure in which its request may still reach a backend server. */
@@ -106,6 +113,7 @@
         )
         .map((run) => run.requestId),
     ],
+    ["a server got more than its rate limit", findExceededRateLimits(facts.runs, attemptsById)],
     [
       "an undisturbed request was broken off",
       listIds(facts.attempts, (each) => each.isUndisturbed && !hasLeftEarly(each) && isBrokenOff(each)),
@@ -140,6 +148,34 @@
     .map(([what, cases]) => `${what}: ${cases.length} (${cases.slice(0, 3).join(", ")})`);
 }
 
+/** Finds the requests with which a server got more than its rate limit in one window, from undisturbed daemons. */
+function findExceededRateLimits(
+  runs: readonly RunRecord[],
+  attemptsById: ReadonlyMap<string, AttemptRecord>,
+): readonly string[] {
+  const limited = runs.filter(
+    ({ requestId, rateLimit, arrivedAt }) =>
+      rateLimit !== undefined &&
+      arrivedAt - rateLimit.since > RATE_LIMIT_DELAY_MS &&
+      attemptsById.get(requestId)?.isDaemonUndisturbed === true,
+  );
+  return limited
+    .filter((run) => {
+      const perSecond = run.rateLimit?.requestsPerSecond ?? 0;
+      const allowed =
+        (RATE_LIMIT_WINDOW_MS / MILLISECONDS_PER_SECOND) * perSecond * RATE_LIMIT_RATIO + RATE_LIMIT_SLACK;
+      const inWindow = limited.filter(
+        ({ server, rateLimit, arrivedAt }) =>
+          server === run.server &&
+          rateLimit?.since === run.rateLimit?.since &&
+          arrivedAt <= run.arrivedAt &&
+          arrivedAt > run.arrivedAt - RATE_LIMIT_WINDOW_MS,
+      );
+      return inWindow.length > allowed;
+    })
+    .map((run) => run.requestId);
+}
+
 function listIds(
   attempts: readonly AttemptRecord[],
   isBrokenPromise: (attempt: AttemptRecord) => boolean,
--- a/test/soakPromises.test.ts
+++ b/test/soakPromises.test.ts
@@ -24,7 +24,14 @@
   arrivedAt: 1040,
   at: 1050,
   drainingSince: undefined,
+  rateLimit: undefined,
 };
+const limitedRuns = Array.from({ length: 10 }, (_, index) => ({
+  ...run,
+  requestId: `r${index}`,
+  arrivedAt: 5000 + index * 100,
+  rateLimit: { requestsPerSecond: 0.5, since: 1000 },
+}));
 const facts: SoakFacts = {
   attempts: [attempt],
   runs: [run],
@@ -72,6 +79,22 @@
     change: { runs: [run, { ...run, requestId: "r2", isUnsafe: false }] },
     expected: [/what nobody asked/],
   },
+  {
+    name: "more requests than a server's rate limit allows",
+    change: {
+      attempts: limitedRuns.map(({ requestId }) => ({ ...attempt, requestId })),
+      runs: limitedRuns,
+    },
+    expected: [/more than its rate limit: 2 /],
+  },
+  {
+    name: "no more requests than a server's rate limit allows",
+    change: {
+      attempts: limitedRuns.slice(2).map(({ requestId }) => ({ ...attempt, requestId })),
+      runs: limitedRuns.slice(2),
+    },
+    expected: [],
+  },
   {
     name: "new work for a draining server",
     change: { runs: [{ ...run, at: 5000, drainingSince: 2000 }] },
