Failing tests of a store that was restored from a copy; the stand-in store learns to go back

Revisions are given out again and the system takes them for a clock.

The stand-in store keeps copies of its state and can be restored; its era rises.

--- a/standins/edge/objectStore.ts
+++ b/standins/edge/objectStore.ts
@@ -1,11 +1,13 @@
 /** Stand-in for the users' object store: conditional updates, lists, watches, and faults for each daemon. */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { WirePath } from "../../platform/wireNames";
+import { WireHeader, WirePath } from "../../platform/wireNames";
 import { readText, reply } from "../http";
 
 const HOST = "127.0.0.1";
 const HISTORY_RETENTION_MS = 20_000;
+/** Copies that are older than this are dropped, except the newest of them. */
+const COPY_RETENTION_MS = 20_000;
 const MAX_WRITE_DELAY_MS = 3000;
 const MILLISECONDS_PER_SECOND = 1000;
 /** Responses take turns on a slow link in pieces of this size. */
@@ -40,6 +42,21 @@
   readonly deleted: boolean;
 }
 
+type ObjectTable = ReadonlyMap<string, ReadonlyMap<string, StoredRecord>>;
+
+/** The store's state after a change, from which it can be restored. */
+interface Copy {
+  readonly at: number;
+  readonly rev: number;
+  readonly objectsByKind: ObjectTable;
+}
+
+/** Result of a call. */
+interface CallResult {
+  readonly status: number;
+  readonly body: unknown;
+}
+
 /** An endpoint of the store, used by a single daemon. */
 export interface StoreEndpoint {
   readonly port: number;
@@ -57,6 +74,11 @@
   remove(kind: string, name: string): void;
   /** Discards the event history, so that watchers must list again. */
   compact(): void;
+  /**
+   * Goes back to its state of `ageMs` ago. The revisions since then are given out again, and no history is left.
+   * Objects that operators and backend servers have written since are lost until they write them again.
+   */
+  restore(ageMs: number): void;
   close(): Promise<void>;
 }
 
@@ -67,7 +89,9 @@
  * @returns The store.
  */
 export function createEdgeObjectStore(random: () => number): EdgeObjectStore {
-  const objectsByKind = new Map<string, Map<string, StoredRecord>>();
+  let objectsByKind = new Map<string, Map<string, StoredRecord>>();
+  let copies: Copy[] = [];
+  let era = 1;
   const servers = new Set<Server>();
   const waiters = new Set<() => void>();
   let history: HistoryEvent[] = [];
@@ -85,6 +109,7 @@
       oldestRev = rev;
       wakeAll();
     },
+    restore,
     close: async () => {
       wakeAll();
       await Promise.all([...servers].map((server) => closeServer(server)));
@@ -123,6 +148,7 @@
       case StoreFault.Silent:
         return;
       case StoreFault.Busy:
+        response.setHeader(WireHeader.StoreEra, era);
         reply(response, Status.Busy, {});
         return;
       case StoreFault.Slow:
@@ -144,10 +170,11 @@
     const url = new URL(request.url ?? "/", `http://${HOST}`);
     const isWatch = url.searchParams.has("watch");
     const result = isWatch ? await watch(url, request) : execute(request, body);
+    response.setHeader(WireHeader.StoreEra, era);
     await send(response, result.status, result.body);
   }
 
-  function execute(request: IncomingMessage, text: string): { status: number; body: unknown } {
+  function execute(request: IncomingMessage, text: string): CallResult {
     const url = new URL(request.url ?? "/", `http://${HOST}`);
     const [kind = "", name] = url.pathname
       .slice(WirePath.Objects.length + 1)
@@ -188,7 +215,7 @@
       : { status: Status.Conflict, body: current };
   }
 
-  async function watch(url: URL, request: IncomingMessage): Promise<{ status: number; body: unknown }> {
+  async function watch(url: URL, request: IncomingMessage): Promise<CallResult> {
     const kind = decodeURIComponent(url.pathname.slice(WirePath.Objects.length + 1));
     const since = Number(url.searchParams.get("watch"));
     const endAt = performance.now() + Number(url.searchParams.get("waitMs"));
@@ -205,9 +232,9 @@
     since: number,
     endAt: number,
     socket: Socket,
-  ): Promise<{ status: number; body: unknown }> {
+  ): Promise<CallResult> {
     for (;;) {
-      if (since < oldestRev) {
+      if (since < oldestRev || since > rev) {
         return { status: Status.Gone, body: {} };
       }
       const events = history.filter((event) => event.kind === kind && event.rev > since);
@@ -226,6 +253,7 @@
     const object = { metadata: { name, rev, createRevision }, spec };
     objects.set(name, object);
     recordEvent(kind, object, false);
+    keepCopy();
     return object;
   }
 
@@ -235,7 +263,29 @@
       objectsByKind.get(kind)?.delete(name);
       rev += 1;
       recordEvent(kind, { ...current, metadata: { ...current.metadata, rev } }, true);
+      keepCopy();
+    }
+  }
+
+  function keepCopy(): void {
+    const at = performance.now();
+    const firstKept = copies.findLastIndex((copy) => at - copy.at >= COPY_RETENTION_MS);
+    copies = [...copies.slice(Math.max(0, firstKept)), { at, rev, objectsByKind: copyTable(objectsByKind) }];
+  }
+
+  function restore(ageMs: number): void {
+    const restoredAt = performance.now() - ageMs;
+    const copy = copies.findLast(({ at }) => at <= restoredAt) ?? copies[0];
+    if (copy === undefined) {
+      throw new RangeError("the store holds no copy to go back to");
     }
+    objectsByKind = copyTable(copy.objectsByKind);
+    ({ rev } = copy);
+    copies = copies.filter(({ at }) => at <= copy.at);
+    era += 1;
+    history = [];
+    oldestRev = rev;
+    wakeAll();
   }
 
   function recordEvent(kind: string, object: StoredRecord, deleted: boolean): void {
@@ -265,6 +315,10 @@
   }
 }
 
+function copyTable(table: ObjectTable): Map<string, Map<string, StoredRecord>> {
+  return new Map([...table].map(([kind, objects]) => [kind, new Map(objects)]));
+}
+
 type PacedSender = (response: ServerResponse, status: number, body: unknown) => Promise<void>;
 
 /** Creates a sender of JSON responses that share a link: together they send at most `bytesPerSecond`. */
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -284,6 +284,98 @@
     await store.close();
   });
 
+  describe("restored from a copy", () => {
+    const signal = new AbortController().signal;
+
+    /** Starts a store whose answers can be changed, and which counts the writes that it gets. */
+    async function startStore() {
+      const state = { era: 1, rev: 20, status: 200, writes: 0 };
+      const port = await startHttpServer((request, _body, response) => {
+        state.writes += request.method === "GET" ? 0 : 1;
+        response.setHeader("Store-Era", state.era);
+        response.statusCode = state.status;
+        const current = { metadata: { name: "x", rev: state.rev }, spec: { a: 1 } };
+        const isList = request.url?.endsWith("/kind") === true;
+        const isWatch = request.url?.includes("watch=") === true;
+        const list = { items: [current], currentRev: state.rev };
+        const events = { events: [{ object: current, deleted: false }], currentRev: state.rev };
+        response.end(JSON.stringify(isList ? list : isWatch ? events : current));
+      });
+      return { state, store: createWireObjectStore({ host: "127.0.0.1", port }) };
+    }
+
+    // Guards against changes that a watch misses since their revisions had been given out before.
+    test("a watch from a version of before the restore has lost its history, though the store has that revision again", async () => {
+      const { state, store } = await startStore();
+      const { version } = await store.list("kind/", CallPriority.Configuration);
+      state.era = 2;
+      state.rev = 25;
+      await expect(store.watch("kind/", version, { waitMs: 1000, signal })).rejects.toThrow(HistoryGoneError);
+      await store.close();
+    });
+
+    // Guards against "never older" checks that reject everything the store holds after it went back.
+    test("versions are higher than all those before the restore, and increase from there", async () => {
+      const { state, store } = await startStore();
+      const before = await store.list("kind/", CallPriority.Configuration);
+      state.era = 2;
+      state.rev = 5;
+      const after = await store.list("kind/", CallPriority.Configuration);
+      expect(after.version).toBeGreaterThan(before.version);
+      expect(after.objects[0]?.version).toBeGreaterThan(before.objects[0]?.version ?? 0);
+      state.rev = 6;
+      const read = await store.read("kind/x", CallPriority.Configuration);
+      expect(read?.version).toBeGreaterThan(after.version);
+      const written = await store.write("kind/x", {}, read?.version ?? 0, CallPriority.Ownership);
+      expect(written).toEqual({ kind: "written", version: read?.version });
+      await store.close();
+    });
+
+    // Guards against a write whose condition holds only since its revision was given out again.
+    test("a write on a version of before the restore is a conflict and is not sent", async () => {
+      const { state, store } = await startStore();
+      const before = await store.read("kind/x", CallPriority.Ownership);
+      state.era = 2;
+      const current = await store.read("kind/x", CallPriority.Ownership);
+      const result = await store.write("kind/x", {}, before?.version ?? 0, CallPriority.Ownership);
+      expect(result).toEqual({ kind: "conflict", current });
+      expect(state.writes).toBe(0);
+      await store.close();
+    });
+
+    test("a write is in doubt if the store was restored before it took effect", async () => {
+      const { state, store } = await startStore();
+      const before = await store.read("kind/x", CallPriority.Ownership);
+      state.era = 2;
+      const write = store.write("kind/x", {}, before?.version ?? 0, CallPriority.Ownership);
+      await expect(write).rejects.toThrow(PlatformUnavailableError);
+      await store.close();
+    });
+
+    test("an answer of before the restore counts as none, also after an answer with an error has shown the restore", async () => {
+      const { state, store } = await startStore();
+      state.era = 2;
+      state.status = 503;
+      await expect(store.read("kind/x", CallPriority.Ownership)).rejects.toThrow(PlatformUnavailableError);
+      state.era = 1;
+      state.status = 200;
+      await expect(store.read("kind/x", CallPriority.Ownership)).rejects.toThrow(PlatformUnavailableError);
+      await store.close();
+    });
+
+    test("a list whose pages are from before and after the restore counts as none", async () => {
+      let era = 1;
+      const port = await startHttpServer((_request, _body, response) => {
+        response.setHeader("Store-Era", era);
+        era += 1;
+        response.end(JSON.stringify({ items: [object], more: era === 2, currentRev: 7 }));
+      });
+      const store = createWireObjectStore({ host: "127.0.0.1", port });
+      await expect(store.list("kind/", CallPriority.Configuration)).rejects.toThrow(PlatformUnavailableError);
+      await store.close();
+    });
+  });
+
   /** Starts a store whose answer comes in pieces: the first one at once, the next ones when they are sent. */
   async function startTransfer() {
     const content = JSON.stringify({ events: [{ object, deleted: false }], currentRev: 10 });
--- a/test/coordinatorLease.test.ts
+++ b/test/coordinatorLease.test.ts
@@ -8,11 +8,14 @@
 import { type FakeClock, createFakeClock } from "./support/fakeClock";
 
 const SEED = 20_261_204;
+const VERSIONS_PER_TIMELINE = 2 ** 40;
 
 /** Creates an object store with one object, to which the connection of each daemon can fail separately. */
 function createLeaseStore() {
   let object: StoredObject | undefined;
+  let copied: StoredObject | undefined;
   let version = 0;
+  let restores = 0;
   const disconnected = new Set<string>();
   const lostAnswers = new Map<string, number>();
   const reads = new Map<string, number>();
@@ -20,6 +23,16 @@
     disconnected,
     reads,
     lostAnswers,
+    /** Keeps a copy of the lease as it is, or of no lease if `isAbsent`. */
+    copy: (isAbsent = false) => {
+      copied = isAbsent ? undefined : object;
+    },
+    /** Goes back to the copy. All versions after a restore are higher than those before it. */
+    restore: () => {
+      restores += 1;
+      version = restores * VERSIONS_PER_TIMELINE + ((copied?.version ?? 0) % VERSIONS_PER_TIMELINE);
+      object = copied === undefined ? undefined : { ...copied, version };
+    },
     findHolder: () => (object?.value as { daemon: string } | undefined)?.daemon,
     createClient: (daemon: string): ObjectStore => {
       const throwIfDisconnected = () => {
@@ -223,3 +236,67 @@
     stop.abort();
   });
 });
+
+describe("coordinator lease after the object store was restored from a copy", () => {
+  interface RestoreCase {
+    readonly name: string;
+    readonly isAbsent: boolean;
+    readonly resigns: boolean;
+    readonly restarts: boolean;
+  }
+
+  const cases: readonly RestoreCase[] = [
+    { name: "names a holder", isAbsent: false, resigns: false, restarts: false },
+    { name: "was resigned", isAbsent: false, resigns: true, restarts: false },
+    { name: "names an earlier process of a daemon", isAbsent: false, resigns: false, restarts: true },
+    { name: "is absent", isAbsent: true, resigns: false, restarts: false },
+  ];
+
+  // Guards against a claim that believes a copy of the lease: whoever holds it may have claimed it since the copy.
+  test.each(cases)(
+    "two daemons never hold it at once when the copy of it $name",
+    async ({ isAbsent, resigns, restarts }) => {
+      const { clock, store, leases, getHolders, startDaemon, stop } = createHarness(["a", "b"]);
+      await clock.advance(2000);
+      const [first = ""] = getHolders();
+      const second = first === "a" ? "b" : "a";
+      if (resigns) {
+        await leases.get(first)?.resign();
+      } else if (!isAbsent) {
+        store.disconnected.add(first);
+      }
+      store.copy(isAbsent);
+      await runUntil(clock, getHolders, 10_000, (holder) => isAbsent || holder === second);
+      const [holder = ""] = getHolders();
+      const other = holder === "a" ? "b" : "a";
+      await clock.advance(1000);
+      store.disconnected.clear();
+      if (restarts) {
+        leases.set(other, startDaemon(other, 2));
+      }
+      // The holder is cut off from the store and does not learn that it was restored.
+      store.disconnected.add(holder);
+      store.restore();
+      const changedAfterMs = await runUntil(clock, getHolders, 6000, (current) => current === other);
+      expect(changedAfterMs).toBeLessThan(6000);
+      store.disconnected.clear();
+      await runUntil(clock, getHolders, 4000, () => false);
+      stop.abort();
+    },
+  );
+
+  test("a holder whose lease has lapsed does not renew a copy of it, since another may have claimed it", async () => {
+    const { clock, store, getHolders, stop } = createHarness(["a", "b"]);
+    await clock.advance(2000);
+    const [first = ""] = getHolders();
+    store.copy();
+    store.disconnected.add(first);
+    await runUntil(clock, getHolders, 10_000, (holder) => holder !== undefined && holder !== first);
+    const [second = ""] = getHolders();
+    store.restore();
+    store.disconnected.clear();
+    store.disconnected.add(second);
+    await runUntil(clock, getHolders, 6000, (holder) => holder === first);
+    stop.abort();
+  });
+});
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -19,9 +19,12 @@
 import { Freshness, type ObjectChanges, type ObjectStore, type StoredObject } from "../src/objectStore";
 import { createCounters, silentLogger } from "../src/observability";
 import { type Address, sleep } from "../src/types";
+import { decodeServer } from "../platform/decoding";
 import { type FakeClock, createFakeClock } from "./support/fakeClock";
 
 const counters = createCounters("test");
+/** Versions after a restore of the object store are higher than those before it. */
+const VERSIONS_PER_TIMELINE = 2 ** 40;
 
 function createServer(name: string, change: Partial<DiscoveredServer> = {}): DiscoveredServer {
   return {
@@ -105,6 +108,72 @@
   });
 });
 
+describe("server directory after the object store was restored from a copy", () => {
+  const ENTRY_LIFETIME_MS = 5000;
+  const path = "servers/s1";
+
+  function createEntry(state: "ready" | "draining", seq: number, version: number): StoredObject {
+    const info = { service: "desk", zone: "a", capacity: 4 };
+    return {
+      path,
+      version,
+      value: { address: "127.0.0.1:1", born: 1, info, status: { state, seq, warmupLeftS: 0 } },
+    };
+  }
+
+  function createWireDirectory() {
+    const clock = createFakeClock();
+    const directory = createServerDirectory({
+      clock,
+      logger: silentLogger,
+      decode: decodeServer,
+      getColdMs: () => 0,
+    });
+    return { clock, directory, listUsable: () => directory.getUsable("desk").map((server) => server.name) };
+  }
+
+  // Guards against new work for a server that had announced its end before the store went back.
+  test("a draining server gets no work because of an entry from before it drained", () => {
+    const { directory, listUsable } = createWireDirectory();
+    directory.replaceAll([createEntry("ready", 3, 10)]);
+    directory.applyChanges([createEntry("draining", 7, 20)], []);
+    directory.replaceAll([createEntry("ready", 3, VERSIONS_PER_TIMELINE + 10)]);
+    expect(listUsable()).toEqual([]);
+  });
+
+  // Guards against new work for a server that had left before the store went back.
+  test("a server that has left gets no work because of an entry from before it left", async () => {
+    const { clock, directory, listUsable } = createWireDirectory();
+    directory.replaceAll([createEntry("ready", 3, 10)]);
+    directory.applyChanges([], [path]);
+    directory.replaceAll([createEntry("ready", 3, VERSIONS_PER_TIMELINE + 10)]);
+    expect(listUsable()).toEqual([]);
+    await clock.advance(1000);
+    // It writes a new entry only if it is alive.
+    directory.applyChanges([createEntry("ready", 4, VERSIONS_PER_TIMELINE + 11)], []);
+    expect(listUsable()).toEqual(["s1"]);
+  });
+
+  test("an entry that outlives the time in which a dead server's entry expires is that of a live server", async () => {
+    const { clock, directory, listUsable } = createWireDirectory();
+    directory.replaceAll([createEntry("ready", 3, 10)]);
+    directory.applyChanges([], [path]);
+    directory.replaceAll([createEntry("ready", 3, VERSIONS_PER_TIMELINE + 10)]);
+    await clock.advance(ENTRY_LIFETIME_MS);
+    expect(listUsable()).toEqual(["s1"]);
+  });
+
+  test("an entry that expires meanwhile does not come back", async () => {
+    const { clock, directory, listUsable } = createWireDirectory();
+    directory.replaceAll([createEntry("ready", 3, 10)]);
+    directory.applyChanges([], [path]);
+    directory.replaceAll([createEntry("ready", 3, VERSIONS_PER_TIMELINE + 10)]);
+    directory.applyChanges([], [path]);
+    await clock.advance(ENTRY_LIFETIME_MS);
+    expect(listUsable()).toEqual([]);
+  });
+});
+
 /**
  * Creates an object store whose watches are never answered, as on a connection that died without an error,
  * unless their waiting time is 0.
@@ -260,6 +329,46 @@
     stop.abort();
   });
 
+  // Guards against servers, exclusions and configurations that are dropped since the copy does not have them yet.
+  test("objects that the store lacks after a restore are removed only if they are not back within two seconds", async () => {
+    const clock = createFakeClock();
+    const silentStore = createSilentStore();
+    let present: readonly string[] = [];
+    const watcher = createPrefixWatcher({
+      objects: silentStore.store,
+      prefix: "servers/",
+      pauseMs: 10,
+      isFreshnessChecked: () => false,
+      clock,
+      logger: silentLogger,
+      random: () => 0.5,
+      onList: (objects) => {
+        present = objects.map((object) => object.path);
+      },
+      onChange: (objects, removed) => {
+        const added = objects.map((object) => object.path);
+        present = [...new Set([...present, ...added])].filter((path) => !removed.includes(path));
+      },
+    });
+    const stop = new AbortController();
+    const createObjects = (names: readonly string[], version: number): ObjectChanges => ({
+      objects: names.map((name) => ({ path: `servers/${name}`, version, value: name })),
+      version,
+    });
+    silentStore.setChanges(createObjects(["a", "b", "c"], 9));
+    void watcher.run(stop.signal);
+    await clock.advance(100);
+    silentStore.failNext(new HistoryGoneError("restored", { props: { step: "watch" } }));
+    silentStore.setChanges(createObjects(["a"], VERSIONS_PER_TIMELINE + 5));
+    watcher.refresh();
+    await clock.advance(1000);
+    expect(present).toEqual(["servers/a", "servers/b", "servers/c"]);
+    silentStore.setChanges(createObjects(["a", "b"], VERSIONS_PER_TIMELINE + 6));
+    await clock.advance(1500);
+    expect(present).toEqual(["servers/a", "servers/b"]);
+    stop.abort();
+  });
+
   test("objects are listed again when the store no longer has the history of their changes", async () => {
     const { clock, silentStore, seen, watcher, stop } = startWatcher();
     await clock.advance(100);
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -22,9 +22,9 @@
   planRebalance,
 } from "../src/keyRanges";
 import { silentLogger } from "../src/observability";
-import { createObjectTable } from "../standins/platform/objectTable";
 import { createFakeClock } from "./support/fakeClock";
 import { createFakeObjectStore, createPlatformAccess } from "./support/fakePlatform";
+import { createRestorableTable } from "./support/restorableTable";
 
 const SERVICE = "desk";
 const MAX_GRANT_MS = 10_000;
@@ -68,7 +68,8 @@
   const owners = createOwnerTable(clock, silentLogger);
   const load = createKeyLoad(clock);
   const storeFaults = createPlatformAccess();
-  const objects = createFakeObjectStore(createObjectTable(), storeFaults, clock as never);
+  const table = createRestorableTable();
+  const objects = createFakeObjectStore(table, storeFaults, clock as never);
   const control: KeyControl = {
     grant: (server, grant) => {
       grants.push({ ...grant, server: server.name });
@@ -87,8 +88,7 @@
         });
         return Promise.resolve({ kind: "unanswered", detail: "late" });
       }
-      applyGrant(server, grant);
-      return Promise.resolve({ kind: "granted" });
+      return Promise.resolve({ kind: applyGrant(server, grant) });
     },
     release: (server, range, token): Promise<ReleaseResult> => {
       if (silent.has(server.name) || refusing.has(server.name)) {
@@ -112,7 +112,7 @@
     },
   };
   /** Applies a grant, unless the server has released any of the granted keys under a higher fencing token. */
-  function applyGrant(server: DiscoveredServer, grant: KeyGrant): void {
+  function applyGrant(server: DiscoveredServer, grant: KeyGrant): "granted" | "fenced" {
     const isFenced = released.some(
       (each) =>
         each.server === server.name &&
@@ -121,10 +121,22 @@
         each.to >= grant.from,
     );
     if (isFenced) {
-      return;
+      return "fenced";
     }
     const now = clock.now();
     const bornAt = actualBornAt.get(server.name) ?? server.bornAt;
+    const isOvertaken = grants.some(
+      (each) =>
+        each.server !== server.name &&
+        each.token >= grant.token &&
+        each.from <= grant.to &&
+        each.to >= grant.from,
+    );
+    if (isOvertaken) {
+      conflicts.push(
+        `${server.name}: ${grant.from}-${grant.to} under token ${grant.token}, which is not the highest`,
+      );
+    }
     for (const hold of holds) {
       const isOtherProcess = hold.server !== server.name || hold.bornAt !== bornAt;
       if (isOtherProcess && hold.until > now && hold.from <= grant.to && hold.to >= grant.from) {
@@ -135,6 +147,7 @@
     }
     const { from, to, durationMs } = grant;
     holds.push({ from, to, server: server.name, bornAt, until: now + durationMs });
+    return "granted";
   }
 
   const stop = new AbortController();
@@ -146,6 +159,7 @@
     control,
     objects,
     storeFaults,
+    table,
     conflicts,
     grants,
     silent,
@@ -165,13 +179,13 @@
       actualBornAt.set(name, bornAt);
       released.splice(0, released.length, ...released.filter((each) => each.server !== name));
     },
-    start: () =>
+    start: (ownersOfDaemon = owners, signal = stop.signal) =>
       coordinateKeys(
         {
           service: SERVICE,
           objects,
           directory,
-          owners,
+          owners: ownersOfDaemon,
           control,
           load,
           publish: () => undefined,
@@ -182,7 +196,7 @@
           maxGrantMs: MAX_GRANT_MS,
           getCapacities: (servers) => servers.map((server) => server.slots),
         },
-        stop.signal,
+        signal,
       ),
     put: (server: DiscoveredServer) => {
       directory.applyChanges([{ path: `servers/${server.name}`, version: 1, value: server }], []);
@@ -387,6 +401,89 @@
   });
 });
 
+describe("coordinator after the object store was restored from a copy", () => {
+  const sampleKeys = Array.from({ length: 64 }, (_, index) => index * 1024);
+
+  /** Makes keys 0 to 2000 busy, so that parts of them are moved to other servers. */
+  async function moveBusyKeys(harness: ReturnType<typeof createHarness>): Promise<void> {
+    for (let step = 0; step < 40; step += 1) {
+      for (let key = 0; key < 2000; key += 16) {
+        harness.load.record(key);
+      }
+      await harness.clock.advance(100);
+    }
+  }
+
+  async function startAndMoveKeys() {
+    const harness = createHarness(["s1", "s2", "s3", "s4"]);
+    const firstTerm = new AbortController();
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    harness.table.copy();
+    await moveBusyKeys(harness);
+    return { harness, firstTerm };
+  }
+
+  const successors = [
+    { name: "knows the last assignment", knowsAssignment: true },
+    { name: "has just started and knows no assignment", knowsAssignment: false },
+  ];
+
+  // Guards against a successor that believes a record which is older than the grants of its predecessor.
+  test.each(successors)("a successor that $name gives no key a second owner", async ({ knowsAssignment }) => {
+    const { harness, firstTerm } = await startAndMoveKeys();
+    firstTerm.abort();
+    harness.table.restore();
+    const owners = knowsAssignment ? harness.owners : createOwnerTable(harness.clock, silentLogger);
+    void harness.start(owners);
+    await harness.clock.advance(1000);
+    expect(harness.conflicts).toEqual([]);
+    await harness.clock.advance(14_000);
+    expect(harness.conflicts).toEqual([]);
+    expect(sampleKeys.map((key) => owners.findOwner(SERVICE, key))).not.toContain(undefined);
+    harness.stop.abort();
+  });
+
+  test("a successor gives no key a second owner while one of the servers does not answer", async () => {
+    const { harness, firstTerm } = await startAndMoveKeys();
+    firstTerm.abort();
+    harness.table.restore();
+    harness.silent.add("s2");
+    void harness.start(createOwnerTable(harness.clock, silentLogger));
+    await harness.clock.advance(15_000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
+  test("a record that was lost with the restore gives no key a second owner", async () => {
+    const harness = createHarness(["s1", "s2", "s3", "s4"]);
+    const firstTerm = new AbortController();
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    await moveBusyKeys(harness);
+    firstTerm.abort();
+    harness.table.restore();
+    void harness.start();
+    await harness.clock.advance(15_000);
+    expect(harness.conflicts).toEqual([]);
+    expect(harness.findOwners(sampleKeys)).not.toContain(undefined);
+    harness.stop.abort();
+  });
+
+  test("the coordinator in office keeps all owners and stores them again", async () => {
+    const { harness } = await startAndMoveKeys();
+    const before = harness.findOwners(sampleKeys);
+    harness.table.restore();
+    await harness.clock.advance(1000);
+    const stored = createOwnerTable(harness.clock, silentLogger);
+    stored.apply(harness.table.list("keyassignments/").objects);
+    expect(sampleKeys.map((key) => stored.findOwner(SERVICE, key))).toEqual(before);
+    expect(harness.findOwners(sampleKeys)).toEqual(before);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+});
+
 describe("adopting a stored assignment", () => {
   const stored = [createRange(0, 999, "s1", 5), createRange(1000, LAST_KEY, "s2", 6)];
   const createFreedRange = (from: number, to: number, token: number) => ({
