Tell the versions of a restored store from those before it

Cause: the store gives its revisions out again after a restore, and the adapter passed them on as versions, which are taken for a clock everywhere.

Change: the adapter reads in each answer how often the store has been restored and puts that timeline into the version, above the revision, so that versions of a later timeline are higher.

--- a/src/objectStore/httpCall.ts
+++ b/src/objectStore/httpCall.ts
@@ -1,4 +1,5 @@
 /** HTTP calls to a platform, which may take as long as their answer keeps arriving. */
+import type { IncomingHttpHeaders } from "node:http";
 import { type Dispatcher, request } from "undici";
 import { AnswerTooLargeError, describeError } from "../errors";
 import type { CancelTimer, Clock } from "../types";
@@ -28,6 +29,7 @@
 /** Answer to a call. */
 export interface HttpAnswer {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly text: string;
   readonly transfer: Transfer;
 }
@@ -67,7 +69,8 @@
     signal?.removeEventListener("abort", cancel);
   });
   try {
-    return { status: response.statusCode, ...(await receive(response, clock, abort, maxBytes)) };
+    const { statusCode: status, headers } = response;
+    return { status, headers, ...(await receive(response, clock, abort, maxBytes)) };
   } catch (error) {
     // Closes the connection: the rest of the answer is not read.
     abort.abort(error);
@@ -81,7 +84,7 @@
   clock: Clock,
   abort: AbortController,
   maxBytes: number,
-): Promise<Omit<HttpAnswer, "status">> {
+): Promise<Pick<HttpAnswer, "text" | "transfer">> {
   const startedAt = clock.now();
   const chunks: Buffer[] = [];
   let bytes = 0;
--- a/src/objectStore/index.ts
+++ b/src/objectStore/index.ts
@@ -4,4 +4,5 @@
 export * from "./httpCall";
 export * from "./httpPlatform";
 export * from "./relayedObjectStore";
+export * from "./timeline";
 export * from "./types";
