Keep objects that a restored store lacks for two seconds

What callers saw: after a return, servers that had registered since the copy were dropped at once, and an excluded data centre would get work again and then be treated as cold, until operators and servers had written their objects again.

Cause: a list is taken for the whole state, but the first ones after a restore lack what was written since the copy.

Change: for two seconds after a watcher has seen the store's next timeline, lists add and change objects but remove none; then a new list is complete. Removals that the store reports meanwhile count at once. Event 1106 says that the store was restored, and since which version.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -10,9 +10,10 @@
   type ObjectChanges,
   type ObjectStore,
   type StoredObject,
+  getTimeline,
 } from "../objectStore";
 import { Event, type Logger } from "../observability";
-import { type Clock, type Version, sleep } from "../types";
+import { type CancelTimer, type Clock, type Version, sleep } from "../types";
 
 /** Bounds the calls of checked daemons while nothing changes: one call per prefix in this time. */
 const CHECKED_WATCH_WAIT_MS = 25_000;
@@ -27,10 +28,12 @@
 const MAX_RETRY_MS = 700;
 /** A smaller answer takes less time on a link of 10 Mbit/s than the pause after it. */
 const LARGE_HISTORY_BYTES = 65_536;
+/** After a restore, operators and backend servers write what they had written since the copy within this time. */
+const RESTORE_GRACE_MS = 2000;
 /** Maximum size of a history relative to that of the state: one copy of the state, and its framing. */
 const MAX_HISTORY_RATIO = 1.25;
 
-/** A refresh cancelled the pending watch; this is not a failure of the store. */
+/** A refresh or the end of a grace period cancelled the pending watch; this is not a failure of the store. */
 class WatchCancelledError extends Error {}
 
 /** Receives the objects of a prefix and their changes. */
@@ -82,6 +85,11 @@
   /** The state is read again instead of its history, which may be larger. */
   let mustList = false;
   let stateBytes = 0;
+  /** Whether the store was restored so lately that objects which it lacks may still be written again. */
+  let isInGrace = false;
+  /** Whether the listener may have objects that a restored store lacks. */
+  let mustDeliverList = false;
+  let cancelGrace: CancelTimer | undefined;
   let pendingWatch: AbortController | undefined;
   /** Kind and start of the latest call, for logs. */
   let currentCall: "list" | "watch" | "poll" = "list";
@@ -123,14 +131,14 @@
     mustPoll = false;
     stateBytes = listed.transfer?.bytes ?? 0;
     const isFirst = since === undefined;
+    if (since !== undefined && getTimeline(listed.version) > getTimeline(since)) {
+      startGrace(listed.version);
+    }
     const added = listed.objects.filter((object) => versions.get(object.path) !== object.version);
     const hasChanged = added.length > 0 || listed.objects.length !== versions.size;
     versions.clear();
     listed.objects.forEach(recordVersion);
-    if (isFirst || hasChanged) {
-      options.onList(listed.objects);
-      logRead(listed, since);
-    }
+    deliverList(listed, isFirst || hasChanged);
     since = listed.version;
     // Large changes in quick succession are read as state until they end: their history would grow.
     const changedBytes = stateBytes * (added.length / Math.max(1, listed.objects.length));
@@ -138,6 +146,32 @@
     return !isFirst && hasChanged;
   }
 
+  /** Passes a list on if it differs from what the listener knows: without removals during the grace period. */
+  function deliverList(listed: ObjectChanges, hasChanged: boolean): void {
+    if (hasChanged) {
+      logRead(listed, since);
+    }
+    if (isInGrace) {
+      options.onChange(listed.objects, []);
+    } else if (hasChanged || mustDeliverList) {
+      mustDeliverList = false;
+      options.onList(listed.objects);
+    }
+  }
+
+  function startGrace(version: Version): void {
+    logger.log(Event.StoreRestored, { prefix, since, version });
+    isInGrace = true;
+    mustDeliverList = true;
+    cancelGrace?.();
+    cancelGrace = clock.schedule(RESTORE_GRACE_MS, () => {
+      isInGrace = false;
+      mustList = true;
+      pendingWatch?.abort();
+    });
+    options.onStoreRecovered?.();
+  }
+
   /** Reads the changes since a version. Returns whether there are any. */
   async function readHistory(from: Version, signal: AbortSignal): Promise<boolean> {
     const changes = await watchOrPoll(from, signal);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -33,6 +33,11 @@
   ),
   StateRead: defineEvent(1104, Severity.Info, "changed objects read from the platform"),
   StateReadFailed: defineEvent(1105, Severity.Warn, "objects could not be read from the platform"),
+  StoreRestored: defineEvent(
+    1106,
+    Severity.Warn,
+    "object store was restored from a copy; objects that it lacks are removed unless they return soon",
+  ),
   SnapshotAccepted: defineEvent(1201, Severity.Info, "newer snapshot accepted"),
   SnapshotInvalid: defineEvent(1202, Severity.Error, "snapshot rejected: invalid content"),
   MemberAlive: defineEvent(1301, Severity.Info, "member alive"),
