Do not believe server entries of before a restore

What callers saw: after a return, a server that had announced its end, or had left, got new requests again for as long as its old entry stood in the store (DRAIN).

Cause: entries are taken as they are read; on a restored store they may be older than what is known.

Change: servers count their own statements, which a restore of the store does not change. An entry on a later timeline that is older by the start of the process and by this count is ignored. One of a server that has left is accepted only when it has outlived the time in which a dead server's entry expires, or when the server has written a newer one.

--- a/benchmarks/coordinator.ts
+++ b/benchmarks/coordinator.ts
@@ -117,6 +117,7 @@
     dataCentre: "a",
     slots: 4,
     phase: ServerPhase.Ready,
+    sequence: 0,
     coldForMs: 0,
   };
 }
--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -1,12 +1,19 @@
 /** Directory of the backend servers in the object store, and of whether they may get new work. */
 import Emittery from "emittery";
 import { type Logger, Event } from "../observability";
-import { type StoredObject, getObjectName } from "../objectStore";
-import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
+import { type StoredObject, getObjectName, getTimeline } from "../objectStore";
+import type { CancelTimer, Clock, DataCentreName, ServerName, ServiceName, Version } from "../types";
 import { type DiscoveredServer, type ServerDecoder, ServerPhase } from "./types";
 
 /** Delays removals after an outage of the store: entries that expired during it return within this time. */
 const OUTAGE_GRACE_MS = 2000;
+/**
+ * The entry of a server that has ended expires within this time: three heartbeats of a second at most, and the
+ * delay of the report.
+ */
+const ENTRY_EXPIRY_MS = 4000;
+/** Exceeds the age of the copies that a store is restored from. */
+const REMOVED_ENTRY_RETENTION_MS = 60_000;
 
 /** Options for {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
@@ -47,9 +54,15 @@
 
 interface Entry {
   readonly server: DiscoveredServer;
+  readonly version: Version;
   readonly coldUntil: number;
 }
 
+interface RemovedEntry {
+  readonly entry: Entry;
+  readonly removedAt: number;
+}
+
 /**
  * Creates an empty directory.
  *
@@ -60,6 +73,9 @@
   const { clock, logger } = options;
   const events = new Emittery<{ changed: undefined }>();
   const entries = new Map<ServerName, Entry>();
+  const removedEntries = new Map<ServerName, RemovedEntry>();
+  /** Cancels the acceptance of an entry that may be older than the server's removal. */
+  const pendingEntries = new Map<ServerName, CancelTimer>();
   const returnedAtByDataCentre = new Map<DataCentreName, number>();
   let byService = new Map<ServiceName, readonly DiscoveredServer[]>();
   let usableByService = new Map<ServiceName, readonly DiscoveredServer[]>();
@@ -73,7 +89,8 @@
       hasList = true;
       const present = new Set(objects.map((object) => getObjectName(object.path)));
       objects.forEach(applyEntry);
-      removeAll([...entries.keys()].filter((name) => !present.has(name)));
+      const known = [...entries.keys(), ...pendingEntries.keys()];
+      removeAll(known.filter((name) => !present.has(name)));
       publish();
     },
     recordStoreRecovery: () => {
@@ -124,16 +141,53 @@
   function applyEntry(object: StoredObject): void {
     const name = getObjectName(object.path);
     const server = options.decode(name, object.value);
+    cancelPending(name);
     if (server === undefined) {
       logger.log(Event.ServerEntryInvalid, { server: name, version: object.version });
       entries.delete(name);
       return;
     }
     const known = entries.get(name);
+    if (known !== undefined && isRestored(object.version, known) && isNewer(known.server, server)) {
+      return;
+    }
+    const removed = removedEntries.get(name)?.entry;
+    if (removed !== undefined && isRestored(object.version, removed) && !isNewer(server, removed.server)) {
+      acceptUnlessRemoved(server, object.version);
+      return;
+    }
+    setEntry(server, object.version);
+  }
+
+  /** Returns whether a version is on a later timeline than an entry, so that its object may be the older one. */
+  function isRestored(version: Version, entry: Entry): boolean {
+    return getTimeline(version) > getTimeline(entry.version);
+  }
+
+  /** A server that has left does not keep its restored entry, so that the entry expires; a live server's stays. */
+  function acceptUnlessRemoved(server: DiscoveredServer, version: Version): void {
+    const cancel = clock.schedule(ENTRY_EXPIRY_MS, () => {
+      pendingEntries.delete(server.name);
+      setEntry(server, version);
+      publish();
+    });
+    pendingEntries.set(server.name, cancel);
+  }
+
+  function cancelPending(name: ServerName): void {
+    pendingEntries.get(name)?.();
+    pendingEntries.delete(name);
+  }
+
+  function setEntry(server: DiscoveredServer, version: Version): void {
+    const { name } = server;
+    const known = entries.get(name);
     const isSameProcess = known?.server.bornAt === server.bornAt;
     const coldUntil = server.coldForMs > 0 ? clock.now() + server.coldForMs : 0;
+    removedEntries.delete(name);
     entries.set(name, {
       server,
+      version,
       coldUntil: isSameProcess ? Math.max(coldUntil, known.coldUntil) : coldUntil,
     });
     if (!isSameProcess || known.server.phase !== server.phase) {
@@ -142,18 +196,33 @@
         service: server.service,
         phase: server.phase,
         bornAt: server.bornAt,
-        version: object.version,
+        version,
       });
     }
   }
 
   function remove(name: ServerName): void {
-    if (entries.delete(name)) {
+    cancelPending(name);
+    const entry = entries.get(name);
+    if (entry !== undefined) {
+      entries.delete(name);
+      rememberRemoved(name, entry);
       logger.log(Event.ServerEntryRemoved, { server: name });
     }
   }
 
+  function rememberRemoved(name: ServerName, entry: Entry): void {
+    const now = clock.now();
+    for (const [other, { removedAt }] of removedEntries) {
+      if (now - removedAt > REMOVED_ENTRY_RETENTION_MS) {
+        removedEntries.delete(other);
+      }
+    }
+    removedEntries.set(name, { entry, removedAt: now });
+  }
+
   function removeAll(names: readonly ServerName[]): void {
+    names.forEach(cancelPending);
     const graceMs = graceUntil - clock.now();
     if (graceMs > 0) {
       removeAfterGrace(names, graceMs);
@@ -184,6 +253,13 @@
   }
 }
 
+/** Returns whether a statement of a server about itself is newer than another one. */
+function isNewer(statement: DiscoveredServer, other: DiscoveredServer): boolean {
+  return statement.bornAt === other.bornAt
+    ? statement.sequence > other.sequence
+    : statement.bornAt > other.bornAt;
+}
+
 function groupByService(servers: readonly DiscoveredServer[]): Map<ServiceName, readonly DiscoveredServer[]> {
   const groups = new Map<ServiceName, DiscoveredServer[]>();
   for (const server of servers) {
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -16,6 +16,8 @@
   /** Number of requests that it can run concurrently. */
   readonly slots: number;
   readonly phase: ServerPhase;
+  /** Number of the process's latest statement about itself; later ones have higher numbers. */
+  readonly sequence: number;
   /** How long it stays cold, in milliseconds, counted from the entry's last change. */
   readonly coldForMs: number;
 }
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -86,6 +86,7 @@
       dataCentre: "a",
       slots: 4,
       phase: ServerPhase.Ready,
+      sequence: 1,
       coldForMs: 1500,
     });
   });
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -35,6 +35,7 @@
     dataCentre: "a",
     slots: 4,
     phase: ServerPhase.Ready,
+    sequence: 0,
     coldForMs: 0,
     ...change,
   };
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -197,6 +197,7 @@
     dataCentre: "a",
     slots: 4,
     phase: ServerPhase.Ready,
+    sequence: 0,
     coldForMs: 0,
   };
 }
--- a/test/permits.test.ts
+++ b/test/permits.test.ts
@@ -22,6 +22,7 @@
   dataCentre: "a",
   slots: 4,
   phase: ServerPhase.Ready,
+  sequence: 0,
   coldForMs: 0,
 };
 
