Do not claim or renew a restored lease before a later holder's would have expired

What callers saw: after a return, two daemons could coordinate keys at once for up to two seconds, which may give a key two owners.

Cause: the lease of the copy may be older than the last claim. A daemon whose earlier process it named, or one that found it resigned or absent, claimed it at once, and a former holder took its own old lease for a renewal whose answer was lost.

Change: the lease says on which timeline of the store it was written. One that was restored, or is gone though it was known, is claimed only after a whole lease duration since it was first seen. A former holder recognises its own restored lease only while its last renewal lasts, which excludes that another one claimed it before the restore.

Open: a daemon that starts after a restore to a time before the first lease finds none and cannot tell that from a first start.

--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -1,7 +1,7 @@
 /** Elects the coordinator, the one daemon that grants keys, by a lease in the object store. */
 import { z } from "zod";
 import { PlatformUnavailableError, describeError } from "../errors";
-import { CallPriority, Freshness, type ObjectStore, type StoredObject } from "../objectStore";
+import { CallPriority, Freshness, type ObjectStore, type StoredObject, getTimeline } from "../objectStore";
 import { Event, type Logger } from "../observability";
 import { type Address, type Clock, type DaemonRun, type Version, sleep } from "../types";
 
@@ -33,6 +33,8 @@
   term: z.int(),
   renewal: z.int(),
   isResigned: z.boolean(),
+  /** Timeline of the store that the lease was written on, as far as its writer knew. */
+  timeline: z.int().default(0),
   /** Address at which the coordinator receives load reports. */
   address: z.object({ host: z.string(), port: z.int() }),
 });
@@ -79,6 +81,11 @@
 interface Observation {
   readonly version: number;
   readonly lease: Lease | undefined;
+  /**
+   * Whether the store has been restored since the lease was written. Another daemon may have claimed it since the
+   * copy, and may hold it until it expires.
+   */
+  readonly isCopy: boolean;
   /**
    * Local time at which this version was first seen or last confirmed by the coordinator; for a write of
    * this daemon, when it was sent.
@@ -108,7 +115,8 @@
     getVersion: () => observed?.version ?? 0,
     confirm: (version) => {
       if (!isElected && observed !== undefined && version >= observed.version) {
-        observed = { ...observed, version, observedAt: clock.now() };
+        const isCopy = observed.isCopy && version === observed.version;
+        observed = { ...observed, version, isCopy, observedAt: clock.now() };
         confirmedAt = clock.now();
       }
     },
@@ -170,27 +178,39 @@
 
   function recordObservation(stored: StoredObject | undefined): void {
     const version = stored?.version ?? 0;
-    if (observed === undefined || version > observed.version) {
-      const parsed = leaseSchema.safeParse(stored?.value);
-      observed = { version, lease: parsed.success ? parsed.data : undefined, observedAt: clock.now() };
+    // The lease is never deleted, so its absence shows that the store was restored.
+    const isLost = stored === undefined && observed !== undefined && observed.version > 0;
+    if (observed === undefined || version > observed.version || isLost) {
+      const lease = leaseSchema.safeParse(stored?.value).data;
+      const isCopy = isLost || (lease !== undefined && lease.timeline < getTimeline(version));
+      observed = { version, lease, isCopy, observedAt: clock.now() };
     }
   }
 
   function isClaimable(): boolean {
-    const lease = observed?.lease;
-    if (observed === undefined || lease === undefined || lease.isResigned) {
-      return observed === undefined || clock.now() - observed.observedAt >= options.getClaimDelayMs();
+    if (observed === undefined) {
+      return true;
+    }
+    const { lease, isCopy, observedAt } = observed;
+    const observedForMs = clock.now() - observedAt;
+    const expiryMs = LEASE_DURATION_MS * (1 + MAX_CLOCK_DRIFT) + options.getClaimDelayMs();
+    if (isCopy) {
+      return observedForMs > expiryMs;
+    }
+    if (lease === undefined || lease.isResigned) {
+      return observedForMs >= options.getClaimDelayMs();
     }
     // An earlier process of this daemon must have ended, since otherwise this one could not be running.
     const isOwnPredecessor = lease.daemon === self.daemon && lease.incarnation !== self.incarnation;
-    const expiryMs = LEASE_DURATION_MS * (1 + MAX_CLOCK_DRIFT) + options.getClaimDelayMs();
-    return isOwnPredecessor || clock.now() - observed.observedAt > expiryMs;
+    return isOwnPredecessor || observedForMs > expiryMs;
   }
 
   async function claim(): Promise<void> {
     const base = observed?.version ?? 0;
     const term = (observed?.lease?.term ?? 0) + 1;
-    if (await write(base, { ...self, address: options.address, term, renewal: 0, isResigned: false })) {
+    const timeline = getTimeline(base);
+    const lease = { ...self, address: options.address, term, renewal: 0, isResigned: false, timeline };
+    if ((await write(base, lease)) !== "lost") {
       isElected = true;
       logger.log(Event.CoordinatorElected, { term, version: observed?.version });
       options.onElected();
@@ -203,34 +223,45 @@
       stepDown("lease unknown");
       return 0;
     }
-    if (!(await write(version, { ...lease, renewal: lease.renewal + 1 }))) {
-      stepDown("another daemon holds the lease");
-      return OBSERVATION_INTERVAL_MS;
+    const result = await write(version, {
+      ...lease,
+      renewal: lease.renewal + 1,
+      timeline: getTimeline(version),
+    });
+    switch (result) {
+      case "written":
+        return RENEWAL_INTERVAL_MS;
+      case "recognised":
+        return 0;
+      case "lost":
+        stepDown("another daemon holds the lease, or may have held it");
+        return OBSERVATION_INTERVAL_MS;
+      default:
+        return result satisfies never;
     }
-    return RENEWAL_INTERVAL_MS;
   }
 
-  /** Writes the lease if its version is still `base`; returns whether this daemon holds it afterwards. */
-  async function write(base: number, lease: Lease): Promise<boolean> {
+  /**
+   * Writes the lease if its version is still `base`. Returns `recognised` when another version is stored that
+   * shows that this daemon holds the lease; the next renewal extends it.
+   */
+  async function write(base: number, lease: Lease): Promise<"written" | "recognised" | "lost"> {
     const sentAt = clock.now();
     const offset = options.timeOfDay() - sentAt;
     const result = await objects.write(LEASE_PATH, lease, base, CallPriority.Ownership);
     if (result.kind === "written") {
-      observed = { version: result.version, lease, observedAt: sentAt };
+      observed = { version: result.version, lease, isCopy: false, observedAt: sentAt };
       extendLease(sentAt, offset);
-      return true;
+      return "written";
     }
-    observed = undefined;
     recordObservation(result.current);
     const current = leaseSchema.safeParse(result.current?.value).data;
     const isOwn =
       current?.daemon === self.daemon && current.incarnation === self.incarnation && !current.isResigned;
-    if (!isOwn) {
-      return false;
-    }
-    // An earlier write of this process took effect, but its answer was lost. The next renewal extends the
-    // lease.
-    return true;
+    // In a copy, a lease of this process excludes later holders only while its renewal before the restore lasts.
+    const isCurrent = observed?.isCopy === false || isHeld();
+    // An earlier write of this process took effect, but its answer was lost.
+    return isOwn && isCurrent ? "recognised" : "lost";
   }
 
   function extendLease(sentAt: number, offset: number): void {
