Do not believe a stored assignment that is older than the grants

Cause: the stored assignment of the copy was taken for the present one: its owners, its count of fencing tokens and the grants to wait for.

Change: an assignment says on which timeline of the store it was written; on a later one it is a copy. - The coordinator in office stores its own assignment again. - A new coordinator takes the newest owners that it knows, of the copy and of its own table, under new tokens above all earlier ones. Each server must first release all keys that it is not known to own, or be unable to hold them any more; until then the owners of these keys get no new grants, and the server gets no keys. - Daemons keep the owners that they know until a coordinator has stored them again.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
   isMuchSmaller,
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
-import type { ObjectStore } from "../objectStore";
+import { type ObjectStore, getTimeline } from "../objectStore";
 import { Event, type Logger, type Metrics, watchLoopDelay } from "../observability";
 import {
   type Address,
@@ -352,6 +352,7 @@
             logger,
             isCoordinator: () => lease.isHeld(),
             getStoreSilenceMs: () => lease.renewedAgoMs(),
+            getTimeline: () => getTimeline(lease.getVersion()),
             maxGrantMs: limits.maxGrantMs,
             getCapacities: estimateServerCapacities,
           },
--- a/src/keyRanges/assignmentDocument.ts
+++ b/src/keyRanges/assignmentDocument.ts
@@ -22,6 +22,8 @@
 
 const assignmentSchema = z.object({
   service: z.string().min(1),
+  /** Assignments of daemons that did not know timelines count as copies, which is safe. */
+  timeline: z.int().nonnegative().default(0),
   nextToken: z.int().positive(),
   ranges: z.array(ownedRangeSchema),
 });
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -4,9 +4,16 @@
  */
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
 import { describeError } from "../errors";
-import { CallPriority, type VersionedValue, type ObjectStore, updateObject } from "../objectStore";
+import {
+  CallPriority,
+  type ObjectStore,
+  type Timeline,
+  type VersionedValue,
+  getTimeline,
+  updateObject,
+} from "../objectStore";
 import { Event } from "../observability";
-import { type ServerName, type ServiceName, repeat, sleep } from "../types";
+import { type ServerName, type ServiceName, type Version, repeat, sleep } from "../types";
 import type { AssignmentFeed } from "./assignmentFeed";
 import { getAssignmentPath, parseRangeAssignment } from "./assignmentDocument";
 import { createGrantLedger } from "./grantLedger";
@@ -17,6 +24,7 @@
   RenewalResult,
   type RenewalOptions,
   adoptHoldings,
+  createHolding,
   planHoldings,
   renewGrant,
   sortHoldings,
@@ -27,6 +35,7 @@
 import { type OwnerCandidate, type Placement, findUnowned, placeUnownedRanges } from "./rangePlanner";
 import { type ReclaimOptions, reclaimKeys } from "./reclaim";
 import { groupAdjacentMoves, planRebalance } from "./rebalancing";
+import { continueAssignment, findKeysOfOthers, replaceAssignment } from "./restoredAssignment";
 import { type KeyRange, type RangeAssignment, contains, overlaps } from "./types";
 
 /** A small fraction of the 2 s within which keys must leave a server. */
@@ -61,6 +70,8 @@
   readonly load: KeyLoad;
   /** Sends a change of the assignment to the other daemons. */
   readonly publish: AssignmentFeed["publish"];
+  /** Returns the object store's timeline as of the last renewal of the coordinator lease. */
+  readonly getTimeline: () => Timeline;
   /** Returns how much work each of the servers can do, relative to the others. */
   readonly getCapacities: (servers: readonly DiscoveredServer[]) => readonly number[];
 }
@@ -86,9 +97,11 @@
   /** Servers as last seen in the directory; one that has left it may still have to release keys. */
   const lastSeen = new Map<ServerName, DiscoveredServer>();
   const unreachableUntil = new Map<ServerName, number>();
+  /** Releases in progress of keys that a server may hold though it is not known to own them, by server. */
+  const precautionaryReleases = new Map<ServerName, number>();
   let holdings: Holding[] = [];
   let freed: FreedRange[] = [];
-  let assignment: RangeAssignment = { service, nextToken: 1, ranges: [] };
+  let assignment: RangeAssignment = { service, timeline: 0, nextToken: 1, ranges: [] };
   let stored: VersionedValue | undefined;
   /** Whether the stored assignment is unknown: not read yet, or the last write failed or is in doubt. */
   let isWriteInDoubt = true;
@@ -107,10 +120,11 @@
   }
 
   async function reconcile(): Promise<void> {
-    if (!options.isCoordinator()) {
+    if (!options.isCoordinator() || !directory.hasList()) {
       return;
     }
-    if (isWriteInDoubt) {
+    const isCopy = stored !== undefined && options.getTimeline() > assignment.timeline;
+    if (isWriteInDoubt || isCopy) {
       await resolveInDoubtWrite();
     }
     startMoves();
@@ -119,24 +133,75 @@
 
   /**
    * Reads the assignment and writes it back on condition that its version is unchanged. The new version makes
-   * every earlier in-doubt write fail, whether it came from this or from another coordinator.
+   * every earlier in-doubt write fail, whether it came from this or from another coordinator. A copy from before a
+   * restore of the store is replaced.
    */
   async function resolveInDoubtWrite(): Promise<void> {
-    const result = await updateObject(objects, path, CallPriority.Ownership, (current) =>
-      current === undefined ? undefined : parseRangeAssignment(current.value),
-    );
+    const read = { isCopy: false };
+    const result = await updateObject(objects, path, CallPriority.Ownership, (current) => {
+      const record = current === undefined ? undefined : parseRangeAssignment(current.value);
+      const timeline = current === undefined ? options.getTimeline() : getTimeline(current.version);
+      read.isCopy = record?.timeline !== timeline;
+      return read.isCopy ? chooseReplacement(record, timeline) : record;
+    });
     isWriteInDoubt = false;
     if (result.kind === "unchanged") {
+      assignment = continueAssignment(assignment, options.getTimeline());
       return;
     }
     const isFirst = stored === undefined;
     stored = { version: result.version, value: result.value };
     adopt(parseRangeAssignment(result.value), isFirst);
+    if (read.isCopy) {
+      logger.log(Event.AssignmentRestored, { service, version: result.version, isFirst });
+      publishReplacement(result.version);
+    }
+    if (read.isCopy && isFirst) {
+      directory.getByService(service).forEach(releaseKeysOfOthers);
+    }
     options.owners.update(service, assignment.ranges, result.version);
   }
 
+  /** Chooses what replaces a copy, or a record that the copy lacks; undefined if nothing was ever assigned. */
+  function chooseReplacement(
+    record: RangeAssignment | undefined,
+    timeline: Timeline,
+  ): RangeAssignment | undefined {
+    if (stored !== undefined) {
+      return continueAssignment(assignment, timeline);
+    }
+    const ranges = options.owners.getRanges(service);
+    const isFirstEver = record === undefined && ranges.length === 0;
+    return isFirstEver ? undefined : replaceAssignment(record, { service, ranges }, timeline);
+  }
+
+  function publishReplacement(version: Version): void {
+    const known = { ...assignment, ranges: options.owners.getRanges(service) };
+    options.publish(known, options.owners.getVersion(service), assignment, version);
+  }
+
+  /**
+   * Makes a server release all keys that it is not known to own: an earlier coordinator may have granted them
+   * and the store may have lost the record. The keys' owners get no grants until it has, or until it cannot hold
+   * them any more.
+   */
+  function releaseKeysOfOthers(server: DiscoveredServer): void {
+    for (const keys of findKeysOfOthers(server, assignment.ranges)) {
+      ledger.record(keys, server.name, options.maxGrantMs);
+      const holding = createHolding({ ...keys, server: server.name, bornAt: server.bornAt, token: 0 });
+      countPrecautionaryReleases(server, 1);
+      void reclaimKeys(holding, { ...reclaimOptions, isReclaimNeeded: () => true }, signal).finally(() => {
+        countPrecautionaryReleases(server, -1);
+      });
+    }
+  }
+
+  function countPrecautionaryReleases({ name }: DiscoveredServer, change: number): void {
+    precautionaryReleases.set(name, (precautionaryReleases.get(name) ?? 0) + change);
+  }
+
   function adopt(current: RangeAssignment, isFirst: boolean): void {
-    replaceAssignment(current);
+    setAssignment(current);
     holdings = [...adoptHoldings(current.ranges, holdings, freed)];
     // An in-doubt write may have taken effect and given freed keys to their new owners.
     freed = freed.filter((range) => !holdings.some((holding) => overlaps(holding.range, range)));
@@ -267,7 +332,7 @@
   }
 
   /** Replaces the assignment with a stored one; tokens issued since it was written are not reissued. */
-  function replaceAssignment(next: RangeAssignment): void {
+  function setAssignment(next: RangeAssignment): void {
     assignment = { ...next, nextToken: Math.max(next.nextToken, assignment.nextToken) };
   }
 
@@ -351,7 +416,7 @@
       );
       const version = result.kind === "updated" ? result.version : 0;
       stored = { version, value: next };
-      replaceAssignment(next);
+      setAssignment(next);
       return version;
     } catch (error) {
       isWriteInDoubt = true;
@@ -367,7 +432,9 @@
   function getCandidates(): readonly OwnerCandidate[] {
     const answering = directory
       .getUsable(service)
-      .filter((server) => (unreachableUntil.get(server.name) ?? 0) <= clock.now());
+      .filter(({ name }) => (unreachableUntil.get(name) ?? 0) <= clock.now())
+      // The answer to such a release must not be taken for that of keys which the server gets meanwhile.
+      .filter(({ name }) => (precautionaryReleases.get(name) ?? 0) === 0);
     const capacities = options.getCapacities(answering);
     return answering.map(({ name, bornAt }, index) => ({ name, bornAt, capacity: capacities[index] ?? 0 }));
   }
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -212,13 +212,21 @@
       part.token === range.token && contains(range, part);
     const kept = known.filter((holding) => isPart(holding.range));
     const accounted = [...kept.map((holding) => holding.range), ...freed.filter(isPart)];
-    const rest = subtractAll(range, accounted).map(({ from, to }) => createHolding({ ...range, from, to }));
+    const rest = subtractRanges(range, accounted).map(({ from, to }) =>
+      createHolding({ ...range, from, to }),
+    );
     return sortHoldings([...kept, ...rest]);
   });
 }
 
-/** Returns the parts of a range that none of the other ranges covers. */
-function subtractAll(range: KeyRange, others: readonly KeyRange[]): readonly KeyRange[] {
+/**
+ * Subtracts ranges from a range.
+ *
+ * @param range - The range.
+ * @param others - The ranges to subtract.
+ * @returns The parts of the range that none of the others covers, in order of keys.
+ */
+export function subtractRanges(range: KeyRange, others: readonly KeyRange[]): readonly KeyRange[] {
   let rest: readonly KeyRange[] = [range];
   for (const other of others) {
     rest = rest.flatMap((piece) =>
--- a/src/keyRanges/index.ts
+++ b/src/keyRanges/index.ts
@@ -14,4 +14,5 @@
 export * from "./ownerTable";
 export * from "./rangePlanner";
 export * from "./rebalancing";
+export * from "./restoredAssignment";
 export * from "./types";
--- a/src/keyRanges/ownerTable.ts
+++ b/src/keyRanges/ownerTable.ts
@@ -1,7 +1,7 @@
 /** Finds the owners of keys in the newest known assignments. */
 import murmurhash from "murmurhash";
 import { describeError } from "../errors";
-import { type StoredObject, decodeStoredObject } from "../objectStore";
+import { type StoredObject, decodeStoredObject, getTimeline } from "../objectStore";
 import { Event, type Logger } from "../observability";
 import type { Clock, ServerName, ServiceName, Version } from "../types";
 import { ASSIGNMENT_PREFIX, parseRangeAssignment } from "./assignmentDocument";
@@ -12,7 +12,10 @@
 
 /** The owners of keys as this daemon knows them. */
 export interface OwnerTable {
-  /** Applies stored assignments; versions that are not newer than the known ones are ignored. */
+  /**
+   * Applies stored assignments. Versions that are not newer than the known ones are ignored, and so are copies
+   * from before a restore of the store if anything is known.
+   */
   apply(objects: readonly StoredObject[]): void;
   /** Replaces the ranges of a service, given in order of keys, if the version is newer than the known one. */
   update(service: ServiceName, ranges: readonly OwnedRange[], version: Version): void;
@@ -87,6 +90,10 @@
     try {
       const { version, value } = decodeStoredObject(object);
       const assignment = parseRangeAssignment(value);
+      if (assignment.timeline < getTimeline(version) && known.has(assignment.service)) {
+        // A copy from before a restore of the store lacks changes that are known here.
+        return;
+      }
       update(assignment.service, assignment.ranges, version);
     } catch (error) {
       logger.log(Event.AssignmentRefused, { path: object.path, error: describeError(error) });
--- /dev/null
+++ b/src/keyRanges/restoredAssignment.ts
@@ -0,0 +1,70 @@
+/**
+ * Continues key ownership on an object store that was restored from a copy. The stored assignment is then older
+ * than the grants, so neither its owners nor its fencing tokens can be relied on.
+ */
+import type { Timeline } from "../objectStore";
+import { subtractRanges } from "./holdings";
+import { type KeyRange, KEY_COUNT, type OwnedRange, type RangeAssignment } from "./types";
+
+/** Far more than the tokens issued on one timeline, of which the stored assignment may not show the last ones. */
+const TOKENS_PER_TIMELINE = 2 ** 32;
+
+const ALL_KEYS: KeyRange = { from: 0, to: KEY_COUNT - 1 };
+
+/**
+ * Moves an assignment to the store's present timeline. Owners and tokens stay; later tokens are above all that
+ * were issued on earlier timelines.
+ *
+ * @param assignment - Assignment that is known to be up to date.
+ * @param timeline - Present timeline of the store.
+ * @returns The assignment to store.
+ */
+export function continueAssignment(assignment: RangeAssignment, timeline: Timeline): RangeAssignment {
+  const nextToken = Math.max(assignment.nextToken, timeline * TOKENS_PER_TIMELINE);
+  return { ...assignment, timeline, nextToken };
+}
+
+/**
+ * Chooses the assignment that a new coordinator continues with. All ranges get new tokens, since a server that
+ * lost keys without its knowledge may accept an old one.
+ *
+ * @param stored - The restored assignment, if the copy had one.
+ * @param known - The newest assignment that this daemon knows, which the one stored may lack.
+ * @param timeline - Present timeline of the store.
+ * @returns The assignment to store. Its owners are the most likely ones; others may hold any of their keys.
+ */
+export function replaceAssignment(
+  stored: RangeAssignment | undefined,
+  known: Pick<RangeAssignment, "service" | "ranges">,
+  timeline: Timeline,
+): RangeAssignment {
+  const storedRanges = stored?.ranges ?? [];
+  const newest =
+    findHighestToken(known.ranges) >= findHighestToken(storedRanges) ? known.ranges : storedRanges;
+  const highest = Math.max(findHighestToken(newest), (stored?.nextToken ?? 1) - 1);
+  const base = continueAssignment(
+    { service: known.service, timeline, nextToken: highest + 1, ranges: [] },
+    timeline,
+  );
+  const ranges = newest.map((range, index) => ({ ...range, token: base.nextToken + index }));
+  return { ...base, ranges, nextToken: base.nextToken + ranges.length };
+}
+
+/**
+ * Finds the keys that a server does not own.
+ *
+ * @param server - Name and start time of the server's process.
+ * @param ranges - Owned ranges of all servers.
+ * @returns The ranges between its own ones, in order of keys.
+ */
+export function findKeysOfOthers(
+  server: Pick<OwnedRange, "bornAt"> & { readonly name: string },
+  ranges: readonly OwnedRange[],
+): readonly KeyRange[] {
+  const own = ranges.filter((range) => range.server === server.name && range.bornAt === server.bornAt);
+  return subtractRanges(ALL_KEYS, own);
+}
+
+function findHighestToken(ranges: readonly OwnedRange[]): number {
+  return ranges.reduce((highest, { token }) => Math.max(highest, token), 0);
+}
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -1,5 +1,6 @@
 /** Types of key ownership by ranges: keys are numbers, and each range of them has at most one owner. */
 import type { DiscoveredServer } from "../discovery";
+import type { Timeline } from "../objectStore";
 import type { ServerName, ServiceName } from "../types";
 
 /** Number of keys of a service; keys run from 0 to this, exclusive. */
@@ -45,6 +46,11 @@
 /** Ownership of a service's keys. Keys in no range have no owner. */
 export interface RangeAssignment {
   readonly service: ServiceName;
+  /**
+   * Timeline of the object store on which the assignment was written. Once the store has a later one, the
+   * assignment is a copy that may lack changes.
+   */
+  readonly timeline: Timeline;
   /** Lowest fencing token that was never issued. */
   readonly nextToken: number;
   /** In order of keys, without overlaps. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -111,6 +111,11 @@
   GrantFailed: defineEvent(1826, Severity.Warn, "grant or release failed or got no answer"),
   GrantFenced: defineEvent(1827, Severity.Warn, "backend server has seen a higher fencing token"),
   AssignmentRefused: defineEvent(1828, Severity.Error, "stored key assignment cannot be parsed"),
+  AssignmentRestored: defineEvent(
+    1829,
+    Severity.Warn,
+    "stored key assignment was older than the grants, since the object store was restored; it has been replaced",
+  ),
   RequestRefused: defineEvent(1831, Severity.Info, "request refused; it has not run"),
   RequestOutcomeUnknown: defineEvent(1832, Severity.Warn, "request ended without an answer; it may have run"),
   RequestRetried: defineEvent(1833, Severity.Info, "request retried"),
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -21,6 +21,7 @@
   planHoldings,
   planRebalance,
 } from "../src/keyRanges";
+import { createVersion } from "../src/objectStore";
 import { silentLogger } from "../src/observability";
 import { createFakeClock } from "./support/fakeClock";
 import { createFakeObjectStore, createPlatformAccess } from "./support/fakePlatform";
@@ -193,6 +194,7 @@
           logger: silentLogger,
           isCoordinator: () => harness.isCoordinator,
           getStoreSilenceMs: () => 0,
+          getTimeline: () => table.countRestores(),
           maxGrantMs: MAX_GRANT_MS,
           getCapacities: (servers) => servers.map((server) => server.slots),
         },
@@ -485,6 +487,30 @@
   });
 });
 
+describe("owner table after the object store was restored from a copy", () => {
+  const createStored = (server: string, timeline: number, version: number) => {
+    const ranges = [createRange(0, LAST_KEY, server)];
+    const value = { writeId: "w", value: { service: SERVICE, timeline, nextToken: 2, ranges } };
+    return { path: `keyassignments/${SERVICE}`, version, value };
+  };
+
+  // Guards against sending requests to the owners of some seconds ago until a coordinator has stored the present ones.
+  test("a copy does not replace what is known, and what a coordinator has stored since does", () => {
+    const owners = createOwnerTable(createFakeClock(), silentLogger);
+    owners.apply([createStored("s1", 0, 7)]);
+    owners.apply([createStored("old", 0, createVersion(1, 5))]);
+    expect(owners.findOwner(SERVICE, 1)).toBe("s1");
+    owners.apply([createStored("s2", 1, createVersion(1, 6))]);
+    expect(owners.findOwner(SERVICE, 1)).toBe("s2");
+  });
+
+  test("a daemon that knows nothing uses the copy", () => {
+    const owners = createOwnerTable(createFakeClock(), silentLogger);
+    owners.apply([createStored("old", 0, createVersion(1, 5))]);
+    expect(owners.findOwner(SERVICE, 1)).toBe("old");
+  });
+});
+
 describe("adopting a stored assignment", () => {
   const stored = [createRange(0, 999, "s1", 5), createRange(1000, LAST_KEY, "s2", 6)];
   const createFreedRange = (from: number, to: number, token: number) => ({
@@ -626,7 +652,12 @@
     expect(groups.map((group) => group.map(({ from }) => from))).toEqual([[10, 20], [40], [1000]]);
     const [first = []] = groups;
     const freed = [{ from: 10, to: 29, token: 3, handover: "h", targets: first }];
-    const { added } = planHoldings([], first, freed, { service: SERVICE, nextToken: 5, ranges: [] });
+    const { added } = planHoldings([], first, freed, {
+      service: SERVICE,
+      timeline: 0,
+      nextToken: 5,
+      ranges: [],
+    });
     expect(added.map((holding) => holding.handover)).toEqual(["h", "h"]);
   });
 
@@ -685,7 +716,7 @@
   });
 
   test("adjacent ranges of one owner are merged under a new fencing token", () => {
-    const before = { service: SERVICE, nextToken: 5, ranges: [] };
+    const before = { service: SERVICE, timeline: 0, nextToken: 5, ranges: [] };
     const placements = [
       { from: 0, to: 99, server: "s1", bornAt: 1 },
       { from: 100, to: 199, server: "s1", bornAt: 1 },
