Soak: the store goes away and comes back from a copy

A fault of the soak silences the store for up to 4 s and restores it from a copy of 1 to 12 s; operators and backend servers write their objects again within 0.6 s. Servers' statements are counted as on the users' platform, and the entry of one that is not up expires again.

--- a/standins/edge/backendServer.ts
+++ b/standins/edge/backendServer.ts
@@ -74,6 +74,8 @@
   /** Starts again with the same name, as a new process without grants would. Does nothing while up. */
   restart(): Promise<void>;
   isUp(): boolean;
+  /** Writes its entry again after the store was restored; that of a server that is not up expires. */
+  recordStoreRestore(): void;
   /** Returns whether the server owns a key at the given time. */
   isOwner(key: number, now: number): boolean;
   /** Registers the server with a port, which may be that of a proxy in front of it. */
@@ -138,10 +140,14 @@
         return;
       }
       await stop();
-      expiryTimer = setTimeout(() => {
-        store.remove(StoreKind.Servers, options.name);
-      }, REGISTRATION_TTL_MS);
-      expiryTimer.unref();
+      expireRegistration();
+    },
+    recordStoreRestore: () => {
+      if (isUp) {
+        register();
+      } else {
+        expireRegistration();
+      }
     },
     close: async () => {
       clearInterval(heartbeat);
@@ -169,6 +175,14 @@
   };
   return self;
 
+  function expireRegistration(): void {
+    clearTimeout(expiryTimer);
+    expiryTimer = setTimeout(() => {
+      store.remove(StoreKind.Servers, options.name);
+    }, REGISTRATION_TTL_MS);
+    expiryTimer.unref();
+  }
+
   async function stop(): Promise<void> {
     isUp = false;
     const closed = new Promise<void>((resolve) => {
@@ -209,7 +223,7 @@
       info: { service: options.service, version: "v1", zone: options.dataCentre, capacity: options.slots },
       status: {
         state: drainingSince === undefined ? "ready" : "draining",
-        seq: drainingSince === undefined ? 0 : sequence,
+        seq: sequence,
         warmupLeftS: 0,
       },
     });
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -33,6 +33,10 @@
 const SLOW_LINK_BYTES_PER_SECOND = 400_000;
 /** Routes without requests, which give the configuration the size of that of a large organisation. */
 const UNUSED_ROUTES = 900;
+/** The daemons have a coordinator and an assignment of keys this long after they are ready. */
+const FIRST_ASSIGNMENT_MS = 2000;
+/** Operators and backend servers notice within this time that the store was restored. */
+const MAX_REWRITE_DELAY_MS = 600;
 /** Versions of the configuration in one series, and the pause between them. */
 const SERIES_LENGTH = 8;
 const SERIES_PAUSE_MS = 100;
@@ -64,6 +68,11 @@
   writeConfiguration(): void;
   /** Writes several versions in quick succession. */
   writeConfigurationSeries(): Promise<void>;
+  /**
+   * Restores the store from a copy that is `ageMs` old, but has the first assignment of keys. Operators and backend servers then write again what they
+   * had written since.
+   */
+  restoreStore(ageMs: number): Promise<void>;
   /** Returns the version of the newest route that was written at least `ms` ago. */
   findAddedRoute(ms: number): number | undefined;
   close(): Promise<void>;
@@ -117,6 +126,7 @@
     await close();
     throw error;
   }
+  const readyAt = performance.now();
   return {
     store,
     servers,
@@ -126,6 +136,7 @@
     ownershipConflicts,
     writeConfiguration,
     writeConfigurationSeries,
+    restoreStore,
     findAddedRoute: (ms) =>
       writtenVersions.findLast((written) => performance.now() - written.at >= ms)?.version,
     close,
@@ -144,9 +155,22 @@
     }
   }
 
+  async function restoreStore(ageMs: number): Promise<void> {
+    store.restore(Math.min(ageMs, Math.max(0, performance.now() - readyAt - FIRST_ASSIGNMENT_MS)));
+    await sleep(systemClock, randomInt(MAX_REWRITE_DELAY_MS));
+    storeConfiguration();
+    servers.forEach(({ server }) => {
+      server.recordStoreRestore();
+    });
+  }
+
   function writeVersion(next: number): void {
     version = next;
     writtenVersions.push({ version, at: performance.now() });
+    storeConfiguration();
+  }
+
+  function storeConfiguration(): void {
     const added = writtenVersions.map((written) => written.version);
     store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(version, added));
   }
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -9,6 +9,9 @@
 export const MAX_FAULT_MS = 4000;
 /** Limit of a backend server in need, in requests per second; far below what it gets otherwise. */
 const LOW_RATE_LIMIT = 0.5;
+/** Age of the copies that the store is restored from. */
+const MIN_COPY_AGE_MS = 1000;
+const MAX_COPY_AGE_MS = 12_000;
 /** Mean time from the start of a fault to that of the next; most faults last longer, so that they overlap. */
 const MEAN_FAULT_INTERVAL_MS = 700;
 
@@ -185,6 +188,19 @@
       create(StoreFault.Slow, daemons),
       create(StoreFault.Busy, [single]),
       create(StoreFault.Silent, [single]),
+      createFault(
+        "store away and restored from a copy",
+        () => {
+          setStoreFault(StoreFault.Silent, daemons);
+        },
+        async () => {
+          const restored = deployment.restoreStore(
+            MIN_COPY_AGE_MS + randomInt(MAX_COPY_AGE_MS - MIN_COPY_AGE_MS),
+          );
+          setStoreFault(StoreFault.None, daemons);
+          await restored;
+        },
+      ),
       createFault("store drops its history", () => {
         store.compact();
       }),
