Do not take a lease or an assignment that was lost with a restore for one never written

Cause: a daemon without memory cannot tell a lost lease from a first start. Nor did one that knew of a missing lease see that the store went back once more, since a read of a missing object has no version.

Change: the settings say whether the whole deployment starts for the first time. In any other case a missing lease is claimed after a whole lease duration, and a missing assignment is replaced only when all servers have released all keys. The lease is read by a list, which has a version also without it.

--- a/benchmarks/coordinator.ts
+++ b/benchmarks/coordinator.ts
@@ -83,6 +83,7 @@
       logger: silentLogger,
       isCoordinator: () => true,
       getStoreSilenceMs: () => 0,
+      isFirstStart: true,
       getTimeline: () => 0,
       maxGrantMs: 10_000,
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,6 +94,8 @@
 export interface GatewayOptions {
   readonly daemon: DaemonName;
   readonly dataCentre: DataCentreName;
+  /** Whether the whole deployment starts for the first time, so that the object store has no state yet. */
+  readonly isFirstStart: boolean;
   /** Processor capacity of the VM, in cores. */
   readonly processors: number;
   readonly callers: Address;
@@ -218,6 +220,7 @@
     objects,
     self,
     address: options.peers,
+    isFirstStart: options.isFirstStart,
     clock,
     timeOfDay: options.timeOfDay,
     random,
@@ -352,6 +355,7 @@
             logger,
             isCoordinator: () => lease.isHeld(),
             getStoreSilenceMs: () => lease.renewedAgoMs(),
+            isFirstStart: options.isFirstStart,
             getTimeline: () => getTimeline(lease.getVersion()),
             maxGrantMs: limits.maxGrantMs,
             getCapacities: estimateServerCapacities,
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -70,6 +70,8 @@
   readonly load: KeyLoad;
   /** Sends a change of the assignment to the other daemons. */
   readonly publish: AssignmentFeed["publish"];
+  /** Whether the whole deployment starts for the first time; otherwise a missing record was lost with a restore. */
+  readonly isFirstStart: boolean;
   /** Returns the object store's timeline as of the last renewal of the coordinator lease. */
   readonly getTimeline: () => Timeline;
   /** Returns how much work each of the servers can do, relative to the others. */
@@ -171,7 +173,7 @@
       return continueAssignment(assignment, timeline);
     }
     const ranges = options.owners.getRanges(service);
-    const isFirstEver = record === undefined && ranges.length === 0;
+    const isFirstEver = record === undefined && ranges.length === 0 && options.isFirstStart;
     return isFirstEver ? undefined : replaceAssignment(record, { service, ranges }, timeline);
   }
 
--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -1,11 +1,19 @@
 /** Elects the coordinator, the one daemon that grants keys, by a lease in the object store. */
 import { z } from "zod";
 import { PlatformUnavailableError, describeError } from "../errors";
-import { CallPriority, Freshness, type ObjectStore, type StoredObject, getTimeline } from "../objectStore";
+import {
+  CallPriority,
+  Freshness,
+  type ObjectStore,
+  type StoredObject,
+  type Timeline,
+  getTimeline,
+} from "../objectStore";
 import { Event, type Logger } from "../observability";
 import { type Address, type Clock, type DaemonRun, type Version, sleep } from "../types";
 
-const LEASE_PATH = "coordination/keys";
+const LEASE_PREFIX = "coordination/";
+const LEASE_PATH = `${LEASE_PREFIX}keys`;
 /** Bounds the time without a coordinator after its loss; long enough to outlast two unanswered renewals. */
 const LEASE_DURATION_MS = 2000;
 const RENEWAL_INTERVAL_MS = 600;
@@ -46,6 +54,8 @@
   readonly self: DaemonRun;
   /** Address at which this daemon receives load reports. */
   readonly address: Address;
+  /** Whether the whole deployment starts for the first time; otherwise a missing lease was lost with a restore. */
+  readonly isFirstStart: boolean;
   readonly clock: Clock;
   /**
    * Returns the time of day in milliseconds; unlike the monotonic clock it also advances while the VM is
@@ -81,6 +91,7 @@
 interface Observation {
   readonly version: number;
   readonly lease: Lease | undefined;
+  readonly timeline: Timeline;
   /**
    * Whether the store has been restored since the lease was written. Another daemon may have claimed it since the
    * copy, and may hold it until it expires.
@@ -116,7 +127,7 @@
     confirm: (version) => {
       if (!isElected && observed !== undefined && version >= observed.version) {
         const isCopy = observed.isCopy && version === observed.version;
-        observed = { ...observed, version, isCopy, observedAt: clock.now() };
+        observed = { ...observed, version, timeline: getTimeline(version), isCopy, observedAt: clock.now() };
         confirmedAt = clock.now();
       }
     },
@@ -167,8 +178,10 @@
     if (clock.now() - confirmedAt < CONFIRMATION_VALIDITY_MS) {
       return CONFIRMATION_VALIDITY_MS - (clock.now() - confirmedAt);
     }
-    const stored = await objects.read(LEASE_PATH, CallPriority.Ownership, Freshness.Stale);
-    recordObservation(stored);
+    // Unlike a read, a list has a version even if there is no lease, which shows a restore of the store.
+    const listed = await objects.list(LEASE_PREFIX, CallPriority.Ownership, Freshness.Stale);
+    const stored = listed.objects.find((object) => object.path === LEASE_PATH);
+    recordObservation(stored, getTimeline(listed.version));
     if (clock.now() < noClaimUntil || !isClaimable()) {
       return OBSERVATION_INTERVAL_MS * (0.7 + 0.6 * random());
     }
@@ -176,14 +189,22 @@
     return isElected ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS;
   }
 
-  function recordObservation(stored: StoredObject | undefined): void {
-    const version = stored?.version ?? 0;
-    // The lease is never deleted, so its absence shows that the store was restored.
-    const isLost = stored === undefined && observed !== undefined && observed.version > 0;
-    if (observed === undefined || version > observed.version || isLost) {
-      const lease = leaseSchema.safeParse(stored?.value).data;
-      const isCopy = isLost || (lease !== undefined && lease.timeline < getTimeline(version));
-      observed = { version, lease, isCopy, observedAt: clock.now() };
+  function recordObservation(stored: StoredObject | undefined, timeline: Timeline): void {
+    const observedAt = clock.now();
+    if (stored === undefined) {
+      // The lease is never deleted, so its absence shows a restore unless it was never written.
+      const wasWritten = observed === undefined ? !options.isFirstStart : observed.version > 0;
+      if (observed === undefined || wasWritten || timeline > observed.timeline) {
+        const isCopy = wasWritten || observed !== undefined;
+        observed = { version: 0, lease: undefined, timeline, isCopy, observedAt };
+      }
+      return;
+    }
+    const { version } = stored;
+    if (observed === undefined || version > observed.version) {
+      const lease = leaseSchema.safeParse(stored.value).data;
+      const isCopy = lease !== undefined && lease.timeline < getTimeline(version);
+      observed = { version, lease, timeline: getTimeline(version), isCopy, observedAt };
     }
   }
 
@@ -250,11 +271,12 @@
     const offset = options.timeOfDay() - sentAt;
     const result = await objects.write(LEASE_PATH, lease, base, CallPriority.Ownership);
     if (result.kind === "written") {
-      observed = { version: result.version, lease, isCopy: false, observedAt: sentAt };
+      const { version } = result;
+      observed = { version, lease, timeline: getTimeline(version), isCopy: false, observedAt: sentAt };
       extendLease(sentAt, offset);
       return "written";
     }
-    recordObservation(result.current);
+    recordObservation(result.current, observed?.timeline ?? 0);
     const current = leaseSchema.safeParse(result.current?.value).data;
     const isOwn =
       current?.daemon === self.daemon && current.incarnation === self.incarnation && !current.isResigned;
--- a/standins/soak/daemons.ts
+++ b/standins/soak/daemons.ts
@@ -64,7 +64,7 @@
  */
 export function startSoakDaemon(options: SoakDaemonOptions): SoakDaemon {
   const settingsFile = join(options.folder, `${options.name}.toml`);
-  writeFileSync(settingsFile, createSettings(options));
+  writeFileSync(settingsFile, createSettings(options, true));
   let disturbedAt = performance.now();
   let isClosed = false;
   let isPaused = false;
@@ -140,6 +140,7 @@
       if (!isClosed) {
         setTimeout(() => {
           recordDisturbance();
+          writeFileSync(settingsFile, createSettings(options, false));
           child = isClosed ? child : startProcess();
         }, RESTART_DELAY_MS);
       }
@@ -148,9 +149,13 @@
   }
 }
 
-function createSettings({ name, dataCentre, host, storePort }: SoakDaemonOptions): string {
+function createSettings(
+  { name, dataCentre, host, storePort }: SoakDaemonOptions,
+  isFirstStart: boolean,
+): string {
   return `
 [self]
+bootstrap = ${isFirstStart}
 nodeName = "${name}"
 zone = "${dataCentre}"
 ip = "${host}"
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -33,8 +33,6 @@
 const SLOW_LINK_BYTES_PER_SECOND = 400_000;
 /** Routes without requests, which give the configuration the size of that of a large organisation. */
 const UNUSED_ROUTES = 900;
-/** The daemons have a coordinator and an assignment of keys this long after they are ready. */
-const FIRST_ASSIGNMENT_MS = 2000;
 /** Operators and backend servers notice within this time that the store was restored. */
 const MAX_REWRITE_DELAY_MS = 600;
 /** Versions of the configuration in one series, and the pause between them. */
@@ -69,7 +67,7 @@
   /** Writes several versions in quick succession. */
   writeConfigurationSeries(): Promise<void>;
   /**
-   * Restores the store from a copy that is `ageMs` old, but has the first assignment of keys. Operators and backend servers then write again what they
+   * Restores the store from a copy that is `ageMs` old. Operators and backend servers then write again what they
    * had written since.
    */
   restoreStore(ageMs: number): Promise<void>;
@@ -126,7 +124,6 @@
     await close();
     throw error;
   }
-  const readyAt = performance.now();
   return {
     store,
     servers,
@@ -156,7 +153,7 @@
   }
 
   async function restoreStore(ageMs: number): Promise<void> {
-    store.restore(Math.min(ageMs, Math.max(0, performance.now() - readyAt - FIRST_ASSIGNMENT_MS)));
+    store.restore(ageMs);
     await sleep(systemClock, randomInt(MAX_REWRITE_DELAY_MS));
     storeConfiguration();
     servers.forEach(({ server }) => {
--- a/standins/soak/regressionSeeds.ts
+++ b/standins/soak/regressionSeeds.ts
@@ -12,5 +12,17 @@
   { seed: 9001, cause: "the watches of all daemons had died at once, and all agreed on an old state" },
   { seed: 9003, cause: "polls with a time limit on the whole transfer never ended on a slow link" },
   { seed: 9338, cause: "a history that had grown while a list was read was larger than the state" },
+  {
+    seed: 930014,
+    cause: "no daemon kept to a rate limit that a server had named",
+  },
+  {
+    seed: 940013,
+    cause: "a restarted daemon took a lease that was lost with a restore of the store for one never written",
+  },
+  {
+    seed: 940064,
+    cause: "a restarted daemon took a lease that was lost with a restore of the store for one never written",
+  },
   { seed: 138, cause: "a restarted server had taken a renewal meant for its earlier process" },
 ];
--- a/test/coordinatorLease.test.ts
+++ b/test/coordinatorLease.test.ts
@@ -41,13 +41,7 @@
         }
       };
       return {
-        read: () => {
-          return Promise.resolve().then(() => {
-            throwIfDisconnected();
-            reads.set(daemon, (reads.get(daemon) ?? 0) + 1);
-            return object;
-          });
-        },
+        read: () => Promise.reject(new Error("not expected")),
         write: (path, value, base) =>
           Promise.resolve().then(() => {
             throwIfDisconnected();
@@ -63,7 +57,12 @@
             }
             return { kind: "written", version };
           }),
-        list: () => Promise.resolve({ objects: [], version }),
+        list: () =>
+          Promise.resolve().then(() => {
+            throwIfDisconnected();
+            reads.set(daemon, (reads.get(daemon) ?? 0) + 1);
+            return { objects: object === undefined ? [] : [object], version };
+          }),
         watch: () => Promise.resolve({ objects: [], version }),
       };
     },
@@ -77,11 +76,18 @@
   const stop = new AbortController();
   const timeOfDayShiftMs = new Map<string, number>();
   const claimDelayMs = new Map<string, number>();
-  const startDaemon = (daemon: string, incarnation: number, signal = stop.signal) => {
+  const processes = new Map<string, AbortController>();
+  const startDaemon = (
+    daemon: string,
+    incarnation: number,
+    signal = stop.signal,
+    isFirstStart = incarnation === 1,
+  ) => {
     const lease = createCoordinatorLease({
       objects: store.createClient(daemon),
       self: { daemon, incarnation },
       address: { host: "127.0.0.1", port: 1 },
+      isFirstStart,
       clock,
       timeOfDay: () => 1_000_000 + clock.now() + (timeOfDayShiftMs.get(daemon) ?? 0),
       random,
@@ -90,12 +96,15 @@
       onElected: () => undefined,
       onLost: () => undefined,
     });
-    void lease.run(signal);
+    const process = new AbortController();
+    processes.set(daemon, process);
+    void lease.run(AbortSignal.any([signal, process.signal]));
     return lease;
   };
+  const endProcess = (daemon: string) => processes.get(daemon)?.abort();
   const leases = new Map(names.map((name) => [name, startDaemon(name, 1)]));
   const getHolders = () => [...leases].filter(([, lease]) => lease.isHeld()).map(([name]) => name);
-  return { clock, store, leases, getHolders, startDaemon, stop, timeOfDayShiftMs, claimDelayMs };
+  return { clock, store, leases, getHolders, startDaemon, endProcess, stop, timeOfDayShiftMs, claimDelayMs };
 }
 
 /**
@@ -250,13 +259,19 @@
     { name: "was resigned", isAbsent: false, resigns: true, restarts: false },
     { name: "names an earlier process of a daemon", isAbsent: false, resigns: false, restarts: true },
     { name: "is absent", isAbsent: true, resigns: false, restarts: false },
+    {
+      name: "is absent, and a daemon that knew it was restarted",
+      isAbsent: true,
+      resigns: false,
+      restarts: true,
+    },
   ];
 
   // Guards against a claim that believes a copy of the lease: whoever holds it may have claimed it since the copy.
   test.each(cases)(
     "two daemons never hold it at once when the copy of it $name",
     async ({ isAbsent, resigns, restarts }) => {
-      const { clock, store, leases, getHolders, startDaemon, stop } = createHarness(["a", "b"]);
+      const { clock, store, leases, getHolders, startDaemon, endProcess, stop } = createHarness(["a", "b"]);
       await clock.advance(2000);
       const [first = ""] = getHolders();
       const second = first === "a" ? "b" : "a";
@@ -271,12 +286,13 @@
       const other = holder === "a" ? "b" : "a";
       await clock.advance(1000);
       store.disconnected.clear();
-      if (restarts) {
-        leases.set(other, startDaemon(other, 2));
-      }
       // The holder is cut off from the store and does not learn that it was restored.
       store.disconnected.add(holder);
       store.restore();
+      if (restarts) {
+        endProcess(other);
+        leases.set(other, startDaemon(other, 2));
+      }
       const changedAfterMs = await runUntil(clock, getHolders, 6000, (current) => current === other);
       expect(changedAfterMs).toBeLessThan(6000);
       store.disconnected.clear();
@@ -285,6 +301,28 @@
     },
   );
 
+  test("two daemons never hold it at once when the store goes back twice to a time without a lease", async () => {
+    const { clock, store, getHolders, stop } = createHarness(["a", "b"]);
+    await clock.advance(2000);
+    const [first = ""] = getHolders();
+    const second = first === "a" ? "b" : "a";
+    store.copy(true);
+    // Neither sees the other's claim before the store goes back again.
+    store.disconnected.add(first);
+    store.restore();
+    await clock.advance(2000);
+    store.disconnected.add(second);
+    store.disconnected.delete(first);
+    await runUntil(clock, getHolders, 4000, (holder) => holder === first);
+    expect(getHolders()).toEqual([first]);
+    store.disconnected.add(first);
+    store.restore();
+    store.disconnected.delete(second);
+    await runUntil(clock, getHolders, 6000, (holder) => holder === second);
+    expect(getHolders()).toEqual([second]);
+    stop.abort();
+  });
+
   test("a holder whose lease has lapsed does not renew a copy of it, since another may have claimed it", async () => {
     const { clock, store, getHolders, stop } = createHarness(["a", "b"]);
     await clock.advance(2000);
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -180,7 +180,7 @@
       actualBornAt.set(name, bornAt);
       released.splice(0, released.length, ...released.filter((each) => each.server !== name));
     },
-    start: (ownersOfDaemon = owners, signal = stop.signal) =>
+    start: (ownersOfDaemon = owners, signal = stop.signal, isFirstStart = true) =>
       coordinateKeys(
         {
           service: SERVICE,
@@ -194,6 +194,7 @@
           logger: silentLogger,
           isCoordinator: () => harness.isCoordinator,
           getStoreSilenceMs: () => 0,
+          isFirstStart,
           getTimeline: () => table.countRestores(),
           maxGrantMs: MAX_GRANT_MS,
           getCapacities: (servers) => servers.map((server) => server.slots),
@@ -458,7 +459,12 @@
     harness.stop.abort();
   });
 
-  test("a record that was lost with the restore gives no key a second owner", async () => {
+  const daemons = [
+    { name: "by a daemon that knows its last version", isRestarted: false },
+    { name: "by a daemon that was restarted", isRestarted: true },
+  ];
+
+  test.each(daemons)("a record that was lost with the restore is replaced $name", async ({ isRestarted }) => {
     const harness = createHarness(["s1", "s2", "s3", "s4"]);
     const firstTerm = new AbortController();
     void harness.start(harness.owners, firstTerm.signal);
@@ -466,10 +472,11 @@
     await moveBusyKeys(harness);
     firstTerm.abort();
     harness.table.restore();
-    void harness.start();
+    const owners = isRestarted ? createOwnerTable(harness.clock, silentLogger) : harness.owners;
+    void harness.start(owners, harness.stop.signal, !isRestarted);
     await harness.clock.advance(15_000);
     expect(harness.conflicts).toEqual([]);
-    expect(harness.findOwners(sampleKeys)).not.toContain(undefined);
+    expect(sampleKeys.map((key) => owners.findOwner(SERVICE, key))).not.toContain(undefined);
     harness.stop.abort();
   });
 
