Wait for servers to register again, and let a successor of a successor repeat the releases

Found in review, not seen by callers: two ways in which a new coordinator could still give a key two owners after a restore. Its own successor found an assignment of the present timeline and granted its keys though not all servers had released theirs; and a server that registered again after the releases had been sent was not asked to release anything.

Change: the replacing assignment is provisional until all releases have ended, and a coordinator that finds a provisional one does the same again. A new coordinator waits 1 s before it replaces a copy; the election before it takes 2 s, and servers are back within two. The releases have a module of their own.

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -89,8 +89,8 @@
       hasList = true;
       const present = new Set(objects.map((object) => getObjectName(object.path)));
       objects.forEach(applyEntry);
-      const known = [...entries.keys(), ...pendingEntries.keys()];
-      removeAll(known.filter((name) => !present.has(name)));
+      [...pendingEntries.keys()].filter((name) => !present.has(name)).forEach(cancelPending);
+      removeAll([...entries.keys()].filter((name) => !present.has(name)));
       publish();
     },
     recordStoreRecovery: () => {
@@ -202,7 +202,6 @@
   }
 
   function remove(name: ServerName): void {
-    cancelPending(name);
     const entry = entries.get(name);
     if (entry !== undefined) {
       entries.delete(name);
--- a/src/keyRanges/assignmentDocument.ts
+++ b/src/keyRanges/assignmentDocument.ts
@@ -24,6 +24,7 @@
   service: z.string().min(1),
   /** Assignments of daemons that did not know timelines count as copies, which is safe. */
   timeline: z.int().nonnegative().default(0),
+  isProvisional: z.boolean().default(false),
   nextToken: z.int().positive(),
   ranges: z.array(ownedRangeSchema),
 });
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -8,6 +8,7 @@
   CallPriority,
   type ObjectStore,
   type Timeline,
+  type UpdateResult,
   type VersionedValue,
   getTimeline,
   updateObject,
@@ -24,7 +25,6 @@
   RenewalResult,
   type RenewalOptions,
   adoptHoldings,
-  createHolding,
   planHoldings,
   renewGrant,
   sortHoldings,
@@ -33,9 +33,10 @@
 import type { KeyLoad } from "./keyLoad";
 import type { OwnerTable } from "./ownerTable";
 import { type OwnerCandidate, type Placement, findUnowned, placeUnownedRanges } from "./rangePlanner";
+import { createPrecautionaryRelease } from "./precautionaryRelease";
 import { type ReclaimOptions, reclaimKeys } from "./reclaim";
 import { groupAdjacentMoves, planRebalance } from "./rebalancing";
-import { continueAssignment, findKeysOfOthers, replaceAssignment } from "./restoredAssignment";
+import { continueAssignment, replaceAssignment } from "./restoredAssignment";
 import { type KeyRange, type RangeAssignment, contains, overlaps } from "./types";
 
 /** A small fraction of the 2 s within which keys must leave a server. */
@@ -58,6 +59,11 @@
  * slow server does not delay the others.
  */
 const FIRST_GRANT_WAIT_MS = 60;
+/**
+ * Servers that registered after the copy of a restored store are back within this time after a coordinator was
+ * elected, which itself takes the duration of a lease.
+ */
+const RESTORED_DIRECTORY_DELAY_MS = 1000;
 /** Skips all fencing tokens that an earlier coordinator may have issued without storing them. */
 const FENCED_TOKEN_STEP = 1000;
 
@@ -78,6 +84,18 @@
   readonly getCapacities: (servers: readonly DiscoveredServer[]) => readonly number[];
 }
 
+/** Where the assignment comes from that a coordinator continues with after a read. */
+type AssignmentBase =
+  /** Nothing was ever assigned. */
+  | { readonly kind: "none" }
+  /** The store was restored so lately that servers may not have registered again. */
+  | { readonly kind: "unsettled" }
+  | { readonly kind: "stored"; readonly assignment: RangeAssignment }
+  /** The stored one is a copy; this coordinator's own one is up to date. */
+  | { readonly kind: "continued"; readonly assignment: RangeAssignment }
+  /** The stored one is a copy, and servers may hold other keys than this one says. */
+  | { readonly kind: "replaced"; readonly assignment: RangeAssignment };
+
 /**
  * Coordinates a service's keys until aborted, which happens when this daemon loses the coordinator lease.
  *
@@ -99,11 +117,11 @@
   /** Servers as last seen in the directory; one that has left it may still have to release keys. */
   const lastSeen = new Map<ServerName, DiscoveredServer>();
   const unreachableUntil = new Map<ServerName, number>();
-  /** Releases in progress of keys that a server may hold though it is not known to own them, by server. */
-  const precautionaryReleases = new Map<ServerName, number>();
+  const precautionaryRelease = createPrecautionaryRelease(reclaimOptions, options.maxGrantMs, signal);
+  const startedAt = clock.now();
   let holdings: Holding[] = [];
   let freed: FreedRange[] = [];
-  let assignment: RangeAssignment = { service, timeline: 0, nextToken: 1, ranges: [] };
+  let assignment: RangeAssignment = { service, timeline: 0, isProvisional: false, nextToken: 1, ranges: [] };
   let stored: VersionedValue | undefined;
   /** Whether the stored assignment is unknown: not read yet, or the last write failed or is in doubt. */
   let isWriteInDoubt = true;
@@ -129,6 +147,12 @@
     if (isWriteInDoubt || isCopy) {
       await resolveInDoubtWrite();
     }
+    if (isWriteInDoubt) {
+      return;
+    }
+    if (assignment.isProvisional && !precautionaryRelease.isAnyPending()) {
+      await endProvisionalAssignment();
+    }
     startMoves();
     await placeUnowned();
   }
@@ -139,13 +163,19 @@
    * restore of the store is replaced.
    */
   async function resolveInDoubtWrite(): Promise<void> {
-    const read = { isCopy: false };
+    let base: AssignmentBase = { kind: "none" };
     const result = await updateObject(objects, path, CallPriority.Ownership, (current) => {
-      const record = current === undefined ? undefined : parseRangeAssignment(current.value);
-      const timeline = current === undefined ? options.getTimeline() : getTimeline(current.version);
-      read.isCopy = record?.timeline !== timeline;
-      return read.isCopy ? chooseReplacement(record, timeline) : record;
+      base = findBase(current);
+      return "assignment" in base ? base.assignment : undefined;
     });
+    await adoptBase(base, result);
+  }
+
+  async function adoptBase(base: AssignmentBase, result: UpdateResult): Promise<void> {
+    if (base.kind === "unsettled") {
+      await sleep(clock, RESTORED_DIRECTORY_DELAY_MS, signal);
+      return;
+    }
     isWriteInDoubt = false;
     if (result.kind === "unchanged") {
       assignment = continueAssignment(assignment, options.getTimeline());
@@ -154,27 +184,45 @@
     const isFirst = stored === undefined;
     stored = { version: result.version, value: result.value };
     adopt(parseRangeAssignment(result.value), isFirst);
-    if (read.isCopy) {
-      logger.log(Event.AssignmentRestored, { service, version: result.version, isFirst });
+    if (base.kind !== "stored") {
+      logger.log(Event.AssignmentRestored, { service, version: result.version, source: base.kind });
       publishReplacement(result.version);
     }
-    if (read.isCopy && isFirst) {
-      directory.getByService(service).forEach(releaseKeysOfOthers);
+    if (base.kind === "replaced") {
+      for (const server of directory.getByService(service)) {
+        precautionaryRelease.start(server, assignment.ranges);
+      }
     }
     options.owners.update(service, assignment.ranges, result.version);
   }
 
-  /** Chooses what replaces a copy, or a record that the copy lacks; undefined if nothing was ever assigned. */
-  function chooseReplacement(
-    record: RangeAssignment | undefined,
-    timeline: Timeline,
-  ): RangeAssignment | undefined {
-    if (stored !== undefined) {
-      return continueAssignment(assignment, timeline);
+  /** Finds the assignment to continue with. A record of an earlier timeline is a copy, and may be missing. */
+  function findBase(current: VersionedValue | undefined): AssignmentBase {
+    const record = current === undefined ? undefined : parseRangeAssignment(current.value);
+    const timeline = current === undefined ? options.getTimeline() : getTimeline(current.version);
+    const isFirst = stored === undefined;
+    if (record?.timeline === timeline && !(isFirst && record.isProvisional)) {
+      return { kind: "stored", assignment: record };
+    }
+    if (!isFirst) {
+      return { kind: "continued", assignment: continueAssignment(assignment, timeline) };
     }
     const ranges = options.owners.getRanges(service);
-    const isFirstEver = record === undefined && ranges.length === 0 && options.isFirstStart;
-    return isFirstEver ? undefined : replaceAssignment(record, { service, ranges }, timeline);
+    if (record === undefined && ranges.length === 0 && options.isFirstStart) {
+      return { kind: "none" };
+    }
+    if (clock.now() - startedAt < RESTORED_DIRECTORY_DELAY_MS) {
+      return { kind: "unsettled" };
+    }
+    return { kind: "replaced", assignment: replaceAssignment(record, { service, ranges }, timeline) };
+  }
+
+  async function endProvisionalAssignment(): Promise<void> {
+    const before = assignment;
+    const baseVersion = stored?.version ?? 0;
+    const version = await write({ ...before, isProvisional: false });
+    options.owners.update(service, assignment.ranges, version);
+    options.publish(before, baseVersion, assignment, version);
   }
 
   function publishReplacement(version: Version): void {
@@ -182,26 +230,6 @@
     options.publish(known, options.owners.getVersion(service), assignment, version);
   }
 
-  /**
-   * Makes a server release all keys that it is not known to own: an earlier coordinator may have granted them
-   * and the store may have lost the record. The keys' owners get no grants until it has, or until it cannot hold
-   * them any more.
-   */
-  function releaseKeysOfOthers(server: DiscoveredServer): void {
-    for (const keys of findKeysOfOthers(server, assignment.ranges)) {
-      ledger.record(keys, server.name, options.maxGrantMs);
-      const holding = createHolding({ ...keys, server: server.name, bornAt: server.bornAt, token: 0 });
-      countPrecautionaryReleases(server, 1);
-      void reclaimKeys(holding, { ...reclaimOptions, isReclaimNeeded: () => true }, signal).finally(() => {
-        countPrecautionaryReleases(server, -1);
-      });
-    }
-  }
-
-  function countPrecautionaryReleases({ name }: DiscoveredServer, change: number): void {
-    precautionaryReleases.set(name, (precautionaryReleases.get(name) ?? 0) + change);
-  }
-
   function adopt(current: RangeAssignment, isFirst: boolean): void {
     setAssignment(current);
     holdings = [...adoptHoldings(current.ranges, holdings, freed)];
@@ -435,8 +463,7 @@
     const answering = directory
       .getUsable(service)
       .filter(({ name }) => (unreachableUntil.get(name) ?? 0) <= clock.now())
-      // The answer to such a release must not be taken for that of keys which the server gets meanwhile.
-      .filter(({ name }) => (precautionaryReleases.get(name) ?? 0) === 0);
+      .filter(({ name }) => !precautionaryRelease.isPending(name));
     const capacities = options.getCapacities(answering);
     return answering.map(({ name, bornAt }, index) => ({ name, bornAt, capacity: capacities[index] ?? 0 }));
   }
--- a/src/keyRanges/restoredAssignment.ts
+++ b/src/keyRanges/restoredAssignment.ts
@@ -3,14 +3,11 @@
  * than the grants, so neither its owners nor its fencing tokens can be relied on.
  */
 import type { Timeline } from "../objectStore";
-import { subtractRanges } from "./holdings";
-import { type KeyRange, KEY_COUNT, type OwnedRange, type RangeAssignment } from "./types";
+import type { OwnedRange, RangeAssignment } from "./types";
 
 /** Far more than the tokens issued on one timeline, of which the stored assignment may not show the last ones. */
 const TOKENS_PER_TIMELINE = 2 ** 32;
 
-const ALL_KEYS: KeyRange = { from: 0, to: KEY_COUNT - 1 };
-
 /**
  * Moves an assignment to the store's present timeline. Owners and tokens stay; later tokens are above all that
  * were issued on earlier timelines.
@@ -41,28 +38,18 @@
   const storedRanges = stored?.ranges ?? [];
   const newest =
     findHighestToken(known.ranges) >= findHighestToken(storedRanges) ? known.ranges : storedRanges;
-  const highest = Math.max(findHighestToken(newest), (stored?.nextToken ?? 1) - 1);
-  const base = continueAssignment(
-    { service: known.service, timeline, nextToken: highest + 1, ranges: [] },
-    timeline,
+  const firstToken = Math.max(
+    findHighestToken(newest) + 1,
+    stored?.nextToken ?? 1,
+    timeline * TOKENS_PER_TIMELINE,
   );
-  const ranges = newest.map((range, index) => ({ ...range, token: base.nextToken + index }));
-  return { ...base, ranges, nextToken: base.nextToken + ranges.length };
-}
-
-/**
- * Finds the keys that a server does not own.
- *
- * @param server - Name and start time of the server's process.
- * @param ranges - Owned ranges of all servers.
- * @returns The ranges between its own ones, in order of keys.
- */
-export function findKeysOfOthers(
-  server: Pick<OwnedRange, "bornAt"> & { readonly name: string },
-  ranges: readonly OwnedRange[],
-): readonly KeyRange[] {
-  const own = ranges.filter((range) => range.server === server.name && range.bornAt === server.bornAt);
-  return subtractRanges(ALL_KEYS, own);
+  return {
+    service: known.service,
+    timeline,
+    isProvisional: true,
+    nextToken: firstToken + newest.length,
+    ranges: newest.map((range, index) => ({ ...range, token: firstToken + index })),
+  };
 }
 
 function findHighestToken(ranges: readonly OwnedRange[]): number {
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -12,6 +12,9 @@
   readonly to: number;
 }
 
+/** The range of all keys. */
+export const ALL_KEYS: KeyRange = { from: 0, to: KEY_COUNT - 1 };
+
 /**
  * Returns whether two ranges share a key.
  *
@@ -51,6 +54,11 @@
    * assignment is a copy that may lack changes.
    */
   readonly timeline: Timeline;
+  /**
+   * Whether other servers may still hold keys that it gives an owner: it was written after a restore, and they have
+   * not all released them yet.
+   */
+  readonly isProvisional: boolean;
   /** Lowest fencing token that was never issued. */
   readonly nextToken: number;
   /** In order of keys, without overlaps. */
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -653,9 +653,15 @@
 
 describe("assignment feed", () => {
   const range = { from: 0, to: 65_535, server: "s1", bornAt: 1, token: 1 };
-  const first = { service: "desk", timeline: 0, nextToken: 2, ranges: [range] };
+  const first = { service: "desk", timeline: 0, isProvisional: false, nextToken: 2, ranges: [range] };
   const moved = { ...range, from: 100, server: "s2", token: 2 };
-  const second = { service: "desk", timeline: 0, nextToken: 3, ranges: [{ ...range, to: 99 }, moved] };
+  const second = {
+    service: "desk",
+    timeline: 0,
+    isProvisional: false,
+    nextToken: 3,
+    ranges: [{ ...range, to: 99 }, moved],
+  };
 
   test("changes arrive by datagram, and a daemon that missed one reads the assignment again", async () => {
     const clock = createFakeClock();
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -459,6 +459,37 @@
     harness.stop.abort();
   });
 
+  test("a successor of a successor gives no key a second owner, though the stored assignment is a new one", async () => {
+    const { harness, firstTerm } = await startAndMoveKeys();
+    firstTerm.abort();
+    harness.table.restore();
+    const secondTerm = new AbortController();
+    harness.silent.add("s2");
+    void harness.start(createOwnerTable(harness.clock, silentLogger), secondTerm.signal);
+    await harness.clock.advance(1500);
+    secondTerm.abort();
+    harness.silent.delete("s2");
+    const owners = createOwnerTable(harness.clock, silentLogger);
+    void harness.start(owners);
+    await harness.clock.advance(15_000);
+    expect(harness.conflicts).toEqual([]);
+    expect(sampleKeys.map((key) => owners.findOwner(SERVICE, key))).not.toContain(undefined);
+    harness.stop.abort();
+  });
+
+  test("a server that registers again after the election holds no key that another one is given", async () => {
+    const { harness, firstTerm } = await startAndMoveKeys();
+    firstTerm.abort();
+    harness.table.restore();
+    harness.directory.applyChanges([], ["servers/s2"]);
+    void harness.start(createOwnerTable(harness.clock, silentLogger));
+    await harness.clock.advance(800);
+    harness.put(createServer("s2"));
+    await harness.clock.advance(14_000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
   const daemons = [
     { name: "by a daemon that knows its last version", isRestarted: false },
     { name: "by a daemon that was restarted", isRestarted: true },
@@ -662,6 +693,7 @@
     const { added } = planHoldings([], first, freed, {
       service: SERVICE,
       timeline: 0,
+      isProvisional: false,
       nextToken: 5,
       ranges: [],
     });
@@ -723,7 +755,7 @@
   });
 
   test("adjacent ranges of one owner are merged under a new fencing token", () => {
-    const before = { service: SERVICE, timeline: 0, nextToken: 5, ranges: [] };
+    const before = { service: SERVICE, timeline: 0, isProvisional: false, nextToken: 5, ranges: [] };
     const placements = [
       { from: 0, to: 99, server: "s1", bornAt: 1 },
       { from: 100, to: 199, server: "s1", bornAt: 1 },
