Say the store's timeline in the first claim of a lease

What callers saw: after a restore to a time before the first lease, a coordinator that resigned within its first renewal left no coordinator for two seconds, and one whose first claim got no answer gave the lease up.

Cause: a claim without a base version named timeline 0, so that the lease counted as a copy.

Change: the claim names the timeline on which the missing lease was observed.

--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -41,7 +41,7 @@
   term: z.int(),
   renewal: z.int(),
   isResigned: z.boolean(),
-  /** Timeline of the store that the lease was written on, as far as its writer knew. */
+  /** Timeline of the store that the lease was written on. */
   timeline: z.int().default(0),
   /** Address at which the coordinator receives load reports. */
   address: z.object({ host: z.string(), port: z.int() }),
@@ -229,7 +229,7 @@
   async function claim(): Promise<void> {
     const base = observed?.version ?? 0;
     const term = (observed?.lease?.term ?? 0) + 1;
-    const timeline = getTimeline(base);
+    const timeline = observed?.timeline ?? 0;
     const lease = { ...self, address: options.address, term, renewal: 0, isResigned: false, timeline };
     if ((await write(base, lease)) !== "lost") {
       isElected = true;
--- a/test/coordinatorLease.test.ts
+++ b/test/coordinatorLease.test.ts
@@ -301,6 +301,19 @@
     },
   );
 
+  test("a lease that was claimed and resigned since the restore is free at once", async () => {
+    const { clock, store, leases, getHolders, stop } = createHarness(["a", "b"]);
+    await clock.advance(2000);
+    store.copy(true);
+    store.restore();
+    await runUntil(clock, getHolders, 1000, (holder) => holder === undefined);
+    await runUntil(clock, getHolders, 6000, (holder) => holder !== undefined);
+    const [holder = ""] = getHolders();
+    await leases.get(holder)?.resign();
+    expect(await runUntil(clock, getHolders, 1000, (next) => next !== undefined)).toBeLessThan(1000);
+    stop.abort();
+  });
+
   test("two daemons never hold it at once when the store goes back twice to a time without a lease", async () => {
     const { clock, store, getHolders, stop } = createHarness(["a", "b"]);
     await clock.advance(2000);
