Wait until the entries of ended servers have expired before a copy is replaced

Cause: five servers had been replaced before the restore, and their entries of the copy were still in the directory 3.2 s after the return. They did not answer the releases, so that no owner got a grant until the longest grant that they might have had was over.

Change: a new coordinator waits 1.5 s in place of 1 s, after which these entries have expired and reached the daemons. A server that is there and does not answer still holds up all grants for 10.5 s: it may hold any key.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -60,10 +60,10 @@
  */
 const FIRST_GRANT_WAIT_MS = 60;
 /**
- * Servers that registered after the copy of a restored store are back within this time after a coordinator was
- * elected, which itself takes the duration of a lease.
+ * A coordinator is elected a lease duration after a restore of the object store at the earliest. This much later,
+ * servers that registered since the copy have registered again, and the entries of ended ones have expired.
  */
-const RESTORED_DIRECTORY_DELAY_MS = 1000;
+const RESTORED_DIRECTORY_DELAY_MS = 1500;
 /** Skips all fencing tokens that an earlier coordinator may have issued without storing them. */
 const FENCED_TOKEN_STEP = 1000;
 
