--- a/standins/soak/main.ts
+++ b/standins/soak/main.ts
@@ -71,12 +71,13 @@
 }
 
 function printResult(result: SoakResult): void {
-  const { seed, requests, served, brokenPromises, folder, faults } = result;
+  const { seed, requests, served, brokenPromises, longestDelayMs, folder, faults } = result;
   process.stdout.write(
     `seed ${seed}: ${served} of ${requests} served, ${faults.length} faults, ${brokenPromises.length === 0 ? "held" : "BROKEN"}\n`,
   );
   if (brokenPromises.length > 0) {
     process.stdout.write(`${brokenPromises.map((line) => `  ${line}`).join("\n")}\n  logs: ${folder}\n`);
+    process.stdout.write(`  longest delay of the soak's own event loop: ${longestDelayMs} ms\n`);
     process.stdout.write(`${faults.map((line) => `  fault: ${line}`).join("\n")}\n`);
   }
 }
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -1,4 +1,5 @@
 /** One randomised run: a deployment under load and overlapping faults, then a check of the promises. */
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { sleep, systemClock } from "../../src/types";
@@ -11,6 +12,7 @@
 /** Time after the last fault within which all requests must be served again. */
 const RECOVERY_LIMIT_MS = 6000;
 const LOAD_AFTER_RECOVERY_MS = 3000;
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
 /** Options for {@link runSoak}. */
 export interface SoakOptions {
@@ -28,6 +30,8 @@
   readonly served: number;
   readonly faults: readonly string[];
   readonly brokenPromises: readonly string[];
+  /** Longest delay of the soak's own event loop, which the servers and callers share. */
+  readonly longestDelayMs: number;
   /** Folder with the daemons' logs. */
   readonly folder: string;
 }
@@ -53,6 +57,8 @@
   });
   const stopLoad = new AbortController();
   const load = callers.run(stopLoad.signal);
+  const delays = monitorEventLoopDelay();
+  delays.enable();
   try {
     await sleep(systemClock, WARM_UP_MS);
     await injector.run(faultsMs);
@@ -67,6 +73,7 @@
       requests: attempts.length,
       served: attempts.filter((attempt) => attempt.status === 200).length,
       faults: injector.injectedFaults,
+      longestDelayMs: Math.round(delays.max / NANOSECONDS_PER_MILLISECOND),
       brokenPromises: findBrokenPromises({
         attempts,
         runs,
@@ -80,6 +87,7 @@
       folder,
     };
   } finally {
+    delays.disable();
     stopLoad.abort();
     await load;
     await deployment.close();
