Odd entries, malformed messages and unexpected errors end no loop

Cause: a port of 70000 passed the entry's pattern; the grant to it rejected with a RangeError where a result is promised, so the holding counted as having a grant in flight for good. An error in one run of a periodic task ended the task, while the daemon went on saying that it is ready. A reply address with such a port in a datagram made the send throw.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,7 +2,7 @@
 import { createLoadView, createRetryBudget } from "../balancing";
 import { PlatformUnavailableError, describeError } from "../errors";
 import { createMembership, createUdpTransport } from "../membership";
-import { Event, createCounters, createLogger } from "../observability";
+import { Event, createCounters, createErrorReport, createLogger } from "../observability";
 import {
   type SlotLoads,
   balanceLeases,
@@ -210,6 +210,7 @@
     vms: platform.vms,
     clock,
     random,
+    logger,
     isWatcher,
   });
   snapshots.events.on("changed", () => {
@@ -257,7 +258,13 @@
   );
   void dissemination.run(stop.signal);
   void runPlanner();
-  void repeat(clock, LEASE_BALANCE_INTERVAL_MS, stop.signal, rebalanceLeases);
+  void repeat(
+    clock,
+    LEASE_BALANCE_INTERVAL_MS,
+    stop.signal,
+    rebalanceLeases,
+    createErrorReport(logger, "rebalance leases"),
+  );
 
   return { shutDown };
 
--- a/src/daemon/dissemination.ts
+++ b/src/daemon/dissemination.ts
@@ -1,6 +1,7 @@
 /** Disseminates snapshots, server statuses and the list of leaving VMs between daemons. */
 import type { Membership } from "../membership";
 import type { VmList } from "../objectStore";
+import { type Logger, createErrorReport } from "../observability";
 import type { StatusView } from "../ownership";
 import type { Peers } from "../peers";
 import type { RawSnapshot, SnapshotStore } from "../snapshots";
@@ -22,6 +23,7 @@
   readonly vms: VmList;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly logger: Logger;
   /** Returns whether this daemon watches the platform for its data centre. */
   readonly isWatcher: () => boolean;
 }
@@ -82,7 +84,14 @@
     },
     isVmLeaving: (address) => leavingVms.has(formatAddress(address)),
     syncWith,
-    run: (signal) => repeat(clock, VM_LIST_INTERVAL_MS, signal, pollVmList),
+    run: (signal) =>
+      repeat(
+        clock,
+        VM_LIST_INTERVAL_MS,
+        signal,
+        pollVmList,
+        createErrorReport(options.logger, "poll VM list"),
+      ),
   };
 
   function pushSnapshot(raw: RawSnapshot, isFromPeer: boolean): void {
--- a/src/gateway/permitExchange.ts
+++ b/src/gateway/permitExchange.ts
@@ -4,7 +4,7 @@
  * answer from the coordinator keeps to a part of an equal share.
  */
 import { z } from "zod";
-import type { DatagramChannel } from "../membership";
+import { type DatagramChannel, addressSchema } from "../membership";
 import { Event, type Counters, type Logger } from "../observability";
 import type { Address, Clock, ServerName } from "../types";
 import { MIN_PERMITS_PER_SECOND, type Permit, createPermitPool } from "./permitPool";
@@ -27,7 +27,7 @@
 
 const requestSchema = z.object({
   id: z.int(),
-  address: z.object({ host: z.string(), port: z.int() }),
+  address: addressSchema,
   server: z.string().min(1),
   requestsPerSecond: z.number().nonnegative(),
 });
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -13,7 +13,7 @@
   getTimeline,
   updateObject,
 } from "../objectStore";
-import { Event } from "../observability";
+import { Event, createErrorReport } from "../observability";
 import { type ServerName, type ServiceName, type Version, repeat, sleep } from "../types";
 import type { AssignmentFeed } from "./assignmentFeed";
 import { getAssignmentPath, parseRangeAssignment } from "./assignmentDocument";
@@ -134,8 +134,8 @@
   let rebalanceMovesInFlight = 0;
 
   await Promise.all([
-    repeat(clock, RECONCILE_INTERVAL_MS, signal, renewAll),
-    repeat(clock, RECONCILE_INTERVAL_MS, signal, () => reconcile().catch(logPlanFailure)),
+    repeat(clock, RECONCILE_INTERVAL_MS, signal, renewAll, createErrorReport(logger, "renew grants")),
+    repeat(clock, RECONCILE_INTERVAL_MS, signal, reconcile, logPlanFailure),
   ]);
 
   function logPlanFailure(error: unknown): void {
@@ -253,7 +253,7 @@
     for (const holding of holdings) {
       const server = findRunningOwner(holding);
       if (server !== undefined) {
-        void renew(holding, server);
+        renew(holding, server).catch(createErrorReport(logger, "renew grant"));
       }
     }
   }
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -128,14 +128,10 @@
   holding.isGrantInFlight = true;
   holding.isOutageGrant = isOutage;
   const { from, to, token } = range;
-  const result = await options.control.grant(server, {
-    from,
-    to,
-    token,
-    durationMs,
-    handover: holding.handover,
+  const grant = { from, to, token, durationMs, handover: holding.handover };
+  const result = await options.control.grant(server, grant).finally(() => {
+    holding.isGrantInFlight = false;
   });
-  holding.isGrantInFlight = false;
   switch (result.kind) {
     case "granted":
       holding.handover = null;
--- a/src/keyRanges/loadReporter.ts
+++ b/src/keyRanges/loadReporter.ts
@@ -4,6 +4,7 @@
  */
 import { z } from "zod";
 import type { DatagramChannel } from "../membership";
+import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type ServiceName, repeat } from "../types";
 import type { KeyLoad } from "./keyLoad";
 import { KEY_COUNT } from "./types";
@@ -42,6 +43,7 @@
   /** Returns the address at which the coordinator receives reports; undefined while there is none. */
   readonly findCoordinator: () => Address | undefined;
   readonly getKeyLoad: (service: ServiceName) => KeyLoad;
+  readonly logger: Logger;
 }
 
 /** Reports this daemon's requests to the coordinator. */
@@ -74,7 +76,14 @@
       pending.set(service, keys);
       keys.set(key, (keys.get(key) ?? 0) + 1);
     },
-    run: (signal) => repeat(options.clock, REPORT_INTERVAL_MS, signal, flush),
+    run: (signal) =>
+      repeat(
+        options.clock,
+        REPORT_INTERVAL_MS,
+        signal,
+        flush,
+        createErrorReport(options.logger, "report key load"),
+      ),
   };
 
   function flush(): void {
--- a/src/membership/datagramChannel.ts
+++ b/src/membership/datagramChannel.ts
@@ -5,6 +5,10 @@
 import type { Address } from "../types";
 import type { DatagramTransport } from "./types";
 
+const MAX_PORT = 65_535;
+/** An address in a message. One that no datagram can be sent to makes the message invalid. */
+export const addressSchema = z.object({ host: z.string().min(1), port: z.int().min(1).max(MAX_PORT) });
+
 const messageSchema = z.object({ kind: z.string(), content: z.unknown() });
 
 /** Sends and receives messages. */
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -1,6 +1,7 @@
 /** Logs, counters and metrics. */
 export * from "./rateLimitedLogger";
 export * from "./counters";
+export * from "./errorReport";
 export * from "./events";
 export * from "./lineOutput";
 export * from "./logger";
--- a/src/observability/loopDelay.ts
+++ b/src/observability/loopDelay.ts
@@ -1,5 +1,6 @@
 /** Measures how late timers run, which shows a blocked event loop, a lack of processor time, or a suspended VM. */
 import { type Clock, repeat } from "../types";
+import { createErrorReport } from "./errorReport";
 import { Event } from "./events";
 import type { Logger } from "./logger";
 import type { Metrics } from "./metrics";
@@ -31,12 +32,18 @@
     longestMs = 0;
     return { max };
   });
-  void repeat(clock, CHECK_INTERVAL_MS, signal, () => {
-    const delayMs = clock.now() - checkedAt - CHECK_INTERVAL_MS;
-    checkedAt = clock.now();
-    longestMs = Math.max(longestMs, Math.round(delayMs));
-    if (delayMs > LOGGED_DELAY_MS) {
-      logger.log(Event.ProcessPaused, { pausedMs: Math.round(delayMs) });
-    }
-  });
+  void repeat(
+    clock,
+    CHECK_INTERVAL_MS,
+    signal,
+    () => {
+      const delayMs = clock.now() - checkedAt - CHECK_INTERVAL_MS;
+      checkedAt = clock.now();
+      longestMs = Math.max(longestMs, Math.round(delayMs));
+      if (delayMs > LOGGED_DELAY_MS) {
+        logger.log(Event.ProcessPaused, { pausedMs: Math.round(delayMs) });
+      }
+    },
+    createErrorReport(logger, "measure event loop delay"),
+  );
 }
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -3,7 +3,7 @@
  */
 import type { Configuration, Service } from "../configuration";
 import { PlatformUnavailableError, describeError } from "../errors";
-import { Event, type Logger } from "../observability";
+import { Event, type Logger, createErrorReport } from "../observability";
 import { type ServiceName, repeat, sleep } from "../types";
 import { createAssignment } from "./assignment";
 import type { AssignmentStore } from "./assignmentStore";
@@ -50,15 +50,21 @@
 
   return {
     run: (signal) =>
-      repeat(clock, PLAN_INTERVAL_MS, signal, async () => {
-        try {
-          await planAll();
-        } catch (error) {
-          const kind = error instanceof PlatformUnavailableError ? Event.PlanFailed : Event.UnexpectedError;
-          options.logger.log(kind, { step: "plan", error: describeError(error) });
-          await sleep(clock, FAILURE_PAUSE_MS, signal);
-        }
-      }),
+      repeat(
+        clock,
+        PLAN_INTERVAL_MS,
+        signal,
+        async () => {
+          try {
+            await planAll();
+          } catch (error) {
+            const kind = error instanceof PlatformUnavailableError ? Event.PlanFailed : Event.UnexpectedError;
+            options.logger.log(kind, { step: "plan", error: describeError(error) });
+            await sleep(clock, FAILURE_PAUSE_MS, signal);
+          }
+        },
+        createErrorReport(options.logger, "plan"),
+      ),
   };
 
   async function planAll(): Promise<void> {
--- a/src/types/clock.ts
+++ b/src/types/clock.ts
@@ -52,16 +52,22 @@
  * @param clock - Clock to wait on.
  * @param intervalMs - Pause between the end of one run and the start of the next, in milliseconds.
  * @param signal - Ends the repetition when aborted; a run in progress is not interrupted.
- * @param call - The call to repeat. It must handle its own errors, since a rejection ends the repetition.
+ * @param call - The call to repeat.
+ * @param report - Receives what the call throws; the repetition goes on.
  */
 export async function repeat(
   clock: Clock,
   intervalMs: number,
   signal: AbortSignal,
   call: () => Promise<void> | void,
+  report: (error: unknown) => void,
 ): Promise<void> {
   while (!signal.aborted) {
-    await call();
+    try {
+      await call();
+    } catch (error) {
+      report(error);
+    }
     await sleep(clock, intervalMs, signal);
   }
 }
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -34,6 +34,7 @@
 writesPerS = 400
 readsPerS = 2000
 [terms.bounds]
+drainS = 2
 graceS = 6
 retryRatio = 0.2
 retryWindowS = 10
@@ -69,6 +70,11 @@
   });
 });
 
+/** Nests arrays so deep that a recursive reader would exceed its stack. */
+function nest(depth: number): unknown {
+  return JSON.parse("[".repeat(depth) + "]".repeat(depth));
+}
+
 describe("server entries", () => {
   const entry = {
     address: "10.0.0.1:8080",
@@ -97,6 +103,13 @@
     ["a start time with a fraction", { ...entry, born: 1.5 }],
     ["an unknown state", { ...entry, status: { ...entry.status, state: "resting" } }],
     ["slots as a string", { ...entry, info: { ...entry.info, capacity: "4" } }],
+    ["slots beyond any machine", { ...entry, info: { ...entry.info, capacity: 9e15 } }],
+    ["a port out of range", { ...entry, address: "10.0.0.1:70000" }],
+    ["port 0", { ...entry, address: "10.0.0.1:0" }],
+    ["a host with spaces", { ...entry, address: "10.0.0.1 x:80" }],
+    ["a cold start without end", { ...entry, status: { ...entry.status, warmupLeftS: 1e300 } }],
+    ["a state that is deeply nested", { ...entry, status: { ...entry.status, state: nest(100_000) } }],
+    ["nothing but deep nesting", nest(100_000)],
     ["a NUL byte as content", "\u0000"],
     ["no content", undefined],
   ];
