--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -4,10 +4,11 @@
  * its newest state.
  */
 import { z } from "zod";
-import type { DatagramChannel } from "../membership";
+import { type DatagramChannel, addressSchema } from "../membership";
+import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
 import type { PrefixWatcher } from "./prefixWatcher";
-import type { StatedRateLimit } from "./types";
+import type { StatedDeparture, StatedRateLimit } from "./types";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
@@ -32,7 +33,6 @@
 
 const MessageKind = { State: "state", Reply: "stateReply" } as const;
 
-const addressSchema = z.object({ host: z.string(), port: z.int() });
 const digestsSchema = z.record(z.string(), z.number());
 const rateLimitsSchema = z.array(
   z.object({
@@ -42,6 +42,9 @@
     ageMs: z.number().nonnegative(),
   }),
 );
+const departuresSchema = z.array(
+  z.object({ server: z.string(), bornAt: z.int(), ageMs: z.number().nonnegative() }),
+);
 const stateSchema = z.object({
   daemon: z.string(),
   address: addressSchema,
@@ -50,6 +53,8 @@
   digests: digestsSchema,
   /** Rate limits of backend servers; daemons of earlier versions send none. */
   rateLimits: rateLimitsSchema.default([]),
+  /** Backend servers that are leaving; daemons of earlier versions send none. */
+  departures: departuresSchema.default([]),
 });
 const replySchema = z.object({
   digests: digestsSchema,
@@ -60,6 +65,7 @@
   /** Processor capacity of the cluster's largest VM, in cores. */
   largestProcessors: z.number().positive(),
   rateLimits: rateLimitsSchema.default([]),
+  departures: departuresSchema.default([]),
 });
 type Digests = z.output<typeof digestsSchema>;
 
@@ -73,6 +79,7 @@
   readonly watchers: readonly PrefixWatcher[];
   readonly peers: PeerStates;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly isCoordinator: () => boolean;
   /** Returns the coordinator's address; undefined while there is no coordinator. */
   readonly findCoordinator: () => Address | undefined;
@@ -80,15 +87,16 @@
   readonly getLeaseVersion: () => Version;
   /** Records that the coordinator still holds its lease at this version. */
   readonly confirmLease: (version: Version) => void;
-  readonly rateLimits: SharedRateLimits;
+  readonly rateLimits: SharedStatements<StatedRateLimit>;
+  readonly departures: SharedStatements<StatedDeparture>;
 }
 
-/** Rate limits of backend servers that daemons tell each other by way of the coordinator. */
-export interface SharedRateLimits {
+/** Statements of backend servers that daemons tell each other by way of the coordinator. */
+export interface SharedStatements<Statement> {
   /** Returns what this daemon knows. */
-  share(): readonly StatedRateLimit[];
+  share(): readonly Statement[];
   /** Applies what another daemon knows. */
-  merge(shared: readonly StatedRateLimit[]): void;
+  merge(shared: readonly Statement[]): void;
 }
 
 /** State that another daemon sent. */
@@ -167,6 +175,7 @@
   channel.receive(MessageKind.State, stateSchema, (state) => {
     peers.record(state);
     options.rateLimits.merge(state.rateLimits);
+    options.departures.merge(state.departures);
     // Only the coordinator's watchers always read the newest state, so only its digests serve as a reference.
     if (options.isCoordinator()) {
       const daemons = countDaemons();
@@ -176,6 +185,7 @@
         daemons,
         largestProcessors: computeLargestProcessors(),
         rateLimits: options.rateLimits.share(),
+        departures: options.departures.share(),
       });
     }
   });
@@ -185,6 +195,7 @@
     clusterSize = reply.daemons ?? clusterSize;
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
+    options.departures.merge(reply.departures);
     options.confirmLease(reply.leaseVersion);
     compareDigests((prefix) => reply.digests[prefix]);
   });
@@ -193,7 +204,8 @@
     getClusterSize: () => clusterSize,
     getLargestProcessors: () => (options.isCoordinator() ? computeLargestProcessors() : largestProcessors),
     isFreshnessChecked: () => !options.isCoordinator() && clock.now() - repliedAt < CONTACT_TIMEOUT_MS,
-    run: (signal) => repeat(clock, CHECK_INTERVAL_MS, signal, check),
+    run: (signal) =>
+      repeat(clock, CHECK_INTERVAL_MS, signal, check, createErrorReport(options.logger, "compare state")),
   };
 
   function check(): void {
@@ -213,6 +225,7 @@
         processors,
         digests: computeDigests(),
         rateLimits: options.rateLimits.share(),
+        departures: options.departures.share(),
       });
     }
     refreshWithoutContact();
--- a/src/discovery/index.ts
+++ b/src/discovery/index.ts
@@ -1,5 +1,6 @@
 /** Discovery of backend servers and data centres through the object store. */
 export * from "./prefixWatcher";
 export * from "./freshnessCheck";
+export * from "./leavingServers";
 export * from "./serverDirectory";
 export * from "./types";
--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -1,9 +1,11 @@
 /** Directory of the backend servers in the object store, and of whether they may get new work. */
 import Emittery from "emittery";
+import { describeError } from "../errors";
 import { type Logger, Event } from "../observability";
 import { type StoredObject, getObjectName, getTimeline } from "../objectStore";
 import type { CancelTimer, Clock, DataCentreName, ServerName, ServiceName, Version } from "../types";
-import { type DiscoveredServer, type ServerDecoder, ServerPhase } from "./types";
+import { type ServerProcess, createLeavingServers } from "./leavingServers";
+import { type DiscoveredServer, type ServerDecoder, ServerPhase, type StatedDeparture } from "./types";
 
 /** Delays removals after an outage of the store: entries that expired during it return within this time. */
 const OUTAGE_GRACE_MS = 2000;
@@ -48,6 +50,14 @@
   isCold(server: DiscoveredServer): boolean;
   /** Records how long a server stays cold according to its own answer; never shortens the known time. */
   recordCold(name: ServerName, coldForMs: number): void;
+  /** Records that a process has said in an answer that it is leaving. It gets no new work from now on. */
+  recordLeaving(server: ServerProcess): void;
+  /** Returns how long ago a process first said that it is leaving, in milliseconds; undefined when it has not. */
+  findLeavingMs(server: ServerProcess): number | undefined;
+  /** Returns what this daemon knows of leaving processes, for other daemons. */
+  shareLeaving(): readonly StatedDeparture[];
+  /** Applies what another daemon knows of leaving processes. */
+  mergeLeaving(shared: readonly StatedDeparture[]): void;
   /** Returns whether a complete list has arrived. */
   hasList(): boolean;
 }
@@ -77,6 +87,7 @@
   /** Cancels the acceptance of an entry that may be older than the server's removal. */
   const pendingEntries = new Map<ServerName, CancelTimer>();
   const returnedAtByDataCentre = new Map<DataCentreName, number>();
+  const leaving = createLeavingServers(clock);
   let byService = new Map<ServiceName, readonly DiscoveredServer[]>();
   let usableByService = new Map<ServiceName, readonly DiscoveredServer[]>();
   let excluded: ReadonlySet<DataCentreName> = new Set();
@@ -121,11 +132,36 @@
         entries.set(name, { ...entry, coldUntil: clock.now() + coldForMs });
       }
     },
+    recordLeaving: (server) => {
+      if (addLeaving(server, 0, "answer")) {
+        publish();
+      }
+    },
+    findLeavingMs: (server) => leaving.findLeavingMs(server),
+    shareLeaving: () => leaving.share(),
+    mergeLeaving: (shared) => {
+      const added = shared.filter(({ server, bornAt, ageMs }) =>
+        addLeaving({ name: server, bornAt }, ageMs, "daemon"),
+      );
+      if (added.length > 0) {
+        publish();
+      }
+    },
     hasList: () => hasList,
   };
 
   function isUsable(server: DiscoveredServer): boolean {
-    return server.phase === ServerPhase.Ready && !excluded.has(server.dataCentre);
+    const isReady = server.phase === ServerPhase.Ready && !excluded.has(server.dataCentre);
+    return isReady && leaving.findLeavingMs(server) === undefined;
+  }
+
+  /** Returns whether the statement is the first one of the process. */
+  function addLeaving({ name, bornAt }: ServerProcess, ageMs: number, source: "answer" | "daemon"): boolean {
+    const isFirst = leaving.record({ name, bornAt }, ageMs);
+    if (isFirst) {
+      logger.log(Event.ServerLeaving, { server: name, bornAt, source, ageMs: Math.round(ageMs) });
+    }
+    return isFirst;
   }
 
   /**
@@ -140,7 +176,7 @@
 
   function applyEntry(object: StoredObject): void {
     const name = getObjectName(object.path);
-    const server = options.decode(name, object.value);
+    const server = decode(name, object);
     cancelPending(name);
     if (server === undefined) {
       logger.log(Event.ServerEntryInvalid, { server: name, version: object.version });
@@ -159,6 +195,20 @@
     setEntry(server, object.version);
   }
 
+  /** An entry on which the decoder itself fails names no server, and must not keep the others from being read. */
+  function decode(name: ServerName, object: StoredObject): DiscoveredServer | undefined {
+    try {
+      return options.decode(name, object.value);
+    } catch (error) {
+      logger.log(Event.UnexpectedError, {
+        step: "decode server entry",
+        server: name,
+        error: describeError(error),
+      });
+      return undefined;
+    }
+  }
+
   /** Returns whether a version is on a later timeline than an entry, so that its object may be the older one. */
   function isRestored(version: Version, entry: Entry): boolean {
     return getTimeline(version) > getTimeline(entry.version);
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -32,5 +32,13 @@
   readonly ageMs: number;
 }
 
+/** What a daemon knows of a backend server that said in an answer that it is leaving. */
+export interface StatedDeparture {
+  readonly server: ServerName;
+  readonly bornAt: number;
+  /** Time since the server's first known statement, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Decodes a stored entry; returns undefined when it does not describe a usable backend server. */
 export type ServerDecoder = (name: string, value: unknown) => DiscoveredServer | undefined;
--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -1,9 +1,10 @@
 /** Classifies how an attempt at a backend server ended, and records what it shows about the server. */
 import type { IncomingMessage } from "node:http";
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
-import { RejectionReason, type UnansweredAttempt } from "./dispatchTypes";
+import { type AnswerBody, RejectionReason, type UnansweredAttempt } from "./attemptTypes";
 import type { ServerFields, ServerProtocol } from "./protocols";
-import type { AnswerBody, SendResult } from "./serverConnections";
+import type { SendResult } from "./serverConnections";
+import type { ServerBackOff } from "./serverBackOff";
 import type { ServerLoads } from "./serverLoads";
 import type { ServerRateLimits } from "./serverRateLimits";
 
@@ -24,11 +25,15 @@
 
 /** Classifies attempts. */
 export interface AttemptClassifier {
-  /** Returns why an answer is not returned to the caller, from its head; undefined when it is. */
+  /**
+   * Returns why an answer is not returned to the caller, from its head; undefined when it is. On a connection that
+   * has carried an earlier request, an answer counts only if it names this one: it may be a repeated earlier answer.
+   */
   findRejection(
     requestId: string,
     server: DiscoveredServer,
     head: IncomingMessage,
+    isReusedConnection: boolean,
   ): UnansweredAttempt | undefined;
   /** Classifies the result of an attempt that took `latencyMs` milliseconds. */
   classify(server: DiscoveredServer, result: SendResult, latencyMs: number): AttemptResult;
@@ -39,6 +44,7 @@
   readonly directory: ServerDirectory;
   readonly loads: ServerLoads;
   readonly rateLimits: Pick<ServerRateLimits, "record">;
+  readonly backOff: Pick<ServerBackOff, "record">;
   readonly protocol: ServerProtocol;
 }
 
@@ -49,7 +55,7 @@
  * @returns The classifier.
  */
 export function createAttemptClassifier(options: AttemptClassifierOptions): AttemptClassifier {
-  const { directory, loads, rateLimits, protocol } = options;
+  const { directory, loads, rateLimits, backOff, protocol } = options;
 
   return { findRejection, classify };
 
@@ -57,10 +63,12 @@
     requestId: string,
     server: DiscoveredServer,
     head: IncomingMessage,
+    isReusedConnection: boolean,
   ): UnansweredAttempt | undefined {
     const status = head.statusCode ?? 0;
     const fields = protocol.read(status, head.headers);
-    if (fields.requestId !== undefined && fields.requestId !== requestId) {
+    const isForeign = fields.requestId === undefined ? isReusedConnection : fields.requestId !== requestId;
+    if (isForeign) {
       return { kind: "unknown", reason: RejectionReason.Foreign };
     }
     if (fields.answeredBy !== undefined && fields.answeredBy !== server.name) {
@@ -86,6 +94,8 @@
       case "notSent":
         loads.recordUnreachable(server.name);
         return { kind: "notRun", reason: RejectionReason.Unreachable };
+      case "turnedAway":
+        return { kind: "notRun", reason: RejectionReason.Shed };
       case "broken":
         loads.recordFailure(server.name);
         return { kind: "unknown", reason: RejectionReason.Broken };
@@ -118,6 +128,12 @@
 
   function recordFields(server: DiscoveredServer, fields: ServerFields): void {
     rateLimits.record(server, fields.rateLimit);
+    if (fields.isLeaving) {
+      directory.recordLeaving(server);
+    }
+    if (fields.backOffMs !== undefined) {
+      backOff.record(server, fields.backOffMs);
+    }
     if (fields.load !== undefined) {
       loads.recordLoad(server.name, fields.load);
     }
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -2,34 +2,9 @@
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { CallerWatch } from "../http";
 import type { ServerName } from "../types";
-import type { AnswerBody } from "./serverConnections";
+import type { AnswerBody, RejectionReason } from "./attemptTypes";
 import type { Route, ServicePolicy } from "./types";
 
-/** Reason why a request got no answer from a backend server. */
-export const RejectionReason = {
-  NoServer: "no-server",
-  NoOwner: "no-owner",
-  OwnerUnusable: "owner-unusable",
-  Overloaded: "overloaded",
-  Cold: "cold",
-  RateLimited: "rate-limited",
-  Unreachable: "unreachable",
-  Shed: "shed",
-  Late: "late",
-  Broken: "broken",
-  Foreign: "foreign-answer",
-  Unsigned: "unsigned-answer",
-  Abandoned: "abandoned",
-} as const;
-export type RejectionReason = (typeof RejectionReason)[keyof typeof RejectionReason];
-
-/** An attempt at a backend server that got no answer which could be returned to the caller. */
-export type UnansweredAttempt =
-  /** The server has not run the request and will not run it. */
-  | { readonly kind: "notRun"; readonly reason: RejectionReason }
-  /** The server may have run the request. */
-  | { readonly kind: "unknown"; readonly reason: RejectionReason };
-
 /** A request whose route and service have been determined. */
 export interface RoutedRequest {
   readonly id: string;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -2,18 +2,14 @@
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
-import type { ColdAdmission } from "./coldAdmission";
-import {
-  type DecisionInputs,
-  type DispatchResult,
-  type Dispatcher,
-  RejectionReason,
-  type RoutedRequest,
-} from "./dispatchTypes";
+import { RejectionReason } from "./attemptTypes";
+import type { DecisionInputs, DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
 import type { PermitExchange } from "./permitExchange";
 import type { ServerProtocol } from "./protocols";
 import type { RetryBudgetShare } from "./retryBudgetShare";
 import { type AttemptResult, createAttemptClassifier } from "./attemptClassifier";
+import type { Obstacle, ServerAdmission } from "./serverAdmission";
+import type { ServerBackOff } from "./serverBackOff";
 import { type DistanceCosts, chooseServer } from "./serverChoice";
 import type { ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
@@ -24,22 +20,14 @@
 const MAX_MOVE_WAIT_MS = 250;
 /** Maximum share of a request's remaining time that is spent waiting for a key to be moved. */
 const MAX_MOVE_WAIT_SHARE = 0.3;
-/**
- * Multiple of the mean processing time that a request is expected to take after the queue. Processing times
- * vary: with time for the mean alone, half of the answers would be late.
- */
-const PROCESSING_TIME_MARGIN = 1.3;
-/**
- * Share of the available time that the estimate may fill. The rest covers the latest requests of other
- * daemons to the same server, which the estimate does not include.
- */
-const OBJECTIVE_SHARE = 0.85;
 /**
  * Shares of the remaining time that make up the retry-after time of a refused request: short enough for a
  * retry to meet the objective, and spread so that refused callers do not all retry at once.
  */
 const MIN_RETRY_AFTER_SHARE = 0.08;
 const RETRY_AFTER_SPREAD = 0.16;
+/** Callers honour a retry-after time up to this share of their remaining time. */
+const MAX_RETRY_AFTER_SHARE = 0.33;
 /** With less time than this left, no backend server can answer. */
 const MIN_REMAINING_MS = 5;
 
@@ -65,8 +53,9 @@
   readonly connections: ServerConnections;
   readonly loads: ServerLoads;
   readonly rateLimits: Pick<ServerRateLimits, "record">;
-  readonly permits: Pick<PermitExchange, "isExhausted" | "acquire">;
-  readonly coldAdmission: ColdAdmission;
+  readonly backOff: Pick<ServerBackOff, "record">;
+  readonly permits: Pick<PermitExchange, "acquire">;
+  readonly admission: ServerAdmission;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
   readonly clock: Clock;
@@ -78,8 +67,7 @@
 }
 
 type Selection =
-  | { readonly kind: "server"; readonly server: DiscoveredServer }
-  | { readonly kind: "none"; readonly reason: RejectionReason };
+  { readonly kind: "server"; readonly server: DiscoveredServer } | ({ readonly kind: "none" } & Obstacle);
 
 const HTTP_GATEWAY_TIMEOUT = 504;
 
@@ -96,7 +84,7 @@
     connections,
     loads,
     permits,
-    coldAdmission,
+    admission,
     retryBudget,
     protocol,
     clock,
@@ -117,9 +105,7 @@
     for (let sent = 0; sent < Math.max(1, route.attempts); sent += 1) {
       const selection = await selectServer(request, tried);
       if (selection.kind === "none") {
-        return sent === 0
-          ? refuse(request, selection.reason, undefined)
-          : createResult(request, lastResult, tried);
+        return sent === 0 ? refuse(request, selection, undefined) : createResult(request, lastResult, tried);
       }
       if (sent > 0 && !retryBudget.tryAcquire(service.name)) {
         counters.increment("requests.retryRefused", service.name);
@@ -160,7 +146,7 @@
     }
     if (denied.size > 0) {
       // A key has only one owner.
-      return { kind: "none", reason: RejectionReason.RateLimited };
+      return { kind: "none", reason: RejectionReason.RateLimited, waitMs: 0 };
     }
     return selectOwner(request, key, tried);
   }
@@ -172,8 +158,10 @@
   ): Selection {
     const { route, service } = request;
     const candidates = directory.getUsable(service.name);
-    let refusal: RejectionReason =
-      candidates.length === 0 ? RejectionReason.NoServer : RejectionReason.Unreachable;
+    let refusal: Obstacle = {
+      reason: candidates.length === 0 ? RejectionReason.NoServer : RejectionReason.Unreachable,
+      waitMs: 0,
+    };
     const server = chooseServer({
       candidates,
       loads,
@@ -182,14 +170,14 @@
       tried,
       random: options.random,
       isAdmitted: (candidate) => {
-        const reason = denied.has(candidate.name)
-          ? RejectionReason.RateLimited
-          : findRejectionReason(request, candidate);
-        refusal = reason ?? refusal;
-        return reason === undefined;
+        const obstacle = denied.has(candidate.name)
+          ? { reason: RejectionReason.RateLimited, waitMs: 0 }
+          : admission.findObstacle(request, candidate);
+        refusal = obstacle ?? refusal;
+        return obstacle === undefined;
       },
     });
-    return server === undefined ? { kind: "none", reason: refusal } : { kind: "server", server };
+    return server === undefined ? { kind: "none", ...refusal } : { kind: "server", server };
   }
 
   async function selectOwner(
@@ -207,49 +195,16 @@
       server = hasChanged ? findUsableOwner(service.name, key) : undefined;
     }
     if (server === undefined) {
-      return { kind: "none", reason: RejectionReason.NoOwner };
-    }
-    if (!loads.isReachable(server.name)) {
-      return { kind: "none", reason: RejectionReason.Unreachable };
+      return { kind: "none", reason: RejectionReason.NoOwner, waitMs: 0 };
     }
-    const reason = findRejectionReason(request, server);
-    return reason === undefined ? { kind: "server", server } : { kind: "none", reason };
+    const obstacle = admission.findObstacle(request, server);
+    return obstacle === undefined ? { kind: "server", server } : { kind: "none", ...obstacle };
   }
 
   function findUsableOwner(service: ServiceName, key: number): DiscoveredServer | undefined {
     const name = owners.findOwner(service, key);
     const server = name === undefined ? undefined : directory.get(name);
-    return server !== undefined && directory.isUsable(server) ? server : undefined;
-  }
-
-  /**
-   * Returns why the request must not be sent to the server now; undefined when it may be sent. A request that
-   * the server is not expected to answer in time is refused at once. Admission to a cold server uses up one
-   * request of its rate.
-   */
-  function findRejectionReason(
-    request: RoutedRequest,
-    server: DiscoveredServer,
-  ): RejectionReason | undefined {
-    const { route, service } = request;
-    const remainingMs = request.deadlineAt - clock.now();
-    const objectiveMs = route.objectiveMs ?? remainingMs;
-    const usefulMs = Math.min(remainingMs, objectiveMs) * OBJECTIVE_SHARE;
-    const waitMs = loads.estimateWaitMs(server.name, server.slots);
-    const expectedMs = waitMs + PROCESSING_TIME_MARGIN * loads.getProcessingMs(server.name);
-    // At a server without a queue, a request is not refused because the server is slow.
-    const isBusy = waitMs > 0;
-    if (!connections.hasRoom(server) || (isBusy && expectedMs > usefulMs)) {
-      return RejectionReason.Overloaded;
-    }
-    if (permits.isExhausted(server.name)) {
-      return RejectionReason.RateLimited;
-    }
-    const { coldRequestsPerSecond } = service;
-    if (coldRequestsPerSecond !== null && directory.isCold(server)) {
-      return coldAdmission.tryAcquire(server.name, coldRequestsPerSecond) ? undefined : RejectionReason.Cold;
-    }
-    return undefined;
+    return server !== undefined && admission.mayServeKeys(server) ? server : undefined;
   }
 
   async function attempt(request: RoutedRequest, server: DiscoveredServer): Promise<AttemptResult> {
@@ -265,6 +220,7 @@
     const isIdempotent = request.route.kind !== RouteKind.Unsafe;
     try {
       const result = await connections.send({
+        id: request.id,
         server,
         method: request.method,
         path: request.path,
@@ -273,7 +229,7 @@
         isIdempotent,
         deadlineAt: request.deadlineAt,
         caller: request.caller,
-        findRejection: (head) => classifier.findRejection(request.id, server, head),
+        findRejection: (head, isReused) => classifier.findRejection(request.id, server, head, isReused),
       });
       return classifier.classify(server, result, clock.now() - startedAt);
     } finally {
@@ -314,7 +270,7 @@
       case "failed":
         return { kind: "answered", message: lastResult.message, body: lastResult.body };
       case "notRun":
-        return refuse(request, lastResult.reason, server);
+        return refuse(request, { reason: lastResult.reason, waitMs: 0 }, server);
       case "unknown":
         return { kind: "unknown", reason: lastResult.reason, inputs: getDecisionInputs(request, server) };
       default:
@@ -324,11 +280,11 @@
 
   function refuse(
     request: RoutedRequest,
-    reason: RejectionReason,
+    { reason, waitMs }: Obstacle,
     server: ServerName | undefined,
   ): DispatchResult {
     const inputs = getDecisionInputs(request, server);
-    return { kind: "notRun", reason, retryAfterMs: chooseRetryAfterMs(request), inputs };
+    return { kind: "notRun", reason, retryAfterMs: chooseRetryAfterMs(request, waitMs), inputs };
   }
 
   function getDecisionInputs(request: RoutedRequest, tried: ServerName | undefined): DecisionInputs {
@@ -345,10 +301,12 @@
     };
   }
 
-  /** Returns the retry-after time in milliseconds; callers honour up to a third of their remaining time. */
-  function chooseRetryAfterMs(request: RoutedRequest): number {
+  /** Returns the retry-after time in milliseconds: spread, and after the obstacle if callers wait that long. */
+  function chooseRetryAfterMs(request: RoutedRequest, waitMs: number): number {
     const remainingMs = Math.max(0, request.deadlineAt - clock.now());
-    return remainingMs * (MIN_RETRY_AFTER_SHARE + RETRY_AFTER_SPREAD * options.random());
+    const spreadMs = remainingMs * (MIN_RETRY_AFTER_SHARE + RETRY_AFTER_SPREAD * options.random());
+    const maxMs = remainingMs * MAX_RETRY_AFTER_SHARE;
+    return waitMs > maxMs ? spreadMs : Math.min(maxMs, Math.max(spreadMs, waitMs));
   }
 
   function logRetry(request: RoutedRequest, server: DiscoveredServer, lastResult: AttemptResult): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
 import { type ObjectStore, getTimeline } from "../objectStore";
-import { Event, type Logger, type Metrics, watchLoopDelay } from "../observability";
+import { Event, type Logger, type Metrics, createErrorReport, watchLoopDelay } from "../observability";
 import {
   type Address,
   type Clock,
@@ -44,6 +44,8 @@
 import { createPermitExchange } from "./permitExchange";
 import { createRetryBudgetShare } from "./retryBudgetShare";
 import { createRoutingState } from "./routingState";
+import { createServerAdmission } from "./serverAdmission";
+import { createServerBackOff } from "./serverBackOff";
 import { createServerConnections } from "./serverConnections";
 import { estimateCapacities } from "./serverCapacity";
 import { createServerLoads } from "./serverLoads";
@@ -55,6 +57,8 @@
 /** Maximum requests of one daemon for each slot of a server; more would only wait in the server's queue. */
 const MAX_REQUESTS_PER_SLOT = 3;
 const CLEANUP_INTERVAL_MS = 500;
+/** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
+const LEAVING_OWNER_SHARE = 0.5;
 /** Maximum moves of key ranges in progress; more listeners than this on their signal indicate a leak. */
 const MAX_MOVES = 500;
 /** Maximum periodic tasks; more listeners than this on the stop signal indicate a leak. */
@@ -188,6 +192,17 @@
     counters,
   });
   const coldAdmission = createColdAdmission(clock, random, () => freshness.getClusterSize());
+  const backOff = createServerBackOff(clock, logger);
+  const admission = createServerAdmission({
+    directory,
+    connections,
+    loads,
+    permits,
+    backOff,
+    coldAdmission,
+    leavingOwnerMs: limits.drainMs * LEAVING_OWNER_SHARE,
+    clock,
+  });
   const dispatch = createDispatcher({
     directory,
     owners: {
@@ -201,8 +216,9 @@
     connections,
     loads,
     rateLimits,
+    backOff,
     permits,
-    coldAdmission,
+    admission,
     retryBudget: createRetryBudgetShare(
       clock,
       { ratio: limits.retryRatio, windowMs: limits.retryWindowMs, slack: limits.retrySlack },
@@ -244,6 +260,7 @@
     isCoordinator: () => lease.isHeld(),
     findCoordinator: () => lease.findCoordinator(),
     getKeyLoad,
+    logger,
   });
   const callerListener = await createCallerListener({
     address: options.callers,
@@ -263,6 +280,7 @@
     directory,
     connections,
     rateLimits,
+    backOff,
     isCoordinator: () => lease.isHeld(),
   });
   await startReadinessServer();
@@ -307,15 +325,34 @@
     confirmLease: (version) => {
       lease.confirm(version);
     },
+    logger,
     rateLimits,
+    departures: {
+      share: () => directory.shareLeaving(),
+      merge: (shared) => {
+        directory.mergeLeaving(shared);
+      },
+    },
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
   watchers.forEach((watcher) => void watcher.run(stop.signal));
   void freshness.run(stop.signal);
   void lease.run(stop.signal);
   void loadReporter.run(stop.signal);
-  void repeat(clock, CLEANUP_INTERVAL_MS, stop.signal, evictRemovedServers);
-  void repeat(clock, RESIGNATION_CHECK_INTERVAL_MS, stop.signal, resignForLargerVm);
+  void repeat(
+    clock,
+    CLEANUP_INTERVAL_MS,
+    stop.signal,
+    evictRemovedServers,
+    createErrorReport(logger, "evict removed servers"),
+  );
+  void repeat(
+    clock,
+    RESIGNATION_CHECK_INTERVAL_MS,
+    stop.signal,
+    resignForLargerVm,
+    createErrorReport(logger, "resign for a larger VM"),
+  );
 
   return { isReady, shutDown };
 
@@ -413,6 +450,7 @@
     connections.retain(services.flatMap((service) => directory.getByService(service)));
     loads.retain((name) => directory.get(name) !== undefined);
     rateLimits.evict();
+    backOff.evict();
     permits.evict();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -5,6 +5,7 @@
 import type { ServiceName } from "../types";
 import type { CallerListener } from "./callerListener";
 import type { RoutingState } from "./routingState";
+import type { ServerBackOff } from "./serverBackOff";
 import type { ServerConnections } from "./serverConnections";
 import type { ServerRateLimits } from "./serverRateLimits";
 
@@ -17,6 +18,7 @@
   readonly directory: ServerDirectory;
   readonly connections: ServerConnections;
   readonly rateLimits: Pick<ServerRateLimits, "count">;
+  readonly backOff: Pick<ServerBackOff, "count">;
   readonly isCoordinator: () => boolean;
 }
 
@@ -48,6 +50,9 @@
   metrics.addGauge("rate_limited_servers", "Backend servers that name a rate limit", "name", () => ({
     all: rateLimits.count(),
   }));
+  metrics.addGauge("backing_off_servers", "Backend servers that want no requests now", "name", () => ({
+    all: options.backOff.count(),
+  }));
 
   function mapServices(read: (service: ServiceName) => number): Readonly<Record<string, number>> {
     const services = [...(routing.findActive()?.configuration.services.keys() ?? [])];
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,7 +1,9 @@
 /** The gateway: daemons that discover backend servers in the object store and send to them directly. */
+export * from "./attemptTypes";
 export * from "./coldAdmission";
 export * from "./dispatchTypes";
 export * from "./dispatcher";
+export * from "./callerConnections";
 export * from "./callerListener";
 export * from "./gateway";
 export * from "./gracefulShutdown";
@@ -11,6 +13,8 @@
 export * from "./retryBudgetShare";
 export * from "./routeMatcher";
 export * from "./routingState";
+export * from "./serverAdmission";
+export * from "./serverBackOff";
 export * from "./serverCapacity";
 export * from "./serverChoice";
 export * from "./serverConnections";
--- a/src/gateway/protocols.ts
+++ b/src/gateway/protocols.ts
@@ -48,6 +48,10 @@
   readonly isSigned: boolean;
   /** Whether the server states that it has not run the request. */
   readonly isNotRun: boolean;
+  /** Whether the server says that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Time for which a server that refused a request wants none, in milliseconds; undefined when it does not say. */
+  readonly backOffMs: number | undefined;
   readonly load: ServerLoad | undefined;
   readonly rateLimit: RateLimitStatement;
   /** Time for which the server stays cold, in milliseconds; undefined when the answer does not say. */
--- /dev/null
+++ b/src/gateway/serverAdmission.ts
@@ -0,0 +1,112 @@
+/** Decides whether a request may be sent to a backend server now. Every path that sends one asks here. */
+import type { DiscoveredServer, ServerDirectory } from "../discovery";
+import type { Clock } from "../types";
+import { RejectionReason } from "./attemptTypes";
+import type { ColdAdmission } from "./coldAdmission";
+import type { RoutedRequest } from "./dispatchTypes";
+import type { PermitExchange } from "./permitExchange";
+import type { ServerBackOff } from "./serverBackOff";
+import type { ServerConnections } from "./serverConnections";
+import type { ServerLoads } from "./serverLoads";
+
+/**
+ * Multiple of the mean processing time that a request is expected to take after the queue. Processing times
+ * vary: with time for the mean alone, half of the answers would be late.
+ */
+const PROCESSING_TIME_MARGIN = 1.3;
+/**
+ * Share of the available time that the estimate may fill. The rest covers the latest requests of other
+ * daemons to the same server, which the estimate does not include.
+ */
+const OBJECTIVE_SHARE = 0.85;
+
+/** Why a request must not be sent to a server now. */
+export interface Obstacle {
+  readonly reason: RejectionReason;
+  /** Time after which the obstacle is expected to be gone, in milliseconds; 0 when that is not known. */
+  readonly waitMs: number;
+}
+
+/** Admission of requests to backend servers. */
+export interface ServerAdmission {
+  /** Returns whether an owner of keys still serves requests for them. */
+  mayServeKeys(server: DiscoveredServer): boolean;
+  /**
+   * Returns why a request must not be sent to a server; undefined when it may. Admission to a cold server uses up one
+   * request of its rate.
+   */
+  findObstacle(request: RoutedRequest, server: DiscoveredServer): Obstacle | undefined;
+}
+
+/** Options for {@link createServerAdmission}. */
+export interface ServerAdmissionOptions {
+  readonly directory: Pick<ServerDirectory, "isUsable" | "isCold" | "findLeavingMs">;
+  readonly connections: Pick<ServerConnections, "hasRoom">;
+  readonly loads: Pick<ServerLoads, "isReachable" | "estimateWaitMs" | "getProcessingMs">;
+  readonly permits: Pick<PermitExchange, "isExhausted">;
+  readonly backOff: Pick<ServerBackOff, "getRemainingMs">;
+  readonly coldAdmission: Pick<ColdAdmission, "tryAcquire" | "getWaitMs">;
+  /**
+   * Time for which the owner of keys still gets requests after it has said that it is leaving, in milliseconds. Its
+   * keys move to other owners meanwhile.
+   */
+  readonly leavingOwnerMs: number;
+  readonly clock: Clock;
+}
+
+/**
+ * Creates the admission.
+ *
+ * @param options - What is known of the servers.
+ * @returns The admission.
+ */
+export function createServerAdmission(options: ServerAdmissionOptions): ServerAdmission {
+  const { directory, connections, loads, permits, backOff, coldAdmission, clock } = options;
+
+  return { mayServeKeys, findObstacle };
+
+  function mayServeKeys(server: DiscoveredServer): boolean {
+    const leavingMs = directory.findLeavingMs(server);
+    return directory.isUsable(server) || (leavingMs !== undefined && leavingMs < options.leavingOwnerMs);
+  }
+
+  function findObstacle(request: RoutedRequest, server: DiscoveredServer): Obstacle | undefined {
+    const isOwner = request.service.isKeyed && request.key !== undefined;
+    if (isOwner ? !mayServeKeys(server) : !directory.isUsable(server)) {
+      return { reason: RejectionReason.Leaving, waitMs: 0 };
+    }
+    if (!loads.isReachable(server.name)) {
+      return { reason: RejectionReason.Unreachable, waitMs: 0 };
+    }
+    const backOffMs = backOff.getRemainingMs(server);
+    if (backOffMs > 0) {
+      return { reason: RejectionReason.BackingOff, waitMs: backOffMs };
+    }
+    if (!connections.hasRoom(server) || isTooBusy(request, server)) {
+      return { reason: RejectionReason.Overloaded, waitMs: loads.estimateWaitMs(server.name, server.slots) };
+    }
+    if (permits.isExhausted(server.name)) {
+      return { reason: RejectionReason.RateLimited, waitMs: 0 };
+    }
+    return findColdObstacle(request, server);
+  }
+
+  /** Returns whether the server is not expected to answer in time. One without a queue is never too busy. */
+  function isTooBusy({ route, deadlineAt }: RoutedRequest, server: DiscoveredServer): boolean {
+    const remainingMs = deadlineAt - clock.now();
+    const usefulMs = Math.min(remainingMs, route.objectiveMs ?? remainingMs) * OBJECTIVE_SHARE;
+    const waitMs = loads.estimateWaitMs(server.name, server.slots);
+    const expectedMs = waitMs + PROCESSING_TIME_MARGIN * loads.getProcessingMs(server.name);
+    return waitMs > 0 && expectedMs > usefulMs;
+  }
+
+  function findColdObstacle({ service }: RoutedRequest, server: DiscoveredServer): Obstacle | undefined {
+    const { coldRequestsPerSecond } = service;
+    if (coldRequestsPerSecond === null || !directory.isCold(server)) {
+      return undefined;
+    }
+    return coldAdmission.tryAcquire(server.name, coldRequestsPerSecond)
+      ? undefined
+      : { reason: RejectionReason.Cold, waitMs: coldAdmission.getWaitMs(server.name) };
+  }
+}
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -12,7 +12,7 @@
 import { describeError } from "../errors";
 import { type CallerWatch, discardBody } from "../http";
 import { type Clock, formatAddress } from "../types";
-import type { UnansweredAttempt } from "./dispatchTypes";
+import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -26,6 +26,15 @@
  * connection that was idle for longer, and a request that is lost on it cannot be sent again.
  */
 const MAX_IDLE_UNSAFE_MS = 250;
+/**
+ * A server resets connections beyond those that it accepts. After this time on a new connection, which is more than a
+ * round trip between data centres and the server's own handshake, the reset would have arrived.
+ */
+const ACCEPTANCE_DELAY_MS = 5;
+/** No new connection is opened to a server that has reset one before any request for this time. */
+const TURNED_AWAY_PAUSE_MS = 250;
+/** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
+const TURNED_AWAY_MEMORY_MS = 3000;
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
 const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 /** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
@@ -33,6 +42,7 @@
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
+  readonly id: string;
   readonly server: DiscoveredServer;
   readonly method: string;
   /** Path and query as the caller sent them. */
@@ -45,16 +55,12 @@
   readonly deadlineAt: number;
   readonly caller: CallerWatch;
   /** Returns why an answer is not returned to the caller; its body is not waited for then. */
-  readonly findRejection: (head: IncomingMessage) => UnansweredAttempt | undefined;
+  readonly findRejection: (
+    head: IncomingMessage,
+    isReusedConnection: boolean,
+  ) => UnansweredAttempt | undefined;
 }
 
-/** Body of an answer. */
-export type AnswerBody =
-  | { readonly kind: "whole"; readonly content: Buffer }
-  /** The body had no length and ended with its connection, so it is not certain to be complete. */
-  | { readonly kind: "unframed"; readonly content: Buffer }
-  | { readonly kind: "streamed"; readonly head: readonly Buffer[]; readonly rest: IncomingMessage };
-
 /** Result of sending a request. */
 export type SendResult =
   | {
@@ -66,6 +72,8 @@
   | { readonly kind: "rejected"; readonly rejection: UnansweredAttempt }
   /** No byte of the request has been sent. */
   | { readonly kind: "notSent"; readonly detail: string }
+  /** The server closed the new connection before any byte of the request was sent: it accepts no more of them. */
+  | { readonly kind: "turnedAway"; readonly detail: string }
   /** The connection failed or the answer was cut short; the request may have run. */
   | { readonly kind: "broken"; readonly detail: string }
   /** The deadline expired first; the request may have run. */
@@ -77,7 +85,7 @@
 export interface ServerConnections {
   /** Sends a request. Never throws. */
   send(outgoing: OutgoingRequest): Promise<SendResult>;
-  /** Returns whether a connection is available for a further request. */
+  /** Returns whether a connection is available for a further request, or may be opened. */
   hasRoom(server: DiscoveredServer): boolean;
   /** Closes connections to addresses that none of the servers has, unless requests are in flight there. */
   retain(servers: readonly DiscoveredServer[]): void;
@@ -90,6 +98,10 @@
 interface ServerPool {
   readonly agent: Agent;
   inFlight: number;
+  /** Local time at which the server last closed a new connection before the request was sent. */
+  turnedAwayAt: number;
+  /** Local time at which the server last closed a new connection before its answer, and may have turned it away. */
+  suspectedAt: number;
 }
 
 /**
@@ -106,11 +118,17 @@
   const pools = new Map<string, ServerPool>();
   const idleSince = new WeakMap<Socket, number>();
   const failedSockets = new WeakSet<Socket>();
+  /** Identifier of the last request on each connection. */
+  const lastRequests = new WeakMap<Socket, string>();
   let openedCount = 0;
 
   return {
     send,
-    hasRoom: (server) => getPool(server).inFlight < getMaxConnections(server),
+    hasRoom: (server) => {
+      const pool = getPool(server);
+      const mayOpen = clock.now() - pool.turnedAwayAt >= TURNED_AWAY_PAUSE_MS || hasIdle(pool.agent);
+      return mayOpen && pool.inFlight < getMaxConnections(server);
+    },
     retain: (servers) => {
       const present = new Set(servers.map((server) => formatAddress(server.address)));
       for (const [address, pool] of pools) {
@@ -130,18 +148,20 @@
 
   async function send(outgoing: OutgoingRequest): Promise<SendResult> {
     const pool = getPool(outgoing.server);
-    closeIdle(pool.agent, outgoing.isIdempotent ? MAX_IDLE_MS : MAX_IDLE_UNSAFE_MS);
+    closeUnfit(pool.agent, outgoing);
     pool.inFlight += 1;
-    const result = await exchange(pool.agent, outgoing);
+    const result = await exchange(pool, outgoing);
     onTransferEnd(result, () => {
       pool.inFlight -= 1;
     });
     return result;
   }
 
-  function exchange(agent: Agent, outgoing: OutgoingRequest): Promise<SendResult> {
+  function exchange(pool: ServerPool, outgoing: OutgoingRequest): Promise<SendResult> {
+    const { agent } = pool;
     const { server, caller, deadlineAt } = outgoing;
     return new Promise((resolve) => {
+      let isConnected = false;
       let isSent = false;
       let isAnswering = false;
       let isSettled = false;
@@ -184,7 +204,7 @@
       });
       clientRequest.on("response", (answer) => {
         isAnswering = true;
-        const rejection = outgoing.findRejection(answer);
+        const rejection = outgoing.findRejection(answer, clientRequest.reusedSocket);
         if (rejection === undefined) {
           void receive(answer);
         } else {
@@ -212,6 +232,7 @@
 
       function onSocket(socket: Socket): void {
         socket.removeListener("data", destroyOnData);
+        lastRequests.set(socket, outgoing.id);
         if (!socket.connecting) {
           sendRequest();
           return;
@@ -224,7 +245,13 @@
         });
         socket.once("connect", () => {
           cancelConnectTimeout?.();
-          void sendToPresentCaller();
+          isConnected = true;
+          const isSuspected = clock.now() - pool.suspectedAt < TURNED_AWAY_MEMORY_MS;
+          if (outgoing.isIdempotent && !isSuspected) {
+            void sendToPresentCaller();
+          } else {
+            cancelConnectTimeout = clock.schedule(ACCEPTANCE_DELAY_MS, () => void sendToPresentCaller());
+          }
         });
       }
 
@@ -280,7 +307,19 @@
       }
 
       function fail(detail: string): void {
-        settle(isSent ? { kind: "broken", detail } : { kind: "notSent", detail });
+        if (isSettled) {
+          return;
+        }
+        const wasTurnedAway = isConnected && !isSent;
+        if (isConnected && !isAnswering) {
+          pool.suspectedAt = clock.now();
+          pool.turnedAwayAt = wasTurnedAway ? clock.now() : pool.turnedAwayAt;
+        }
+        if (isSent) {
+          settle({ kind: "broken", detail });
+        } else {
+          settle({ kind: wasTurnedAway ? "turnedAway" : "notSent", detail });
+        }
       }
 
       function settle(result: SendResult): void {
@@ -302,7 +341,8 @@
     const address = formatAddress(server.address);
     let pool = pools.get(address);
     if (pool === undefined) {
-      pool = { agent: createAgent(), inFlight: 0 };
+      const never = Number.NEGATIVE_INFINITY;
+      pool = { agent: createAgent(), inFlight: 0, turnedAwayAt: never, suspectedAt: never };
       pools.set(address, pool);
     }
     return pool;
@@ -318,18 +358,29 @@
     return agent;
   }
 
-  function closeIdle(agent: Agent, maxIdleMs: number): void {
+  /**
+   * Closes idle connections on which a request must not be sent: those that the server may have dropped, and one that
+   * carried the same request before, on which a repeated answer would pass for the new one.
+   */
+  function closeUnfit(agent: Agent, { id, isIdempotent }: OutgoingRequest): void {
     const now = clock.now();
-    for (const sockets of Object.values(agent.freeSockets)) {
-      for (const socket of [...(sockets ?? [])]) {
-        if (now - (idleSince.get(socket) ?? now) > maxIdleMs) {
-          socket.destroy();
-        }
+    const maxIdleMs = isIdempotent ? MAX_IDLE_MS : MAX_IDLE_UNSAFE_MS;
+    for (const socket of listIdle(agent)) {
+      if (now - (idleSince.get(socket) ?? now) > maxIdleMs || lastRequests.get(socket) === id) {
+        socket.destroy();
       }
     }
   }
 }
 
+function listIdle(agent: Agent): readonly Socket[] {
+  return Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
+}
+
+function hasIdle(agent: Agent): boolean {
+  return listIdle(agent).some((socket) => !socket.destroyed);
+}
+
 /** Calls back when nothing more is to be received: at once, or at the end of the answer that is streamed. */
 function onTransferEnd(result: SendResult, callback: () => void): void {
   if (result.kind === "answered" && result.body.kind === "streamed") {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -73,6 +73,8 @@
   readonly retryWindowMs: number;
   /** Extra attempts of all daemons together within the retry window, whatever the number of requests. */
   readonly retrySlack: number;
+  /** Time after which a leaving backend server must get no new requests, in milliseconds. */
+  readonly drainMs: number;
   /** Maximum time from the stop signal to the exit of the process, in milliseconds. */
   readonly gracePeriodMs: number;
   /** Maximum time for which keys may be granted to a backend server, in milliseconds. */
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -92,6 +92,16 @@
     Severity.Info,
     "coordinator did not answer a request for a permit; this daemon keeps to its own share for a moment",
   ),
+  ServerLeaving: defineEvent(
+    1807,
+    Severity.Info,
+    "backend server said in an answer that it is leaving; no new requests are sent to it",
+  ),
+  ServerBackOff: defineEvent(
+    1808,
+    Severity.Info,
+    "backend server refused a request and asked this daemon to send nothing for a time",
+  ),
   ConfigurationAccepted: defineEvent(1811, Severity.Info, "routing configuration in force"),
   ConfigurationRefused: defineEvent(
     1812,
--- a/standins/soak/daemons.ts
+++ b/standins/soak/daemons.ts
@@ -172,6 +172,7 @@
 writesPerS = 400
 readsPerS = 2000
 [terms.bounds]
+drainS = 2
 graceS = 6
 retryRatio = 0.2
 retryWindowS = 10
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -7,6 +7,7 @@
   type DiscoveredServer,
   type FreshnessCheck,
   ServerPhase,
+  type StatedDeparture,
   type StatedRateLimit,
   createPrefixWatcher,
   createFreshnessCheck,
@@ -531,6 +532,7 @@
     const checks: FreshnessCheck[] = [];
     const confirmed: number[] = [];
     const stated: (readonly StatedRateLimit[])[] = [];
+    const departed: (readonly StatedDeparture[])[] = [];
     digests.forEach((digest, index) => {
       const port = index + 1;
       const check = createFreshnessCheck({
@@ -550,6 +552,7 @@
         ],
         peers: createPeerStates(clock),
         clock,
+        logger: silentLogger,
         isCoordinator: () => port === 1,
         findCoordinator: () => ({ host: "127.0.0.1", port: 1 }),
         getLeaseVersion: () => LEASE_VERSION,
@@ -562,11 +565,17 @@
             stated[index] = [...(stated[index] ?? []), ...shared].slice(0, 1);
           },
         },
+        departures: {
+          share: () => departed[index] ?? [],
+          merge: (shared) => {
+            departed[index] = [...(departed[index] ?? []), ...shared].slice(0, 1);
+          },
+        },
       });
       checks.push(check);
       void check.run(stop.signal);
     });
-    return { clock, network, refreshes, checks, confirmed, stated, stop };
+    return { clock, network, refreshes, checks, confirmed, stated, departed, stop };
   }
 
   interface FreshnessCase {
@@ -630,12 +639,15 @@
   });
 
   // Guards against a daemon that was restarted, or has sent a server nothing yet, and knows no limit of it.
-  test("a rate limit that one daemon was told reaches the others within two seconds", async () => {
-    const { clock, stated, stop } = startDaemons([1, 1, 1]);
+  test("what a server told one daemon reaches the others within two seconds", async () => {
+    const { clock, stated, departed, stop } = startDaemons([1, 1, 1]);
     const limit = { server: "s", bornAt: 1, requestsPerSecond: 5, ageMs: 0 };
+    const departure = { server: "t", bornAt: 1, ageMs: 0 };
     stated[1] = [limit];
+    departed[2] = [departure];
     await clock.advance(2000);
     expect(stated).toEqual([[limit], [limit], [limit]]);
+    expect(departed).toEqual([[departure], [departure], [departure]]);
     stop.abort();
   });
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,32 +1,37 @@
 /** Parts of the gateway: route matching, server connections, fleet-wide limits, and what may be retried. */
 import { type Socket, connect } from "node:net";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
-import { type DiscoveredServer, ServerPhase, createServerDirectory } from "../src/discovery";
 import {
-  type Dispatcher,
   RejectionReason,
   type Route,
   RouteKind,
-  type RoutedRequest,
   type RoutingConfiguration,
-  type ServicePolicy,
   createCallerListener,
   createColdAdmission,
-  createDispatcher,
-  createPermitExchange,
   createRetryBudgetShare,
   createRouteMatcher,
   createServerConnections,
-  createServerLoads,
-  createServerRateLimits,
 } from "../src/gateway";
-import { createDatagramChannel } from "../src/membership";
 import { createCounters, createMetrics, silentLogger } from "../src/observability";
-import { type Clock, systemClock } from "../src/types";
+import { systemClock } from "../src/types";
 import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
 import { createRandom } from "../standins/scenarios/callers";
 import { findFreePort } from "../standins/scenarios/ports";
 import { createFakeClock } from "./support/fakeClock";
+import {
+  DEADLINE_MS,
+  SEED,
+  SIGNATURE_FIELD,
+  addRequestId,
+  createFramedAnswer,
+  createRequest,
+  createRoute,
+  createTestDispatcher,
+  createTestServer,
+  formatAnswer,
+  policy,
+  presentCaller,
+} from "./support/gateway";
 import {
   type RawBehaviour,
   type RawRequest,
@@ -35,27 +40,6 @@
   startRawServer,
 } from "./support/rawServer";
 
-const SEED = 20_261_204;
-/** Far longer than a request and its answer take on this machine. */
-const DEADLINE_MS = 10_000;
-const unconnectedTransport = { send: () => undefined, receive: () => undefined, close: () => undefined };
-const presentCaller = { signal: new AbortController().signal, confirmPresence: () => Promise.resolve(true) };
-
-function createRoute(change: Partial<Route> = {}): Route {
-  return {
-    name: "r",
-    host: "a.example",
-    pathPrefix: "/",
-    kind: RouteKind.Safe,
-    timeoutMs: null,
-    objectiveMs: 300,
-    attempts: 2,
-    priority: 0,
-    services: [{ service: "desk", weight: 1 }],
-    ...change,
-  };
-}
-
 function createConfiguration(routes: readonly Route[]): RoutingConfiguration {
   const limits = { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
   return { version: 1, routes, services: new Map(), limits };
@@ -161,23 +145,6 @@
   });
 });
 
-const SIGNATURE_FIELD = "Upstream-Signature: s";
-
-function formatAnswer(request: RawRequest, head: string, body: string): string {
-  return `HTTP/1.1 ${head}\r\nRequest-Id: ${request.id}\r\n\r\n${body}`;
-}
-
-/** Sets the identifier from the field `Request-Id`; the raw server reads it from `x-request-id`. */
-function addRequestId(request: RawRequest): RawRequest {
-  return { ...request, id: /request-id: (\S+)/i.exec(request.head)?.[1] ?? "" };
-}
-
-/** Returns a function that formats an answer with a `Content-Length`. */
-function createFramedAnswer(status: string, body: string, fields = SIGNATURE_FIELD) {
-  return (request: RawRequest) =>
-    formatAnswer(addRequestId(request), `${status}\r\n${fields}\r\nContent-Length: ${body.length}`, body);
-}
-
 let server: RawServer;
 
 beforeEach(async () => {
@@ -188,19 +155,7 @@
   await server.close();
 });
 
-function createServer(name = "s1", port = server.port): DiscoveredServer {
-  return {
-    name,
-    bornAt: 1,
-    service: "desk",
-    address: { host: "127.0.0.1", port },
-    dataCentre: "a",
-    slots: 4,
-    phase: ServerPhase.Ready,
-    sequence: 0,
-    coldForMs: 0,
-  };
-}
+const createServer = (name = "s1", port = server.port) => createTestServer(name, port);
 
 describe("server connections", () => {
   interface ExchangeCase {
@@ -275,6 +230,7 @@
     server.setBehaviour(behaviour);
     const connections = createServerConnections(systemClock, () => 4);
     const result = await connections.send({
+      id: "q1",
       server: createServer(),
       method: "GET",
       path: "/",
@@ -308,6 +264,7 @@
     const connections = createServerConnections(clock, () => 4);
     const sendNonIdempotent = () =>
       connections.send({
+        id: "q1",
         server: createServer(),
         method: "POST",
         path: "/",
@@ -343,6 +300,7 @@
     const connections = createServerConnections(clock, () => 1);
     const target = createServer();
     const result = await connections.send({
+      id: "q1",
       server: target,
       method: "GET",
       path: "/",
@@ -375,6 +333,7 @@
     const before = server.receivedRequests.length;
     const connections = createServerConnections(systemClock, () => 4);
     const result = await connections.send({
+      id: "q1",
       server: createServer(),
       method: "POST",
       path: "/",
@@ -395,6 +354,7 @@
     await server.close();
     const connections = createServerConnections(systemClock, () => 4);
     const result = await connections.send({
+      id: "q1",
       server: createServer("s1", port),
       method: "POST",
       path: "/",
@@ -411,82 +371,6 @@
 });
 
 describe("dispatcher", () => {
-  const policy: ServicePolicy = {
-    name: "desk",
-    isKeyed: false,
-    maxConnections: 100,
-    coldMs: 0,
-    coldRequestsPerSecond: null,
-  };
-
-  function createTestDispatcher(
-    servers: readonly DiscoveredServer[],
-    clock: Clock = systemClock,
-  ): Dispatcher {
-    const directory = createServerDirectory({
-      clock,
-      logger: silentLogger,
-      decode: (_name, value) => value as DiscoveredServer,
-      getColdMs: () => 0,
-    });
-    directory.replaceAll(servers.map((each) => ({ path: `servers/${each.name}`, version: 1, value: each })));
-    const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
-    return createDispatcher({
-      directory,
-      owners: {
-        findOwner: () => servers[0]?.name,
-        getVersion: () => 0,
-        waitForChange: () => Promise.resolve(false),
-        recordRequest: () => undefined,
-      },
-      connections: createServerConnections(clock, () => 4),
-      loads: createServerLoads(clock),
-      rateLimits,
-      permits: createPermitExchange({
-        channel: createDatagramChannel(unconnectedTransport, createCounters("test")),
-        address: { host: "127.0.0.1", port: 1 },
-        rateLimits,
-        isCoordinator: () => true,
-        findCoordinator: () => undefined,
-        getClusterSize: () => 1,
-        clock,
-        random: createRandom(SEED),
-        logger: silentLogger,
-        counters: createCounters("test"),
-      }),
-      coldAdmission: createColdAdmission(
-        clock,
-        () => 0,
-        () => 1,
-      ),
-      retryBudget: createRetryBudgetShare(clock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
-      protocol: wireServerProtocol,
-      clock,
-      random: createRandom(SEED),
-      logger: silentLogger,
-      counters: createCounters("test"),
-      dataCentre: "a",
-      distance: { shortMs: 0, largeMs: 0 },
-    });
-  }
-
-  function createRequest(kind: RouteKind, change: Partial<RoutedRequest> = {}): RoutedRequest {
-    return {
-      id: "q1",
-      route: createRoute({ kind }),
-      service: policy,
-      key: undefined,
-      method: "GET",
-      path: "/a%2Fb/../c?x=1&x=2",
-      headers: { host: "a.example", "request-id": "q1" },
-      body: Buffer.alloc(0),
-      arrivedAt: systemClock.now(),
-      deadlineAt: systemClock.now() + DEADLINE_MS,
-      caller: presentCaller,
-      ...change,
-    };
-  }
-
   interface DispatchCase {
     readonly name: string;
     readonly behaviour: RawBehaviour;
--- /dev/null
+++ b/test/support/gateway.ts
@@ -0,0 +1,194 @@
+/** A dispatcher with everything behind it, for tests against raw servers. */
+import {
+  type DiscoveredServer,
+  type ServerDirectory,
+  ServerPhase,
+  createServerDirectory,
+} from "../../src/discovery";
+import {
+  type Dispatcher,
+  type Route,
+  RouteKind,
+  type RoutedRequest,
+  type ServicePolicy,
+  createColdAdmission,
+  createDispatcher,
+  createPermitExchange,
+  createRetryBudgetShare,
+  createServerAdmission,
+  createServerBackOff,
+  createServerConnections,
+  createServerLoads,
+  createServerRateLimits,
+} from "../../src/gateway";
+import { createDatagramChannel } from "../../src/membership";
+import { createCounters, silentLogger } from "../../src/observability";
+import { type Clock, systemClock } from "../../src/types";
+import { wireServerProtocol } from "../../platform/protocols";
+import { createRandom } from "../../standins/scenarios/callers";
+import type { RawRequest } from "./rawServer";
+
+/** Seed of random decisions. */
+export const SEED = 20_261_204;
+/** Far longer than a request and its answer take on this machine. */
+export const DEADLINE_MS = 10_000;
+/** Time for which a leaving owner of keys still gets requests. */
+export const LEAVING_OWNER_MS = 1000;
+/** Proves that a backend server produced an answer. */
+export const SIGNATURE_FIELD = "Upstream-Signature: s";
+/** A caller that waits for its answer. */
+export const presentCaller = {
+  signal: new AbortController().signal,
+  confirmPresence: () => Promise.resolve(true),
+};
+/** A service without keys. */
+export const policy: ServicePolicy = {
+  name: "desk",
+  isKeyed: false,
+  maxConnections: 100,
+  coldMs: 0,
+  coldRequestsPerSecond: null,
+};
+const unconnectedTransport = { send: () => undefined, receive: () => undefined, close: () => undefined };
+
+/** Creates a route to the service {@link policy}. */
+export function createRoute(change: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/",
+    kind: RouteKind.Safe,
+    timeoutMs: null,
+    objectiveMs: 300,
+    attempts: 2,
+    priority: 0,
+    services: [{ service: "desk", weight: 1 }],
+    ...change,
+  };
+}
+
+/** Creates a request of a kind. */
+export function createRequest(kind: RouteKind, change: Partial<RoutedRequest> = {}): RoutedRequest {
+  return {
+    id: "q1",
+    route: createRoute({ kind }),
+    service: policy,
+    key: undefined,
+    method: "GET",
+    path: "/a%2Fb/../c?x=1&x=2",
+    headers: { host: "a.example", "request-id": change.id ?? "q1" },
+    body: Buffer.alloc(0),
+    arrivedAt: systemClock.now(),
+    deadlineAt: systemClock.now() + DEADLINE_MS,
+    caller: presentCaller,
+    ...change,
+  };
+}
+
+/** Formats an answer to a request that the raw server has read. */
+export function formatAnswer(request: RawRequest, head: string, body: string): string {
+  return `HTTP/1.1 ${head}\r\nRequest-Id: ${request.id}\r\n\r\n${body}`;
+}
+
+/** Sets the identifier from the field `Request-Id`; the raw server reads it from `x-request-id`. */
+export function addRequestId(request: RawRequest): RawRequest {
+  return { ...request, id: /request-id: (\S+)/i.exec(request.head)?.[1] ?? "" };
+}
+
+/** Returns a function that formats an answer with a `Content-Length`. */
+export function createFramedAnswer(status: string, body: string, fields = SIGNATURE_FIELD) {
+  return (request: RawRequest) =>
+    formatAnswer(addRequestId(request), `${status}\r\n${fields}\r\nContent-Length: ${body.length}`, body);
+}
+
+/** Creates a backend server of the service {@link policy}. */
+export function createTestServer(
+  name: string,
+  port: number,
+  change: Partial<DiscoveredServer> = {},
+): DiscoveredServer {
+  return {
+    name,
+    bornAt: 1,
+    service: "desk",
+    address: { host: "127.0.0.1", port },
+    dataCentre: "a",
+    slots: 4,
+    phase: ServerPhase.Ready,
+    sequence: 0,
+    coldForMs: 0,
+    ...change,
+  };
+}
+
+/** Creates a directory that lists the servers. */
+export function createTestDirectory(servers: readonly DiscoveredServer[], clock: Clock): ServerDirectory {
+  const directory = createServerDirectory({
+    clock,
+    logger: silentLogger,
+    decode: (_name, value) => value as DiscoveredServer,
+    getColdMs: () => 0,
+  });
+  directory.replaceAll(servers.map((each) => ({ path: `servers/${each.name}`, version: 1, value: each })));
+  return directory;
+}
+
+/** Creates a dispatcher to the servers; the first one owns all keys. */
+export function createTestDispatcher(
+  servers: readonly DiscoveredServer[],
+  clock: Clock = systemClock,
+  directory: ServerDirectory = createTestDirectory(servers, clock),
+): Dispatcher {
+  const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
+  const connections = createServerConnections(clock, () => 4);
+  const loads = createServerLoads(clock);
+  const backOff = createServerBackOff(clock, silentLogger);
+  const permits = createPermitExchange({
+    channel: createDatagramChannel(unconnectedTransport, createCounters("test")),
+    address: { host: "127.0.0.1", port: 1 },
+    rateLimits,
+    isCoordinator: () => true,
+    findCoordinator: () => undefined,
+    getClusterSize: () => 1,
+    clock,
+    random: createRandom(SEED),
+    logger: silentLogger,
+    counters: createCounters("test"),
+  });
+  return createDispatcher({
+    directory,
+    owners: {
+      findOwner: () => servers[0]?.name,
+      getVersion: () => 0,
+      waitForChange: () => Promise.resolve(false),
+      recordRequest: () => undefined,
+    },
+    connections,
+    loads,
+    rateLimits,
+    backOff,
+    permits,
+    admission: createServerAdmission({
+      directory,
+      connections,
+      loads,
+      permits,
+      backOff,
+      coldAdmission: createColdAdmission(
+        clock,
+        () => 0,
+        () => 1,
+      ),
+      leavingOwnerMs: LEAVING_OWNER_MS,
+      clock,
+    }),
+    retryBudget: createRetryBudgetShare(clock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
+    protocol: wireServerProtocol,
+    clock,
+    random: createRandom(SEED),
+    logger: silentLogger,
+    counters: createCounters("test"),
+    dataCentre: "a",
+    distance: { shortMs: 0, largeMs: 0 },
+  });
+}
