Start from cheap reads that the coordinator confirms; store the number of daemons

Until the first count a daemon assumed 100 others, which is too few at 195. A stale list that is older than the known state is not used. A new coordinator reads the newest state once, and its digests count from then on; before, a stale watch could still be waiting when the others were compared with it. The number of daemons is stored with the lease, which is written anyway; the assumption is left for a first start and is 1000.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -28,8 +28,8 @@
  * and find the new lease.
  */
 const COUNT_DELAY_MS = 3000;
-/** Assumed until the first count; larger than today's clusters, so shares are too small, not too large. */
-const ASSUMED_CLUSTER_SIZE = 100;
+/** Assumed until the first count of a deployment that has never been counted; shares are too small, not too large. */
+const ASSUMED_CLUSTER_SIZE = 1000;
 
 const MessageKind = { State: "state", Reply: "stateReply" } as const;
 
@@ -84,6 +84,8 @@
   /** Returns the coordinator's address; undefined while there is no coordinator. */
   readonly findCoordinator: () => Address | undefined;
   /** Returns the version of the coordinator's lease that this daemon knows. */
+  /** Returns the number of daemons that is stored with the coordinator's lease; undefined while none is known. */
+  readonly findStoredSize: () => number | undefined;
   readonly getLeaseVersion: () => Version;
   /** Records that the coordinator still holds its lease at this version. */
   readonly confirmLease: (version: Version) => void;
@@ -149,6 +151,10 @@
   isFreshnessChecked(): boolean;
   /** Returns the number of daemons that share the cluster-wide limits. */
   getClusterSize(): number;
+  /** Returns the number of daemons as this one counted them or was told; undefined before. */
+  findCountedSize(): number | undefined;
+  /** Returns whether every watcher's state was the newest one at some time since the start. */
+  wasCurrent(): boolean;
   /** Returns the processor capacity of the cluster's largest VM that this daemon knows of, in cores. */
   getLargestProcessors(): number;
   /** Runs the check periodically until aborted. */
@@ -167,9 +173,10 @@
   const refreshedAt = new Map<string, number>();
   /** Last contact with the coordinator or, on the coordinator, with another daemon. */
   let contactAt = clock.now();
-  let repliedAt = Number.NEGATIVE_INFINITY;
+  /** The coordinator is expected to reply at first, so that a daemon starts with stale reads. */
+  let repliedAt = clock.now();
   let coordinatingSince: number | undefined;
-  let clusterSize = ASSUMED_CLUSTER_SIZE;
+  let countedSize: number | undefined;
   let largestProcessors = options.processors;
 
   channel.receive(MessageKind.State, stateSchema, (state) => {
@@ -180,7 +187,7 @@
     if (options.isCoordinator()) {
       const daemons = countDaemons();
       channel.send(state.address, MessageKind.Reply, {
-        digests: computeDigests(),
+        digests: computeReferenceDigests(),
         leaseVersion: options.getLeaseVersion(),
         daemons,
         largestProcessors: computeLargestProcessors(),
@@ -192,7 +199,7 @@
   channel.receive(MessageKind.Reply, replySchema, (reply) => {
     contactAt = clock.now();
     repliedAt = contactAt;
-    clusterSize = reply.daemons ?? clusterSize;
+    countedSize = reply.daemons ?? countedSize;
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
     options.departures.merge(reply.departures);
@@ -201,7 +208,9 @@
   });
 
   return {
-    getClusterSize: () => clusterSize,
+    getClusterSize: () => countedSize ?? options.findStoredSize() ?? ASSUMED_CLUSTER_SIZE,
+    findCountedSize: () => countedSize,
+    wasCurrent: () => watchers.every((watcher) => watcher.getCurrentAt() > Number.NEGATIVE_INFINITY),
     getLargestProcessors: () => (options.isCoordinator() ? computeLargestProcessors() : largestProcessors),
     isFreshnessChecked: () => !options.isCoordinator() && clock.now() - repliedAt < CONTACT_TIMEOUT_MS,
     run: (signal) =>
@@ -210,8 +219,14 @@
 
   function check(): void {
     if (options.isCoordinator()) {
-      coordinatingSince ??= clock.now();
-      clusterSize = countDaemons() ?? clusterSize;
+      if (coordinatingSince === undefined) {
+        coordinatingSince = clock.now();
+        // A stale watch may still be waiting, and the others are compared with this daemon from now on.
+        watchers.forEach((watcher) => {
+          watcher.refresh();
+        });
+      }
+      countedSize = countDaemons() ?? countedSize;
       compareWithMajority();
       return;
     }
@@ -260,10 +275,17 @@
     for (const watcher of watchers) {
       const { prefix } = watcher;
       const digest = findExpected(prefix);
-      if (digest === undefined || digest === watcher.computeDigest()) {
+      if (digest === undefined) {
         differsSince.delete(prefix);
         continue;
       }
+      if (digest === watcher.computeDigest()) {
+        differsSince.delete(prefix);
+        if (!options.isCoordinator()) {
+          watcher.confirm();
+        }
+        continue;
+      }
       const since = differsSince.get(prefix) ?? clock.now();
       differsSince.set(prefix, since);
       if (clock.now() - since >= MAX_DIFFERENCE_MS) {
@@ -280,6 +302,13 @@
     }
   }
 
+  /** The digests of the state that this daemon has read anew since it became the coordinator. */
+  function computeReferenceDigests(): Digests {
+    const since = coordinatingSince ?? Number.POSITIVE_INFINITY;
+    const current = watchers.filter((watcher) => watcher.getCurrentAt() >= since);
+    return Object.fromEntries(current.map((watcher) => [watcher.prefix, watcher.computeDigest()]));
+  }
+
   function computeDigests(): Digests {
     return Object.fromEntries(watchers.map((watcher) => [watcher.prefix, watcher.computeDigest()]));
   }
--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -62,6 +62,13 @@
 /** Watches one prefix. */
 export interface PrefixWatcher {
   readonly prefix: string;
+  /**
+   * Returns the local time since which the state is known: when the latest read of the newest state began, or when
+   * the state was last confirmed. Negative infinity while only stale answers were read.
+   */
+  getCurrentAt(): number;
+  /** Records that the state equals the newest one, as another daemon knows it. */
+  confirm(): void;
   /** Computes a digest of the known versions; equal digests almost certainly mean equal versions. */
   computeDigest(): number;
   /** Cancels a pending watch, whose connection may be dead without an error, and polls at once. */
@@ -84,6 +91,7 @@
   let mustPoll = false;
   /** The state is read again instead of its history, which may be larger. */
   let mustList = false;
+  let currentAt = Number.NEGATIVE_INFINITY;
   let stateBytes = 0;
   /** Whether the store was restored so lately that objects which it lacks may still be written again. */
   let isInGrace = false;
@@ -97,12 +105,14 @@
 
   return {
     prefix,
+    getCurrentAt: () => currentAt,
+    confirm: () => {
+      currentAt = clock.now();
+    },
     computeDigest,
     refresh: () => {
-      if (pendingWatch !== undefined) {
-        mustPoll = true;
-        pendingWatch.abort();
-      }
+      mustPoll = true;
+      pendingWatch?.abort();
     },
     run: async (signal) => {
       while (!signal.aborted) {
@@ -126,9 +136,8 @@
   /** Lists all objects. Returns whether they differ from those known before. */
   async function listState(): Promise<boolean> {
     currentCall = "list";
-    const listed = await objects.list(prefix, CallPriority.Configuration);
+    const listed = await listAtLeast(since);
     recordSuccess();
-    mustPoll = false;
     stateBytes = listed.transfer?.bytes ?? 0;
     const isFirst = since === undefined;
     if (since !== undefined && getTimeline(listed.version) > getTimeline(since)) {
@@ -146,6 +155,21 @@
     return !isFirst && hasChanged;
   }
 
+  /** Lists with a stale answer if the state is compared afterwards, unless that is older than the known state. */
+  async function listAtLeast(known: Version | undefined): Promise<ObjectChanges> {
+    if (options.isFreshnessChecked() && !mustPoll) {
+      const stale = await objects.list(prefix, CallPriority.Configuration, Freshness.Stale);
+      if (known === undefined || stale.version >= known) {
+        return stale;
+      }
+    }
+    const startedAt = clock.now();
+    mustPoll = false;
+    const newest = await objects.list(prefix, CallPriority.Configuration);
+    currentAt = startedAt;
+    return newest;
+  }
+
   /** Passes a list on if it differs from what the listener knows: without removals during the grace period. */
   function deliverList(listed: ObjectChanges, hasChanged: boolean): void {
     if (hasChanged) {
@@ -176,7 +200,6 @@
   async function readHistory(from: Version, signal: AbortSignal): Promise<boolean> {
     const changes = await watchOrPoll(from, signal);
     recordSuccess();
-    mustPoll = false;
     since = Math.max(from, changes.version);
     const removed = changes.removed ?? [];
     if (changes.objects.length + removed.length === 0) {
@@ -191,9 +214,18 @@
 
   async function watchOrPoll(from: number, signal: AbortSignal) {
     const maxBytes = Math.max(LARGE_HISTORY_BYTES, stateBytes * MAX_HISTORY_RATIO);
+    const startedAt = clock.now();
     if (mustPoll) {
       currentCall = "poll";
-      return objects.watch(prefix, from, { waitMs: 0, signal, maxBytes });
+      mustPoll = false;
+      const polled = await objects
+        .watch(prefix, from, { waitMs: 0, signal, maxBytes })
+        .catch((error: unknown) => {
+          mustPoll = true;
+          throw error;
+        });
+      currentAt = startedAt;
+      return polled;
     }
     currentCall = "watch";
     const current = new AbortController();
@@ -203,7 +235,9 @@
       const waitMs = isChecked ? CHECKED_WATCH_WAIT_MS : UNCHECKED_WATCH_WAIT_MS;
       const freshness = isChecked ? Freshness.Stale : Freshness.Newest;
       const combined = AbortSignal.any([signal, current.signal]);
-      return await objects.watch(prefix, from, { waitMs, signal: combined, freshness, maxBytes });
+      const watched = await objects.watch(prefix, from, { waitMs, signal: combined, freshness, maxBytes });
+      currentAt = isChecked ? currentAt : startedAt;
+      return watched;
     } catch (error) {
       throw current.signal.aborted ? new WatchCancelledError() : error;
     } finally {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -242,6 +242,7 @@
     random,
     logger,
     getClaimDelayMs: () => getClaimDelayMs(options.processors, freshness.getLargestProcessors()),
+    findCountedSize: () => freshness.findCountedSize(),
     onElected: () => {
       coordination = new AbortController();
       setMaxListeners(MAX_MOVES, coordination.signal);
@@ -321,6 +322,7 @@
     clock,
     isCoordinator: () => lease.isHeld(),
     findCoordinator: () => lease.findCoordinator(),
+    findStoredSize: () => lease.findStoredSize(),
     getLeaseVersion: () => lease.getVersion(),
     confirmLease: (version) => {
       lease.confirm(version);
@@ -459,7 +461,8 @@
   }
 
   function isReady(): boolean {
-    return !isShuttingDown && routing.findActive() !== undefined && directory.hasList();
+    const isInformed = routing.findActive() !== undefined && directory.hasList() && freshness.wasCurrent();
+    return !isShuttingDown && isInformed;
   }
 
   async function startReadinessServer(): Promise<void> {
--- a/src/keyRanges/assignmentFeed.ts
+++ b/src/keyRanges/assignmentFeed.ts
@@ -70,12 +70,17 @@
   let mustRead = true;
   let wake: (() => void) | undefined;
   let staleReadAt = Number.NEGATIVE_INFINITY;
+  let currentAt = Number.NEGATIVE_INFINITY;
   /** Versions from datagrams that could not be applied, since this daemon lacks the version they change. */
   const missedVersions = new Map<ServiceName, Version>();
   channel.receive(DATAGRAM_KIND, changeSchema, apply);
 
   return {
     prefix: ASSIGNMENT_PREFIX,
+    getCurrentAt: () => currentAt,
+    confirm: () => {
+      currentAt = clock.now();
+    },
     computeDigest: () => owners.computeDigest(),
     refresh,
     run: async (signal) => {
@@ -124,9 +129,11 @@
   async function read(signal: AbortSignal): Promise<void> {
     mustRead = false;
     const freshness = chooseFreshness();
+    const startedAt = clock.now();
     try {
       const listed = await options.objects.list(ASSIGNMENT_PREFIX, CallPriority.Ownership, freshness);
       owners.apply(listed.objects);
+      currentAt = freshness === Freshness.Newest ? startedAt : currentAt;
       const isBehind = [...missedVersions].some(([service, version]) => owners.getVersion(service) < version);
       mustRead ||= freshness === Freshness.Stale && isBehind;
     } catch (error) {
--- a/src/keyRanges/coordinatorLease.ts
+++ b/src/keyRanges/coordinatorLease.ts
@@ -9,6 +9,7 @@
   type Timeline,
   getTimeline,
 } from "../objectStore";
+import { addressSchema } from "../membership";
 import { Event, type Logger } from "../observability";
 import { type Address, type Clock, type DaemonRun, type Version, sleep } from "../types";
 
@@ -43,8 +44,10 @@
   isResigned: z.boolean(),
   /** Timeline of the store that the lease was written on. */
   timeline: z.int().default(0),
+  /** Number of daemons at the last count; null before the first one. */
+  daemons: z.int().positive().nullable().default(null),
   /** Address at which the coordinator receives load reports. */
-  address: z.object({ host: z.string(), port: z.int() }),
+  address: addressSchema,
 });
 type Lease = z.output<typeof leaseSchema>;
 
@@ -64,6 +67,8 @@
   readonly timeOfDay: () => number;
   readonly random: () => number;
   readonly logger: Logger;
+  /** Returns the number of daemons, to be stored with the lease; undefined while it is not known. */
+  readonly findCountedSize: () => number | undefined;
   /** Returns how long this daemon leaves a free lease to others before it claims it, in milliseconds. */
   readonly getClaimDelayMs: () => number;
   readonly onElected: () => void;
@@ -76,6 +81,8 @@
   isHeld(): boolean;
   /** Returns the address at which the coordinator receives load reports; undefined while it is not known. */
   findCoordinator(): Address | undefined;
+  /** Returns the number of daemons that is stored with the lease; undefined while none is known. */
+  findStoredSize(): number | undefined;
   /** Returns the last known version of the lease; 0 while none is known. */
   getVersion(): Version;
   /** Records that the coordinator has just reported holding the lease at this version, to save a read. */
@@ -123,6 +130,7 @@
   return {
     isHeld,
     findCoordinator: () => observed?.lease?.address,
+    findStoredSize: () => observed?.lease?.daemons ?? undefined,
     getVersion: () => observed?.version ?? 0,
     confirm: (version) => {
       if (!isElected && observed !== undefined && version >= observed.version) {
@@ -229,8 +237,15 @@
   async function claim(): Promise<void> {
     const base = observed?.version ?? 0;
     const term = (observed?.lease?.term ?? 0) + 1;
-    const timeline = observed?.timeline ?? 0;
-    const lease = { ...self, address: options.address, term, renewal: 0, isResigned: false, timeline };
+    const lease = {
+      ...self,
+      address: options.address,
+      term,
+      renewal: 0,
+      isResigned: false,
+      timeline: observed?.timeline ?? 0,
+      daemons: observed?.lease?.daemons ?? null,
+    };
     if ((await write(base, lease)) !== "lost") {
       isElected = true;
       logger.log(Event.CoordinatorElected, { term, version: observed?.version });
@@ -248,6 +263,7 @@
       ...lease,
       renewal: lease.renewal + 1,
       timeline: getTimeline(version),
+      daemons: options.findCountedSize() ?? lease.daemons,
     });
     switch (result) {
       case "written":
--- a/test/coordinatorLease.test.ts
+++ b/test/coordinatorLease.test.ts
@@ -92,6 +92,7 @@
       timeOfDay: () => 1_000_000 + clock.now() + (timeOfDayShiftMs.get(daemon) ?? 0),
       random,
       logger: silentLogger,
+      findCountedSize: () => undefined,
       getClaimDelayMs: () => claimDelayMs.get(daemon) ?? 0,
       onElected: () => undefined,
       onLost: () => undefined,
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -139,6 +139,7 @@
       logger: silentLogger,
       isCoordinator: () => true,
       findCoordinator: () => undefined,
+      findStoredSize: () => undefined,
       getLeaseVersion: () => 1,
       confirmLease: () => undefined,
       rateLimits: { share: () => [], merge: () => undefined },
