Prefer a stable subset of servers, and reuse connections for requests that must not run twice

On a connection idle for longer than 250 ms only the head of such a request is sent for 5 ms: on a connection that the server has dropped it meets the reset, and the request goes out on a new one. The idle time follows the timeout that the server states, up to 8 s. The test of the 250 ms became five cases: what was lost on a dropped connection must still be answered, and one without a body still avoids it.

--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -15,8 +15,11 @@
 import { Event, type Logger } from "../observability";
 import { type CancelTimer, type Clock, type Version, sleep } from "../types";
 
-/** Bounds the calls of checked daemons while nothing changes: one call per prefix in this time. */
-const CHECKED_WATCH_WAIT_MS = 25_000;
+/**
+ * Bounds the calls of checked daemons while nothing changes: one call per prefix in this time. Shorter than the history
+ * of the store, which a watch that waits for longer would outlive.
+ */
+const CHECKED_WATCH_WAIT_MS = 15_000;
 /**
  * The same for the coordinator, whose state the others are compared with. When all watches have died at once,
  * all daemons agree; only the end of a watch shows it.
--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -95,6 +95,7 @@
         loads.recordUnreachable(server.name);
         return { kind: "notRun", reason: RejectionReason.Unreachable };
       case "turnedAway":
+      case "dropped":
         return { kind: "notRun", reason: RejectionReason.Shed };
       case "broken":
         loads.recordFailure(server.name);
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
 import type { ServerRateLimits } from "./serverRateLimits";
+import type { ServerSubsets } from "./serverSubset";
 import { RouteKind } from "./types";
 
 /** Maximum wait for a key that is being moved; a move takes a release, a write and a grant. */
@@ -28,6 +29,8 @@
 const RETRY_AFTER_SPREAD = 0.16;
 /** Callers honour a retry-after time up to this share of their remaining time. */
 const MAX_RETRY_AFTER_SHARE = 0.33;
+/** Share of a request's objective that it may wait in the queue of a server of the subset. */
+const MAX_SUBSET_WAIT_SHARE = 0.15;
 /** With less time than this left, no backend server can answer. */
 const MIN_REMAINING_MS = 5;
 
@@ -56,6 +59,7 @@
   readonly backOff: Pick<ServerBackOff, "record">;
   readonly permits: Pick<PermitExchange, "acquire">;
   readonly admission: ServerAdmission;
+  readonly subsets: ServerSubsets;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
   readonly clock: Clock;
@@ -151,22 +155,39 @@
     return selectOwner(request, key, tried);
   }
 
+  /** Selects a server of this daemon's subset that would answer soon; otherwise the best one of all. */
   function selectByLoad(
     request: RoutedRequest,
     tried: ReadonlySet<ServerName>,
     denied: ReadonlySet<ServerName>,
   ): Selection {
-    const { route, service } = request;
-    const candidates = directory.getUsable(service.name);
+    const { service, route } = request;
+    const servers = directory.getUsable(service.name);
+    const subset = options.subsets.choose(service.name, servers);
+    const objectiveMs = route.objectiveMs ?? request.deadlineAt - clock.now();
+    const isPrompt = ({ name, slots }: DiscoveredServer) =>
+      loads.estimateWaitMs(name, slots) <= objectiveMs * MAX_SUBSET_WAIT_SHARE;
+    const preferred = subset === servers ? [] : subset.filter(isPrompt);
+    const selection = selectAmong(preferred, request, tried, denied);
+    return selection.kind === "server" ? selection : selectAmong(servers, request, tried, denied);
+  }
+
+  function selectAmong(
+    candidates: readonly DiscoveredServer[],
+    request: RoutedRequest,
+    tried: ReadonlySet<ServerName>,
+    denied: ReadonlySet<ServerName>,
+  ): Selection {
     let refusal: Obstacle = {
       reason: candidates.length === 0 ? RejectionReason.NoServer : RejectionReason.Unreachable,
       waitMs: 0,
     };
+    const { shortMs, largeMs } = options.distance;
     const server = chooseServer({
       candidates,
       loads,
       dataCentre: options.dataCentre,
-      remoteCostMs: route.kind === RouteKind.Download ? options.distance.largeMs : options.distance.shortMs,
+      remoteCostMs: request.route.kind === RouteKind.Download ? largeMs : shortMs,
       tried,
       random: options.random,
       isAdmitted: (candidate) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -50,6 +50,7 @@
 import { estimateCapacities } from "./serverCapacity";
 import { createServerLoads } from "./serverLoads";
 import { createServerRateLimits } from "./serverRateLimits";
+import { createServerSubsets } from "./serverSubset";
 import type { GatewayLimits, RoutingConfiguration, ServicePolicy } from "./types";
 
 /** Share of a server's connections for all daemons; the rest is for control calls and replaced daemons. */
@@ -219,6 +220,7 @@
     backOff,
     permits,
     admission,
+    subsets: createServerSubsets(options.daemon, options.dataCentre),
     retryBudget: createRetryBudgetShare(
       clock,
       { ratio: limits.retryRatio, windowMs: limits.retryWindowMs, slack: limits.retrySlack },
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -20,4 +20,5 @@
 export * from "./serverConnections";
 export * from "./serverLoads";
 export * from "./serverRateLimits";
+export * from "./serverSubset";
 export * from "./types";
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -16,19 +16,20 @@
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
 const CONNECT_TIMEOUT_MS = 300;
-/**
- * Maximum idle time of a connection that is reused. Below the idle timeouts that backend servers state, so that
- * no request is sent on a connection that its server is closing.
- */
+/** Maximum idle time of a connection that is reused, unless its server states a timeout. */
 const MAX_IDLE_MS = 4000;
+/** The same if the server states a timeout that is longer by {@link IDLE_MARGIN_MS}. */
+const MAX_STATED_IDLE_MS = 8000;
+/** A connection is not used in the last part of its stated timeout, in which its server may be closing it. */
+const IDLE_MARGIN_MS = 1500;
 /**
- * Maximum idle time of a connection for a request that must not run twice. Backend servers may have dropped a
- * connection that was idle for longer, and a request that is lost on it cannot be sent again.
+ * A backend server may have dropped a connection that was idle for longer than this. A request that must not run twice
+ * would be lost on it: only its head is sent at first, which cannot run, but meets the reset of a dropped connection.
  */
-const MAX_IDLE_UNSAFE_MS = 250;
+const MAX_IDLE_UNCONFIRMED_MS = 250;
 /**
- * A server resets connections beyond those that it accepts. After this time on a new connection, which is more than a
- * round trip between data centres and the server's own handshake, the reset would have arrived.
+ * A server resets connections beyond those that it accepts, and those that it has dropped. After this time, which is
+ * more than a round trip between data centres and the server's own handshake, the reset would have arrived.
  */
 const ACCEPTANCE_DELAY_MS = 5;
 /** No new connection is opened to a server that has reset one before any request for this time. */
@@ -39,6 +40,7 @@
 const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 /** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
 const MAX_INTERIM_ANSWERS = 16;
+const MILLISECONDS_PER_SECOND = 1000;
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
@@ -72,8 +74,10 @@
   | { readonly kind: "rejected"; readonly rejection: UnansweredAttempt }
   /** No byte of the request has been sent. */
   | { readonly kind: "notSent"; readonly detail: string }
-  /** The server closed the new connection before any byte of the request was sent: it accepts no more of them. */
+  /** The server closed a new connection before any byte of the request was sent: it accepts no more of them. */
   | { readonly kind: "turnedAway"; readonly detail: string }
+  /** A kept connection was closed before the request was sent in full, so it has not run. */
+  | { readonly kind: "dropped"; readonly detail: string }
   /** The connection failed or the answer was cut short; the request may have run. */
   | { readonly kind: "broken"; readonly detail: string }
   /** The deadline expired first; the request may have run. */
@@ -117,6 +121,8 @@
 ): ServerConnections {
   const pools = new Map<string, ServerPool>();
   const idleSince = new WeakMap<Socket, number>();
+  /** Maximum idle time of each connection, in milliseconds. */
+  const maxIdleMs = new WeakMap<Socket, number>();
   const failedSockets = new WeakSet<Socket>();
   /** Identifier of the last request on each connection. */
   const lastRequests = new WeakMap<Socket, string>();
@@ -150,7 +156,12 @@
     const pool = getPool(outgoing.server);
     closeUnfit(pool.agent, outgoing);
     pool.inFlight += 1;
-    const result = await exchange(pool, outgoing);
+    const firstResult = await exchange(pool, outgoing);
+    if (firstResult.kind === "dropped") {
+      // The other idle connections are likely to be dropped, too.
+      listIdle(pool.agent).forEach((socket) => socket.destroy());
+    }
+    const result = firstResult.kind === "dropped" ? await exchange(pool, outgoing) : firstResult;
     onTransferEnd(result, () => {
       pool.inFlight -= 1;
     });
@@ -162,6 +173,7 @@
     const { server, caller, deadlineAt } = outgoing;
     return new Promise((resolve) => {
       let isConnected = false;
+      let isKept = false;
       let isSent = false;
       let isAnswering = false;
       let isSettled = false;
@@ -204,6 +216,12 @@
       });
       clientRequest.on("response", (answer) => {
         isAnswering = true;
+        if (!isSent) {
+          // The server has answered the head alone and reads the body later.
+          cancelConnectTimeout?.();
+          sendRequest();
+        }
+        maxIdleMs.set(answer.socket, readMaxIdleMs(answer));
         const rejection = outgoing.findRejection(answer, clientRequest.reusedSocket);
         if (rejection === undefined) {
           void receive(answer);
@@ -234,7 +252,7 @@
         socket.removeListener("data", destroyOnData);
         lastRequests.set(socket, outgoing.id);
         if (!socket.connecting) {
-          sendRequest();
+          sendOnKeptConnection(socket);
           return;
         }
         openedCount += 1;
@@ -255,6 +273,21 @@
         });
       }
 
+      function sendOnKeptConnection(socket: Socket): void {
+        const idleMs = clock.now() - (idleSince.get(socket) ?? clock.now());
+        if (outgoing.isIdempotent || idleMs <= MAX_IDLE_UNCONFIRMED_MS) {
+          sendRequest();
+          return;
+        }
+        isKept = true;
+        clientRequest.flushHeaders();
+        cancelConnectTimeout = clock.schedule(ACCEPTANCE_DELAY_MS, () => {
+          if (!isSettled) {
+            sendRequest();
+          }
+        });
+      }
+
       /** Sends the request on a new connection, unless its caller has left while the connection was made. */
       async function sendToPresentCaller(): Promise<void> {
         const isPresent = await caller.confirmPresence();
@@ -317,6 +350,8 @@
         }
         if (isSent) {
           settle({ kind: "broken", detail });
+        } else if (isKept) {
+          settle({ kind: "dropped", detail });
         } else {
           settle({ kind: wasTurnedAway ? "turnedAway" : "notSent", detail });
         }
@@ -362,17 +397,30 @@
    * Closes idle connections on which a request must not be sent: those that the server may have dropped, and one that
    * carried the same request before, on which a repeated answer would pass for the new one.
    */
-  function closeUnfit(agent: Agent, { id, isIdempotent }: OutgoingRequest): void {
+  function closeUnfit(agent: Agent, { id, isIdempotent, body }: OutgoingRequest): void {
     const now = clock.now();
-    const maxIdleMs = isIdempotent ? MAX_IDLE_MS : MAX_IDLE_UNSAFE_MS;
+    // Without a body, the head is the whole request and may run.
+    const isConfirmable = isIdempotent || body.byteLength > 0;
     for (const socket of listIdle(agent)) {
-      if (now - (idleSince.get(socket) ?? now) > maxIdleMs || lastRequests.get(socket) === id) {
+      const idleMs = now - (idleSince.get(socket) ?? now);
+      const limitMs = isConfirmable ? (maxIdleMs.get(socket) ?? MAX_IDLE_MS) : MAX_IDLE_UNCONFIRMED_MS;
+      if (idleMs > limitMs || lastRequests.get(socket) === id) {
         socket.destroy();
       }
     }
   }
 }
 
+/** Returns for how long a connection may be idle, from the timeout that its server states. */
+function readMaxIdleMs({ headers }: IncomingMessage): number {
+  const [, seconds] = /timeout=(\d{1,6})/.exec(String(headers["keep-alive"] ?? "")) ?? [];
+  if (seconds === undefined) {
+    return MAX_IDLE_MS;
+  }
+  const statedMs = Number(seconds) * MILLISECONDS_PER_SECOND;
+  return Math.min(MAX_STATED_IDLE_MS, Math.max(0, statedMs - IDLE_MARGIN_MS));
+}
+
 function listIdle(agent: Agent): readonly Socket[] {
   return Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
 }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -248,39 +248,70 @@
     connections.close();
   });
 
-  test("a request that must not run twice avoids a connection idle for 300 ms, which the server may have dropped", async () => {
-    const idleMs = 300;
-    let shiftMs = 0;
-    const used = new WeakSet<Socket>();
-    server.setBehaviour((socket, request) => {
-      if (used.has(socket)) {
-        socket.resetAndDestroy();
-        return;
-      }
-      used.add(socket);
-      socket.write(createFramedAnswer("200 OK", "whole")(request));
-    });
-    const clock = { ...systemClock, now: () => systemClock.now() + shiftMs };
-    const connections = createServerConnections(clock, () => 4);
-    const sendNonIdempotent = () =>
-      connections.send({
-        id: "q1",
-        server: createServer(),
-        method: "POST",
-        path: "/",
-        headers: { host: "a.example", "request-id": "q1", "content-length": "1" },
-        body: Buffer.from("x"),
-        isIdempotent: false,
-        deadlineAt: clock.now() + DEADLINE_MS,
-        caller: presentCaller,
-        findRejection: () => undefined,
+  interface IdleCase {
+    readonly name: string;
+    readonly idleMs: number;
+    readonly method: "GET" | "POST";
+    /** Whether the server resets the kept connection as soon as anything of a further request arrives. */
+    readonly isDropped: boolean;
+    readonly connections: number;
+  }
+  const idleCases: readonly IdleCase[] = [
+    { name: "in use", idleMs: 100, method: "POST", isDropped: false, connections: 1 },
+    { name: "idle for long", idleMs: 300, method: "POST", isDropped: false, connections: 1 },
+    { name: "idle for long and dropped", idleMs: 300, method: "POST", isDropped: true, connections: 2 },
+    {
+      name: "idle beyond its stated timeout",
+      idleMs: 9000,
+      method: "POST",
+      isDropped: false,
+      connections: 2,
+    },
+    // Its head is the whole request, so nothing can be found out before it may run.
+    { name: "idle for long, without a body", idleMs: 300, method: "GET", isDropped: false, connections: 2 },
+  ];
+  // Guards against losing a request on a connection that its server may have dropped, without a new one each time.
+  test.each(idleCases)(
+    "a request that must not run twice is answered on a connection $name",
+    async (idle) => {
+      let shiftMs = 0;
+      const used = new Set<Socket>();
+      const clock = { ...systemClock, now: () => systemClock.now() + shiftMs };
+      const keepAlive = `${SIGNATURE_FIELD}\r\nKeep-Alive: timeout=10`;
+      server.setBehaviour((socket, request) => {
+        used.add(socket);
+        socket.write(createFramedAnswer("200 OK", "whole", keepAlive)(request));
       });
-    expect((await sendNonIdempotent()).kind).toBe("answered");
-    await new Promise(setImmediate);
-    shiftMs += idleMs;
-    expect((await sendNonIdempotent()).kind).toBe("answered");
-    connections.close();
-  });
+      const before = server.receivedRequests.length;
+      const connections = createServerConnections(clock, () => 4);
+      const body = idle.method === "POST" ? Buffer.from("x") : Buffer.alloc(0);
+      const sendNonIdempotent = (id: string) =>
+        connections.send({
+          id,
+          server: createServer(),
+          method: idle.method,
+          path: "/",
+          headers: { host: "a.example", "request-id": id, "content-length": String(body.byteLength) },
+          body,
+          isIdempotent: false,
+          deadlineAt: clock.now() + DEADLINE_MS,
+          caller: presentCaller,
+          findRejection: () => undefined,
+        });
+      expect((await sendNonIdempotent("q1")).kind).toBe("answered");
+      await new Promise(setImmediate);
+      shiftMs += idle.idleMs;
+      used.forEach((socket) => {
+        if (idle.isDropped) {
+          socket.prependListener("data", () => socket.resetAndDestroy());
+        }
+      });
+      expect((await sendNonIdempotent("q2")).kind).toBe("answered");
+      expect(connections.countOpened()).toBe(idle.connections);
+      expect(server.receivedRequests.length - before).toBe(2);
+      connections.close();
+    },
+  );
 
   const endings = [
     { name: "its deadline", advanceMs: 1000, isCallerGone: false },
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -20,6 +20,7 @@
   createServerConnections,
   createServerLoads,
   createServerRateLimits,
+  createServerSubsets,
 } from "../../src/gateway";
 import { createDatagramChannel } from "../../src/membership";
 import { createCounters, silentLogger } from "../../src/observability";
@@ -168,6 +169,7 @@
     rateLimits,
     backOff,
     permits,
+    subsets: createServerSubsets("d1", "a"),
     admission: createServerAdmission({
       directory,
       connections,
