Move busy keys without waiting for slow releases, and refuse at once what their owner cannot take

Causes: a round of moves started only when all earlier ones had ended, and a release takes as long as the running work on its keys; keys that were released while the assignment was written lost their planned owner and their handover (the list of freed keys was shared with the write in progress); a change of more than 100 ranges was not sent to the daemons at all; every daemon went on sending to the owner of a hot key, each with a view of its load that is older than the queue. Change: further plans build on the moves in progress, 80 at a time at most; the list is copied; the coordinator, which knows the requests for all keys, tells daemons which share of the requests an overloaded owner can take (ownerShares.ts), and they refuse the rest at once. Test on the code before: 'a slow release does not hold up', 'keys that are released during a write' failed.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -8,7 +8,7 @@
 import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
 import type { PrefixWatcher } from "./prefixWatcher";
-import type { StatedDeparture, StatedRateLimit } from "./types";
+import type { StatedDeparture, StatedOwnerShare, StatedRateLimit } from "./types";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
@@ -45,6 +45,7 @@
 const departuresSchema = z.array(
   z.object({ server: z.string(), bornAt: z.int(), ageMs: z.number().nonnegative() }),
 );
+const ownerSharesSchema = z.array(z.object({ server: z.string(), share: z.number().min(0).max(1) }));
 const stateSchema = z.object({
   daemon: z.string(),
   address: addressSchema,
@@ -66,6 +67,8 @@
   largestProcessors: z.number().positive(),
   rateLimits: rateLimitsSchema.default([]),
   departures: departuresSchema.default([]),
+  /** Share of the requests that overloaded owners of keys can take. */
+  ownerShares: ownerSharesSchema.default([]),
 });
 type Digests = z.output<typeof digestsSchema>;
 
@@ -91,6 +94,11 @@
   readonly confirmLease: (version: Version) => void;
   readonly rateLimits: SharedStatements<StatedRateLimit>;
   readonly departures: SharedStatements<StatedDeparture>;
+  /** What the coordinator finds out about overloaded owners of keys. */
+  readonly ownerShares: {
+    share(): readonly StatedOwnerShare[];
+    replace(shares: readonly StatedOwnerShare[]): void;
+  };
 }
 
 /** Statements of backend servers that daemons tell each other by way of the coordinator. */
@@ -193,6 +201,7 @@
         largestProcessors: computeLargestProcessors(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
+        ownerShares: options.ownerShares.share(),
       });
     }
   });
@@ -203,6 +212,7 @@
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
     options.departures.merge(reply.departures);
+    options.ownerShares.replace(reply.ownerShares);
     options.confirmLease(reply.leaseVersion);
     compareDigests((prefix) => reply.digests[prefix]);
   });
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -40,5 +40,12 @@
   readonly ageMs: number;
 }
 
+/** Share of the requests for its keys that an overloaded owner can take. */
+export interface StatedOwnerShare {
+  readonly server: ServerName;
+  /** From 0 to 1. */
+  readonly share: number;
+}
+
 /** Decodes a stored entry; returns undefined when it does not describe a usable backend server. */
 export type ServerDecoder = (name: string, value: unknown) => DiscoveredServer | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,8 +19,10 @@
   coordinateKeys,
   createAssignmentFeed,
   createCoordinatorLease,
+  computeOwnerShares,
   createKeyLoad,
   createLoadReporter,
+  createOwnerShares,
   createOwnerTable,
   isMuchSmaller,
 } from "../keyRanges";
@@ -81,6 +83,9 @@
  * fraction of the time within which they are useful.
  */
 const LARGE_ANSWER_REMOTE_COST_MS = 200;
+/** Interval at which the coordinator looks for overloaded owners; a fraction of that at which daemons report. */
+const OWNER_SHARE_INTERVAL_MS = 250;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Interval at which the coordinator checks whether a much larger VM could take over. */
 const RESIGNATION_CHECK_INTERVAL_MS = 1000;
 /** Minimum pause between two resignations in favour of a larger VM. */
@@ -194,6 +199,7 @@
   });
   const coldAdmission = createColdAdmission(clock, random, () => freshness.getClusterSize());
   const backOff = createServerBackOff(clock, logger);
+  const ownerShares = createOwnerShares(clock);
   const admission = createServerAdmission({
     directory,
     connections,
@@ -201,8 +207,10 @@
     permits,
     backOff,
     coldAdmission,
+    ownerShares,
     leavingOwnerMs: limits.drainMs * LEAVING_OWNER_SHARE,
     clock,
+    random,
   });
   const dispatch = createDispatcher({
     directory,
@@ -337,6 +345,7 @@
         directory.mergeLeaving(shared);
       },
     },
+    ownerShares,
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
   watchers.forEach((watcher) => void watcher.run(stop.signal));
@@ -358,6 +367,14 @@
     createErrorReport(logger, "resign for a larger VM"),
   );
 
+  void repeat(
+    clock,
+    OWNER_SHARE_INTERVAL_MS,
+    stop.signal,
+    updateOwnerShares,
+    createErrorReport(logger, "compute shares of overloaded owners"),
+  );
+
   return { isReady, shutDown };
 
   function createWatcher(prefix: string, pauseMs: number, listener: PrefixListener): PrefixWatcher {
@@ -418,6 +435,23 @@
     );
   }
 
+  /** Finds overloaded owners while this daemon is the coordinator, which alone knows the requests for all keys. */
+  function updateOwnerShares(): void {
+    if (!lease.isHeld()) {
+      return;
+    }
+    const shares = [...coordinatedServices].flatMap((service) => {
+      const servers = directory.getByService(service);
+      const capacities = estimateServerCapacities(servers);
+      const byServer = new Map(servers.map((server, index) => [server.name, capacities[index] ?? 0]));
+      return computeOwnerShares(owners.getRanges(service), getKeyLoad(service).measureRate(), (server) => {
+        const capacity = byServer.get(server);
+        return capacity === undefined ? undefined : capacity * MILLISECONDS_PER_SECOND;
+      });
+    });
+    ownerShares.replace(shares);
+  }
+
   /** Returns the requests per second that a server accepts now; null when it sets no limit. */
   function findMaxRate(server: DiscoveredServer): number | null {
     const policy = findPolicy(server.service);
--- a/src/gateway/serverAdmission.ts
+++ b/src/gateway/serverAdmission.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request may be sent to a backend server now. Every path that sends one asks here. */
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
+import type { OwnerShares } from "../keyRanges";
 import type { Clock } from "../types";
 import { RejectionReason } from "./attemptTypes";
 import type { ColdAdmission } from "./coldAdmission";
@@ -46,12 +47,14 @@
   readonly permits: Pick<PermitExchange, "isExhausted">;
   readonly backOff: Pick<ServerBackOff, "getRemainingMs">;
   readonly coldAdmission: Pick<ColdAdmission, "tryAcquire" | "getWaitMs">;
+  readonly ownerShares: Pick<OwnerShares, "find">;
   /**
    * Time for which the owner of keys still gets requests after it has said that it is leaving, in milliseconds. Its
    * keys move to other owners meanwhile.
    */
   readonly leavingOwnerMs: number;
   readonly clock: Clock;
+  readonly random: () => number;
 }
 
 /**
@@ -82,6 +85,9 @@
     if (backOffMs > 0) {
       return { reason: RejectionReason.BackingOff, waitMs: backOffMs };
     }
+    if (isOwner && options.random() >= options.ownerShares.find(server.name)) {
+      return { reason: RejectionReason.Overloaded, waitMs: 0 };
+    }
     if (!connections.hasRoom(server) || isTooBusy(request, server)) {
       return { reason: RejectionReason.Overloaded, waitMs: loads.estimateWaitMs(server.name, server.slots) };
     }
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -32,12 +32,12 @@
 } from "./holdings";
 import type { KeyLoad } from "./keyLoad";
 import type { OwnerTable } from "./ownerTable";
-import { type OwnerCandidate, type Placement, findUnowned, placeUnownedRanges } from "./rangePlanner";
+import { type OwnerCandidate, type Placement, findUnowned, placeUnownedRanges, sum } from "./rangePlanner";
 import { createPrecautionaryRelease } from "./precautionaryRelease";
 import { type ReclaimOptions, reclaimKeys } from "./reclaim";
 import { groupAdjacentMoves, planRebalance } from "./rebalancing";
 import { continueAssignment, replaceAssignment } from "./restoredAssignment";
-import { type KeyRange, type RangeAssignment, contains, overlaps } from "./types";
+import { type KeyRange, type OwnedRange, type RangeAssignment, contains, overlaps } from "./types";
 
 /** A small fraction of the 2 s within which keys must leave a server. */
 const RECONCILE_INTERVAL_MS = 100;
@@ -50,6 +50,8 @@
 /** Bounds the concurrent calls, and the keys that are briefly refused while they are being moved. */
 const CONCURRENT_MOVES_PER_SERVER = 0.5;
 const MIN_CONCURRENT_MOVES = 12;
+/** Keeps a change of the assignment within one datagram to each daemon. */
+const MAX_CONCURRENT_MOVES = 80;
 /** A crashed server has either restarted within a few seconds or lost its directory entry by then. */
 const UNREACHABLE_PERIOD_MS = 3000;
 /** Servers register one after another when a deployment starts; the first placement waits for the rest. */
@@ -130,8 +132,8 @@
   let isWriteInDoubt = true;
   let firstCandidatesAt: number | undefined;
   let rebalancedAt = clock.now() + FIRST_REBALANCE_DELAY_MS;
-  /** Rebalancing moves in progress. */
-  let rebalanceMovesInFlight = 0;
+  /** Pieces that rebalancing moves to new owners and that have not been reclaimed from their old ones yet. */
+  const movingPieces = new Map<Holding, readonly Placement[]>();
 
   await Promise.all([
     repeat(clock, RECONCILE_INTERVAL_MS, signal, renewAll, createErrorReport(logger, "renew grants")),
@@ -302,8 +304,7 @@
     }
     // While the object store does not answer, a released range stays without an owner: none can be stored.
     const isStoreAnswering = options.getStoreSilenceMs() < MAX_STORE_SILENCE_MS;
-    const isIdle = rebalanceMovesInFlight === 0 && freed.length === 0;
-    if (isIdle && isStoreAnswering && clock.now() - rebalancedAt >= REBALANCE_INTERVAL_MS) {
+    if (isStoreAnswering && clock.now() - rebalancedAt >= REBALANCE_INTERVAL_MS) {
       rebalancedAt = clock.now();
       startRebalance();
     }
@@ -318,25 +319,32 @@
   function startRebalance(): void {
     const servers = getCandidates();
     const movable = new Set<KeyRange>(holdings.filter(isMovable).map((holding) => holding.range));
+    const moving = sum([...movingPieces.values()].map((pieces) => pieces.length));
     const moves = planRebalance({
-      owned: holdings.map((holding) => holding.range),
+      owned: listPlannedRanges(),
       candidates: servers,
       getLoad: options.load.measure(),
-      maxMoves: Math.max(MIN_CONCURRENT_MOVES, Math.floor(servers.length * CONCURRENT_MOVES_PER_SERVER)),
+      maxMoves: getMaxMoves(servers.length) - moving,
       isMovable: (range) => movable.has(range),
     });
     for (const pieces of groupAdjacentMoves(moves)) {
       const union = { from: pieces[0].from, to: pieces.at(-1)?.to ?? pieces[0].to };
       const holding = holdings.find(({ range }) => contains(range, union));
       if (holding !== undefined) {
-        rebalanceMovesInFlight += 1;
-        void reclaim(cutHolding(holding, union), pieces).finally(() => {
-          rebalanceMovesInFlight -= 1;
-        });
+        const cut = cutHolding(holding, union);
+        movingPieces.set(cut, pieces);
+        void reclaim(cut, pieces).finally(() => movingPieces.delete(cut));
       }
     }
   }
 
+  /** The owned ranges as they will be after the moves in progress, so that a further plan builds on these. */
+  function listPlannedRanges(): readonly OwnedRange[] {
+    const kept = holdings.filter((holding) => !movingPieces.has(holding)).map((holding) => holding.range);
+    const targets = [...movingPieces.values(), ...freed.map((range) => range.targets)].flat();
+    return [...kept, ...targets.map((target) => ({ ...target, token: 0 }))];
+  }
+
   /** A grant in flight covers the whole range, so it would undo the release of a part. */
   function isMovable({ phase, isGrantInFlight }: Holding): boolean {
     return phase === HoldingPhase.Held && !isGrantInFlight;
@@ -384,7 +392,8 @@
     if (servers.length === 0 || !isPlacementDue()) {
       return;
     }
-    const freedToPlace = freed;
+    // Further keys may be freed while the assignment is written; they are placed in the next round.
+    const freedToPlace = [...freed];
     const placements = choosePlacements(freedToPlace, servers);
     const change = planHoldings(holdings, placements, freedToPlace, assignment);
     const before = assignment;
@@ -472,6 +481,11 @@
   }
 }
 
+function getMaxMoves(serverCount: number): number {
+  const wanted = Math.max(MIN_CONCURRENT_MOVES, Math.floor(serverCount * CONCURRENT_MOVES_PER_SERVER));
+  return Math.min(MAX_CONCURRENT_MOVES, wanted);
+}
+
 function isSameProcess(server: OwnerCandidate, target: Placement): boolean {
   return server.name === target.server && server.bornAt === target.bornAt;
 }
--- a/src/keyRanges/index.ts
+++ b/src/keyRanges/index.ts
@@ -11,6 +11,7 @@
 export * from "./holdings";
 export * from "./keyLoad";
 export * from "./loadReporter";
+export * from "./ownerShares";
 export * from "./ownerTable";
 export * from "./rangePlanner";
 export * from "./rebalancing";
--- a/src/keyRanges/keyLoad.ts
+++ b/src/keyRanges/keyLoad.ts
@@ -7,6 +7,8 @@
  * distinguish them from random variation.
  */
 const HALF_LIFE_MS = 1500;
+/** Requests per second for one decayed request: at a steady rate, the decayed requests are the rate by this. */
+const RATE_PER_LOAD = (Math.LN2 * 1000) / HALF_LIFE_MS;
 /** Eight half-lives keep the stored counts within a factor of 256 of the decayed ones. */
 const RESCALE_INTERVAL_MS = 8 * HALF_LIFE_MS;
 
@@ -16,6 +18,8 @@
   record(key: number, requests?: number): void;
   /** Returns a function that gives the decayed requests of any range as of now, in constant time. */
   measure(): (range: KeyRange) => number;
+  /** Returns a function that gives the requests per second for any range, in constant time. */
+  measureRate(): (range: KeyRange) => number;
 }
 
 /**
@@ -34,13 +38,19 @@
       const factor = updateDecayFactor();
       counts[key] = (counts[key] ?? 0) + requests / factor;
     },
-    measure: () => {
-      const factor = updateDecayFactor();
-      const prefixSums = computePrefixSums(counts);
-      return (range) => ((prefixSums[range.to + 1] ?? 0) - (prefixSums[range.from] ?? 0)) * factor;
+    measure,
+    measureRate: () => {
+      const getLoad = measure();
+      return (range) => getLoad(range) * RATE_PER_LOAD;
     },
   };
 
+  function measure(): (range: KeyRange) => number {
+    const factor = updateDecayFactor();
+    const prefixSums = computePrefixSums(counts);
+    return (range) => ((prefixSums[range.to + 1] ?? 0) - (prefixSums[range.from] ?? 0)) * factor;
+  }
+
   /**
    * Returns the factor by which counts have decayed since `scaledAt`. Rescales the counts if that is due, so
    * callers must call it before they read a count.
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -596,6 +596,7 @@
             stated[index] = [...(stated[index] ?? []), ...shared].slice(0, 1);
           },
         },
+        ownerShares: { share: () => [], replace: () => undefined },
         departures: {
           share: () => departed[index] ?? [],
           merge: (shared) => {
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -55,6 +55,8 @@
   const late = new Set<string>();
   /** Servers that refuse connections. */
   const refusing = new Set<string>();
+  /** Servers that answer releases after a time, in milliseconds. */
+  const slowReleases = new Map<string, number>();
   /** Servers whose address now belongs to another server. */
   const replaced = new Set<string>();
   /** Start times of restarted processes whose directory entries still have the old one. */
@@ -98,20 +100,32 @@
       if (replaced.has(server.name)) {
         return Promise.resolve({ kind: "misdirected" });
       }
-      const now = clock.now();
-      const kept = holds.flatMap((hold) =>
-        hold.server === server.name && hold.until > now
-          ? [
-              { ...hold, to: Math.min(hold.to, range.from - 1) },
-              { ...hold, from: Math.max(hold.from, range.to + 1) },
-            ].filter((part) => part.from <= part.to)
-          : [hold],
-      );
-      holds.splice(0, holds.length, ...kept);
-      released.push({ ...range, server: server.name, token });
-      return Promise.resolve({ kind: "released", handover: `from ${server.name}` });
+      const slowMs = slowReleases.get(server.name);
+      if (slowMs !== undefined) {
+        return new Promise((resolve) => {
+          clock.schedule(slowMs, () => {
+            resolve(applyRelease(server, range, token));
+          });
+        });
+      }
+      return Promise.resolve(applyRelease(server, range, token));
     },
   };
+  function applyRelease(server: DiscoveredServer, range: KeyRange, token: number): ReleaseResult {
+    const now = clock.now();
+    const kept = holds.flatMap((hold) =>
+      hold.server === server.name && hold.until > now
+        ? [
+            { ...hold, to: Math.min(hold.to, range.from - 1) },
+            { ...hold, from: Math.max(hold.from, range.to + 1) },
+          ].filter((part) => part.from <= part.to)
+        : [hold],
+    );
+    holds.splice(0, holds.length, ...kept);
+    released.push({ ...range, server: server.name, token });
+    return { kind: "released", handover: `from ${server.name}` };
+  }
+
   /** Applies a grant, unless the server has released any of the granted keys under a higher fencing token. */
   function applyGrant(server: DiscoveredServer, grant: KeyGrant): "granted" | "fenced" {
     const isFenced = released.some(
@@ -167,6 +181,7 @@
     late,
     refusing,
     replaced,
+    slowReleases,
     stop,
     isCoordinator: true,
     /** Ends a server's process, and with it all its holds. */
@@ -366,6 +381,57 @@
     harness.stop.abort();
   });
 
+  /** Records requests for adjacent keys while the time passes. */
+  async function addLoad(harness: ReturnType<typeof createHarness>, starts: readonly number[], ms: number) {
+    for (let step = 0; step < ms / 100; step += 1) {
+      for (const start of starts) {
+        for (let key = start; key < start + 200; key += 2) {
+          harness.load.record(key);
+        }
+      }
+      await harness.clock.advance(100);
+    }
+  }
+
+  // Guards against busy keys that stay together because the release of others takes long.
+  test("a slow release does not hold up the moves of other busy keys", async () => {
+    const harness = createHarness(["s1", "s2", "s3", "s4", "s5", "s6"]);
+    void harness.start();
+    await harness.clock.advance(3000);
+    const [slow] = harness.findOwners([1000]);
+    harness.slowReleases.set(slow ?? "", 2400);
+    await addLoad(harness, [1000], 700);
+    await addLoad(harness, [1000, 30_000], 1500);
+    const keys = Array.from({ length: 20 }, (_, index) => 30_000 + index * 10);
+    expect(new Set(harness.findOwners(keys)).size).toBeGreaterThan(2);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
+  // Guards against losing the handover of keys that are released while the assignment of others is written.
+  test("keys that are released during a write get their handover and their planned owner", async () => {
+    const harness = createHarness(["s1", "s2", "s3", "s4"]);
+    void harness.start();
+    await harness.clock.advance(3000);
+    const before = harness.findOwners(sampleKeys);
+    harness.storeFaults.answerDelayMs = 80;
+    harness.slowReleases.set("s2", 150);
+    harness.slowReleases.set("s1", 100);
+    const sent = harness.grants.length;
+    harness.put(createServer("s1", { phase: ServerPhase.Draining }));
+    harness.put(createServer("s2", { phase: ServerPhase.Draining }));
+    await harness.clock.advance(1500);
+    const first = new Map(
+      harness.grants
+        .slice(sent)
+        .flatMap((grant) => (grant.handover === null ? [] : [[grant.handover, grant]])),
+    );
+    expect(before).toEqual(expect.arrayContaining(["s1", "s2"]));
+    expect([...first.keys()].sort()).toEqual(["from s1", "from s2"]);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
   test("a daemon that has lost the coordinator lease sends no grants", async () => {
     const harness = createHarness(["s1", "s2"]);
     void harness.start();
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -144,6 +144,7 @@
       confirmLease: () => undefined,
       rateLimits: { share: () => [], merge: () => undefined },
       departures: { share: () => [], merge: () => undefined },
+      ownerShares: { share: () => [], replace: () => undefined },
     });
     const state = { daemon: "d2", processors: 1, digests: {} };
     for (const port of [70_000, 0, -1, 1.5, 1e300]) {
--- a/test/support/fakePlatform.ts
+++ b/test/support/fakePlatform.ts
@@ -14,6 +14,8 @@
   delayedWrites: number;
   /** Delay of these writes in milliseconds. */
   writeDelayMs: number;
+  /** Time after which writes that have taken effect are answered, in milliseconds. */
+  answerDelayMs: number;
   /** Number of writes so far, including those without an answer. */
   writeCount: number;
 }
@@ -24,7 +26,14 @@
  * @returns The access.
  */
 export function createPlatformAccess(): PlatformAccess {
-  return { isDown: false, lostAnswers: 0, delayedWrites: 0, writeDelayMs: 0, writeCount: 0 };
+  return {
+    isDown: false,
+    lostAnswers: 0,
+    delayedWrites: 0,
+    writeDelayMs: 0,
+    answerDelayMs: 0,
+    writeCount: 0,
+  };
 }
 
 /**
@@ -44,7 +53,13 @@
     read: (path) => respond(() => table.read(path)),
     list: (prefix) => respond(() => table.list(prefix)),
     watch: (prefix, since) => respond(() => table.list(prefix)).then((changes) => ({ ...changes, since })),
-    write: (path, value, base) => respond(() => write(path, value, base)),
+    write: async (path, value, base) => {
+      const result = await respond(() => write(path, value, base));
+      if (access.answerDelayMs > 0) {
+        await new Promise<void>((resolve) => clock.schedule(access.answerDelayMs, resolve));
+      }
+      return result;
+    },
   };
 
   async function respond<Value>(call: () => Value): Promise<Value> {
