Estimate servers without answers like the others, silent ones as slow, and requests by their work

Causes, from the logs of the grown further site: servers that had joined counted as answering within 100 ms until their first answer (others took 390), so that all daemons chose them at once; a server that answers nothing looked idle until the deadline (31 late requests at one server in 2 s); keyed requests of two kinds, of 990 and 160 ms, counted alike when keys were spread. Change: the usual time of a service counts for a server without answers; a server that is silent for more than twice its time is expected to be as slow as it is silent; requests count with their route's work relative to the service's (routeCosts.ts) for the spread of keys, for the time of a server and for admission.

--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -35,8 +35,8 @@
     head: IncomingMessage,
     isReusedConnection: boolean,
   ): UnansweredAttempt | undefined;
-  /** Classifies the result of an attempt that took `latencyMs` milliseconds. */
-  classify(server: DiscoveredServer, result: SendResult, latencyMs: number): AttemptResult;
+  /** Classifies the result of an attempt that took `latencyMs` milliseconds, at a request of the given weight. */
+  classify(server: DiscoveredServer, result: SendResult, latencyMs: number, weight: number): AttemptResult;
 }
 
 /** Options for {@link createAttemptClassifier}. */
@@ -89,7 +89,12 @@
     return undefined;
   }
 
-  function classify(server: DiscoveredServer, result: SendResult, latencyMs: number): AttemptResult {
+  function classify(
+    server: DiscoveredServer,
+    result: SendResult,
+    latencyMs: number,
+    weight: number,
+  ): AttemptResult {
     switch (result.kind) {
       case "notSent":
         loads.recordUnreachable(server.name);
@@ -108,7 +113,7 @@
       case "rejected":
         return result.rejection;
       case "answered":
-        return classifyAnswer(server, result, latencyMs);
+        return classifyAnswer(server, result, latencyMs, weight);
       default:
         return result satisfies never;
     }
@@ -118,12 +123,13 @@
     server: DiscoveredServer,
     { message, body }: Extract<SendResult, { kind: "answered" }>,
     latencyMs: number,
+    weight: number,
   ): AttemptResult {
     if ((message.statusCode ?? 0) >= FIRST_SERVER_ERROR_STATUS) {
       loads.recordFailure(server.name);
       return { kind: "failed", message, body };
     }
-    loads.recordAnswer(server.name, latencyMs);
+    loads.recordAnswer(server.name, latencyMs, weight);
     return { kind: "answered", message, body };
   }
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,6 +7,7 @@
 import type { PermitExchange } from "./permitExchange";
 import type { ServerProtocol } from "./protocols";
 import type { RetryBudgetShare } from "./retryBudgetShare";
+import type { RouteCosts } from "./routeCosts";
 import { type AttemptResult, createAttemptClassifier } from "./attemptClassifier";
 import type { Obstacle, ServerAdmission } from "./serverAdmission";
 import type { ServerBackOff } from "./serverBackOff";
@@ -45,8 +46,8 @@
   waitForChange(service: ServiceName, waitMs: number): Promise<boolean>;
   /** Returns the version of a service's assignment; 0 while none is known. */
   getVersion(service: ServiceName): number;
-  /** Records a request for a key. */
-  recordRequest(service: ServiceName, key: number): void;
+  /** Records a request for a key, and its work relative to the service's other requests. */
+  recordRequest(service: ServiceName, key: number, weight: number): void;
 }
 
 /** Options for {@link createDispatcher}. */
@@ -60,6 +61,7 @@
   readonly permits: Pick<PermitExchange, "acquire">;
   readonly admission: ServerAdmission;
   readonly subsets: ServerSubsets;
+  readonly costs: RouteCosts;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
   readonly clock: Clock;
@@ -89,6 +91,7 @@
     loads,
     permits,
     admission,
+    costs,
     retryBudget,
     protocol,
     clock,
@@ -102,7 +105,7 @@
     const { route, service } = request;
     retryBudget.recordRequest(service.name);
     if (request.key !== undefined && service.isKeyed) {
-      owners.recordRequest(service.name, request.key);
+      owners.recordRequest(service.name, request.key, costs.getWeight(route, service.name));
     }
     const tried = new Set<ServerName>();
     let lastResult: AttemptResult = { kind: "notRun", reason: RejectionReason.NoServer };
@@ -252,7 +255,12 @@
         caller: request.caller,
         findRejection: (head, isReused) => classifier.findRejection(request.id, server, head, isReused),
       });
-      return classifier.classify(server, result, clock.now() - startedAt);
+      const latencyMs = clock.now() - startedAt;
+      const { route, service } = request;
+      if (result.kind === "answered") {
+        costs.record(route, service.name, latencyMs);
+      }
+      return classifier.classify(server, result, latencyMs, costs.getWeight(route, service.name));
     } finally {
       finish();
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -45,6 +45,7 @@
 import type { CallerProtocol, ServerProtocol } from "./protocols";
 import { createPermitExchange } from "./permitExchange";
 import { createRetryBudgetShare } from "./retryBudgetShare";
+import { createRouteCosts } from "./routeCosts";
 import { createRoutingState } from "./routingState";
 import { createServerAdmission } from "./serverAdmission";
 import { createServerBackOff } from "./serverBackOff";
@@ -177,7 +178,7 @@
     decode: options.decodeServer,
     getColdMs: (service) => findPolicy(service)?.coldMs ?? 0,
   });
-  const loads = createServerLoads(clock);
+  const loads = createServerLoads(clock, (name) => directory.get(name)?.service);
   const rateLimits = createServerRateLimits({ directory, clock, logger });
   const connections = createServerConnections(clock, (server) => {
     const maxConnections = findPolicy(server.service)?.maxConnections ?? 1;
@@ -200,6 +201,7 @@
   const coldAdmission = createColdAdmission(clock, random, () => freshness.getClusterSize());
   const backOff = createServerBackOff(clock, logger);
   const ownerShares = createOwnerShares(clock);
+  const costs = createRouteCosts();
   const admission = createServerAdmission({
     directory,
     connections,
@@ -208,6 +210,7 @@
     backOff,
     coldAdmission,
     ownerShares,
+    costs,
     leavingOwnerMs: limits.drainMs * LEAVING_OWNER_SHARE,
     clock,
     random,
@@ -218,8 +221,8 @@
       findOwner: (service, key) => owners.findOwner(service, key),
       getVersion: (service) => owners.getVersion(service),
       waitForChange: (service, waitMs) => owners.waitForChange(service, waitMs),
-      recordRequest: (service, key) => {
-        loadReporter.record(service, key);
+      recordRequest: (service, key, weight) => {
+        loadReporter.record(service, key, weight);
       },
     },
     connections,
@@ -229,6 +232,7 @@
     permits,
     admission,
     subsets: createServerSubsets(options.daemon, options.dataCentre),
+    costs,
     retryBudget: createRetryBudgetShare(
       clock,
       { ratio: limits.retryRatio, windowMs: limits.retryWindowMs, slack: limits.retrySlack },
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -11,6 +11,7 @@
 export * from "./permitPool";
 export * from "./protocols";
 export * from "./retryBudgetShare";
+export * from "./routeCosts";
 export * from "./routeMatcher";
 export * from "./routingState";
 export * from "./serverAdmission";
--- a/src/gateway/serverAdmission.ts
+++ b/src/gateway/serverAdmission.ts
@@ -6,6 +6,7 @@
 import type { ColdAdmission } from "./coldAdmission";
 import type { RoutedRequest } from "./dispatchTypes";
 import type { PermitExchange } from "./permitExchange";
+import type { RouteCosts } from "./routeCosts";
 import type { ServerBackOff } from "./serverBackOff";
 import type { ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
@@ -48,6 +49,7 @@
   readonly backOff: Pick<ServerBackOff, "getRemainingMs">;
   readonly coldAdmission: Pick<ColdAdmission, "tryAcquire" | "getWaitMs">;
   readonly ownerShares: Pick<OwnerShares, "find">;
+  readonly costs: Pick<RouteCosts, "getWeight">;
   /**
    * Time for which the owner of keys still gets requests after it has said that it is leaving, in milliseconds. Its
    * keys move to other owners meanwhile.
@@ -98,11 +100,12 @@
   }
 
   /** Returns whether the server is not expected to answer in time. One without a queue is never too busy. */
-  function isTooBusy({ route, deadlineAt }: RoutedRequest, server: DiscoveredServer): boolean {
+  function isTooBusy({ route, service, deadlineAt }: RoutedRequest, server: DiscoveredServer): boolean {
     const remainingMs = deadlineAt - clock.now();
     const usefulMs = Math.min(remainingMs, route.objectiveMs ?? remainingMs) * OBJECTIVE_SHARE;
     const waitMs = loads.estimateWaitMs(server.name, server.slots);
-    const expectedMs = waitMs + PROCESSING_TIME_MARGIN * loads.getProcessingMs(server.name);
+    const processingMs = loads.getProcessingMs(server.name) * options.costs.getWeight(route, service.name);
+    const expectedMs = waitMs + PROCESSING_TIME_MARGIN * processingMs;
     return waitMs > 0 && expectedMs > usefulMs;
   }
 
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/serverLoads.ts
@@ -1,5 +1,5 @@
 /** Estimates the load and failures of backend servers from the answers that pass through this daemon. */
-import type { Clock, ServerName } from "../types";
+import type { Clock, ServerName, ServiceName } from "../types";
 import type { ServerLoad } from "./protocols";
 
 /**
@@ -16,13 +16,20 @@
 /** An unreachable server is tried again by one request after this time, doubled up to the maximum. */
 const INITIAL_UNREACHABLE_PAUSE_MS = 400;
 const MAX_UNREACHABLE_PAUSE_MS = 2000;
-/** Processing time that is assumed until the first answer of a server. */
+/** Processing time that is assumed until the first answer of a service. */
 const DEFAULT_PROCESSING_MS = 100;
+/** Weight of an answer in the usual processing time of its service, which counts for servers without answers. */
+const USUAL_TIME_WEIGHT = 0.05;
+/** A server that has not answered for this multiple of its processing time is taken to have a queue, or to be hung. */
+const SILENCE_RATIO = 2;
 /** Share of busy slots that is assumed without a recent report. */
 const DEFAULT_UTILISATION = 0.4;
 
 interface ServerView {
-  ownInFlight: number;
+  readonly server: ServerName;
+  /** Start times of this daemon's requests in flight, in order. */
+  readonly startTimes: number[];
+  answeredAt: number;
   load: ServerLoad | undefined;
   loadAt: number;
   processingMs: number | undefined;
@@ -39,8 +46,8 @@
   startRequest(server: ServerName): () => void;
   /** Records the load that an answer reported. */
   recordLoad(server: ServerName, load: ServerLoad): void;
-  /** Records an answer and its latency in milliseconds. */
-  recordAnswer(server: ServerName, latencyMs: number): void;
+  /** Records an answer, its latency in milliseconds, and the work of its request relative to the service's others. */
+  recordAnswer(server: ServerName, latencyMs: number, weight: number): void;
   /** Records that an answer was a failure, incomplete or missing. */
   recordFailure(server: ServerName): void;
   /** Records that no connection could be made. */
@@ -69,34 +76,43 @@
  * Creates the estimates, without any report yet.
  *
  * @param clock - Clock that the age of reports is measured by.
+ * @param findService - Returns the service of a server; undefined when it is not known.
  * @returns The estimates.
  */
-export function createServerLoads(clock: Clock): ServerLoads {
+export function createServerLoads(
+  clock: Clock,
+  findService: (server: ServerName) => ServiceName | undefined,
+): ServerLoads {
   const views = new Map<ServerName, ServerView>();
+  const usualMs = new Map<ServiceName, number>();
 
   return {
     startRequest: (server) => {
-      const view = getView(server);
-      view.ownInFlight += 1;
+      const { startTimes } = getView(server);
+      const startedAt = clock.now();
+      startTimes.push(startedAt);
       return () => {
-        view.ownInFlight -= 1;
+        startTimes.splice(startTimes.indexOf(startedAt), 1);
       };
     },
     recordLoad: (server, load) => {
       const view = getView(server);
       view.load = load;
       view.loadAt = clock.now();
+      view.answeredAt = clock.now();
       view.unreachableCount = 0;
     },
-    recordAnswer: (server, latencyMs) => {
+    recordAnswer: (server, latencyMs, weight) => {
       const view = getView(server);
       const waitMs = view.load === undefined ? 0 : estimateWaitMs(view, view.load.slots);
-      const processingMs = Math.max(1, latencyMs - waitMs);
+      const processingMs = Math.max(1, latencyMs - waitMs) / weight;
       view.processingMs =
         view.processingMs === undefined
           ? processingMs
           : view.processingMs + (processingMs - view.processingMs) * PROCESSING_TIME_WEIGHT;
+      recordUsual(server, processingMs);
       view.answers += 1;
+      view.answeredAt = clock.now();
       view.failureShare = getFailureShare(view) * (1 - FAILURE_WEIGHT);
       view.failureAt = clock.now();
       view.unreachableCount = 0;
@@ -120,7 +136,9 @@
     },
     isReachable: (server) => {
       const view = getView(server);
-      return view.unreachableCount === 0 || (clock.now() >= view.unreachableUntil && view.ownInFlight === 0);
+      return (
+        view.unreachableCount === 0 || (clock.now() >= view.unreachableUntil && view.startTimes.length === 0)
+      );
     },
     estimateLatencyMs: (server, slots) => {
       const view = getView(server);
@@ -131,12 +149,12 @@
       const view = getView(server);
       return view.load === undefined ? undefined : Math.round(clock.now() - view.loadAt);
     },
-    getProcessingMs: (server) => views.get(server)?.processingMs ?? DEFAULT_PROCESSING_MS,
+    getProcessingMs: (server) => getProcessingMs(getView(server)),
     countAnswers: (server) => views.get(server)?.answers ?? 0,
     getFailureShare: (server) => getFailureShare(getView(server)),
     retain: (isPresent) => {
       for (const [name, view] of views) {
-        if (!isPresent(name) && view.ownInFlight === 0) {
+        if (!isPresent(name) && view.startTimes.length === 0) {
           views.delete(name);
         }
       }
@@ -147,7 +165,9 @@
     let view = views.get(server);
     if (view === undefined) {
       view = {
-        ownInFlight: 0,
+        server,
+        startTimes: [],
+        answeredAt: Number.NEGATIVE_INFINITY,
         load: undefined,
         loadAt: Number.NEGATIVE_INFINITY,
         processingMs: undefined,
@@ -170,15 +190,37 @@
   function estimateProcessingMs(view: ServerView): number {
     const slowness = view.load?.slowness ?? 1;
     const weight = getReportWeight(view, SLOWNESS_HALF_LIFE_MS);
-    return (view.processingMs ?? DEFAULT_PROCESSING_MS) * (weight * slowness + (1 - weight));
+    return getProcessingMs(view) * (weight * slowness + (1 - weight));
+  }
+
+  /** A server without answers is expected to be like the others: if it seemed faster, all daemons would choose it. */
+  function getProcessingMs(view: ServerView): number {
+    const service = findService(view.server);
+    const usual = service === undefined ? undefined : usualMs.get(service);
+    return view.processingMs ?? usual ?? DEFAULT_PROCESSING_MS;
+  }
+
+  function recordUsual(server: ServerName, processingMs: number): void {
+    const service = findService(server);
+    if (service !== undefined) {
+      const known = usualMs.get(service) ?? processingMs;
+      usualMs.set(service, known + (processingMs - known) * USUAL_TIME_WEIGHT);
+    }
   }
 
   function estimateWaitMs(view: ServerView, slots: number): number {
     const weight = getReportWeight(view, QUEUE_HALF_LIFE_MS);
     const reported = view.load === undefined ? 0 : view.load.running + view.load.waiting;
     const occupied = weight * reported + (1 - weight) * slots * DEFAULT_UTILISATION;
-    const ahead = Math.max(occupied, view.ownInFlight);
-    return (Math.max(0, ahead + 1 - slots) / slots) * estimateProcessingMs(view);
+    const ahead = Math.max(occupied, view.startTimes.length);
+    const queueMs = (Math.max(0, ahead + 1 - slots) / slots) * estimateProcessingMs(view);
+    return Math.max(queueMs, getSilenceMs(view) - SILENCE_RATIO * getProcessingMs(view));
+  }
+
+  /** Returns for how long a request of this daemon has been in flight while the server answered nothing. */
+  function getSilenceMs({ startTimes, answeredAt }: ServerView): number {
+    const [oldest] = startTimes;
+    return oldest === undefined ? 0 : clock.now() - Math.max(oldest, answeredAt);
   }
 
   function getFailureShare(view: ServerView): number {
--- a/src/keyRanges/loadReporter.ts
+++ b/src/keyRanges/loadReporter.ts
@@ -26,8 +26,8 @@
         .min(0)
         .max(KEY_COUNT - 1),
     ),
-    /** Number of requests for each of the keys since the last report. */
-    requests: z.array(z.int().positive()),
+    /** Number of requests for each of the keys since the last report, weighted by their work. */
+    requests: z.array(z.number().positive()),
   })
   .refine(
     (report) => report.keys.length === report.requests.length,
@@ -48,8 +48,8 @@
 
 /** Reports this daemon's requests to the coordinator. */
 export interface LoadReporter {
-  /** Records a request for a key. */
-  record(service: ServiceName, key: number): void;
+  /** Records a request for a key, and its work relative to the service's other requests. */
+  record(service: ServiceName, key: number, weight: number): void;
   /** Sends reports until aborted. */
   run(signal: AbortSignal): Promise<void>;
 }
@@ -71,10 +71,10 @@
   });
 
   return {
-    record: (service, key) => {
+    record: (service, key, weight) => {
       const keys = pending.get(service) ?? new Map<number, number>();
       pending.set(service, keys);
-      keys.set(key, (keys.get(key) ?? 0) + 1);
+      keys.set(key, (keys.get(key) ?? 0) + weight);
     },
     run: (signal) =>
       repeat(
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -15,6 +15,7 @@
   createDispatcher,
   createPermitExchange,
   createRetryBudgetShare,
+  createRouteCosts,
   createServerAdmission,
   createServerBackOff,
   createServerConnections,
@@ -142,7 +143,7 @@
 ): Dispatcher {
   const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
   const connections = createServerConnections(clock, () => 4);
-  const loads = createServerLoads(clock);
+  const loads = createServerLoads(clock, (name) => directory.get(name)?.service);
   const backOff = createServerBackOff(clock, silentLogger);
   const permits = createPermitExchange({
     channel: createDatagramChannel(unconnectedTransport, createCounters("test")),
@@ -170,6 +171,7 @@
     backOff,
     permits,
     subsets: createServerSubsets("d1", "a"),
+    costs: createRouteCosts(),
     admission: createServerAdmission({
       directory,
       connections,
@@ -182,6 +184,7 @@
         () => 1,
       ),
       ownerShares: { find: () => 1 },
+      costs: { getWeight: () => 1 },
       leavingOwnerMs: LEAVING_OWNER_MS,
       clock,
       random: createRandom(SEED),
