--- a/standins/edge/backendServer.ts
+++ b/standins/edge/backendServer.ts
@@ -38,6 +38,10 @@
 export interface RunRecord {
   readonly requestId: string;
   readonly server: string;
+  /** Start of the server's process. */
+  readonly bornAt: number;
+  /** Whether the server says in the answer that it is leaving. */
+  readonly saysLeaving: boolean;
   readonly service: string;
   readonly isUnsafe: boolean;
   /** When the server read the request, which may then have waited in its queue. */
@@ -55,9 +59,18 @@
   readonly since: number;
 }
 
+/** A refusal with which a server asks a daemon for no requests for a time. */
+export interface BackOffRecord {
+  readonly requestId: string;
+  readonly server: string;
+  readonly at: number;
+  readonly durationMs: number;
+}
+
 /** Callbacks for events at the servers. */
 export interface ServerObserver {
   onRunStarted(run: RunRecord): void;
+  onBackOff(backOff: BackOffRecord): void;
   /** Called when a server is granted a key that another server still owns. */
   onOwnershipConflict(detail: string): void;
 }
@@ -67,6 +80,10 @@
   readonly options: EdgeServerOptions;
   /** Announces that the server is draining. */
   drain(): void;
+  /** Says in all answers that the server is leaving, while its entry says that it is ready. */
+  sayLeaving(): void;
+  /** Refuses all requests for a time, in seconds, and asks for none until its end. */
+  backOff(seconds: number): void;
   /** Names a limit of requests per second in all answers, or none if undefined. */
   setRateLimit(requestsPerSecond: number | undefined): void;
   /** Stops without notice: resets connections and lets the entry expire. Does nothing when not up. */
@@ -109,6 +126,9 @@
   let drainingSince: number | undefined;
   let isUp = true;
   let rateLimit: RateLimit | undefined;
+  let saysLeaving = false;
+  /** End of the time for which no requests are wanted. */
+  let backOffUntil = 0;
   let advertisedPort: number | undefined;
   let expiryTimer: NodeJS.Timeout | undefined;
   const sockets = new Set<Socket>();
@@ -131,6 +151,12 @@
       drainingSince = performance.now();
       register();
     },
+    sayLeaving: () => {
+      saysLeaving = true;
+    },
+    backOff: (seconds) => {
+      backOffUntil = performance.now() + seconds * MILLISECONDS_PER_SECOND;
+    },
     setRateLimit: (requestsPerSecond) => {
       rateLimit =
         requestsPerSecond === undefined ? undefined : { requestsPerSecond, since: performance.now() };
@@ -167,6 +193,8 @@
       running = 0;
       drainingSince = undefined;
       rateLimit = undefined;
+      saysLeaving = false;
+      backOffUntil = 0;
       bornAt = Date.now();
       server = await listen(address.port);
       isUp = true;
@@ -300,6 +328,16 @@
     const rateLimitOnArrival = rateLimit;
     response.setHeader(WireHeader.RequestId, requestId);
     response.setHeader(WireHeader.Load, `${running},${queue.length},${options.slots}`);
+    if (saysLeaving) {
+      response.setHeader(WireHeader.Leaving, "1");
+    }
+    const backOffMs = backOffUntil - arrivedAt;
+    if (backOffMs > 0) {
+      observer.onBackOff({ requestId, server: options.name, at: arrivedAt, durationMs: backOffMs });
+      response.setHeader(WireHeader.RetryAfter, (backOffMs / MILLISECONDS_PER_SECOND).toFixed(3));
+      refuse(response, Status.NotRun);
+      return;
+    }
     if (rateLimit !== undefined) {
       response.setHeader(WireHeader.RateLimit, rateLimit.requestsPerSecond);
     }
@@ -327,6 +365,8 @@
     observer.onRunStarted({
       requestId,
       server: options.name,
+      bornAt,
+      saysLeaving,
       service: options.service,
       isUnsafe: request.method === "POST",
       arrivedAt,
--- a/standins/soak/daemons.ts
+++ b/standins/soak/daemons.ts
@@ -23,6 +23,10 @@
    * reload, or recorded disturbance.
    */
   isUndisturbedFor(ms: number): boolean;
+  /** Returns whether the daemon was told to stop and has not started again. */
+  isStopping(): boolean;
+  /** Returns the local time of the latest disturbance. */
+  getDisturbedAt(): number;
   isReady(): Promise<boolean>;
   /** Records a disturbance from outside the process, such as a fault of its store endpoint. */
   recordDisturbance(): void;
@@ -68,6 +72,7 @@
   let disturbedAt = performance.now();
   let isClosed = false;
   let isPaused = false;
+  let isStopping = false;
   let child = startProcess();
 
   return {
@@ -76,6 +81,8 @@
     host: options.host,
     url: `http://${options.host}:${Port.callers}`,
     isUndisturbedFor: (ms) => !isPaused && performance.now() - disturbedAt >= ms,
+    isStopping: () => isStopping,
+    getDisturbedAt: () => (isPaused ? performance.now() : disturbedAt),
     isReady: async () => {
       try {
         const url = `http://${options.host}:${Port.readiness}${WirePath.Ready}`;
@@ -99,6 +106,7 @@
       signal("SIGKILL");
     },
     terminate: () => {
+      isStopping = true;
       signal("SIGTERM");
     },
     reload: () => {
@@ -140,6 +148,7 @@
       if (!isClosed) {
         setTimeout(() => {
           recordDisturbance();
+          isStopping = false;
           writeFileSync(settingsFile, createSettings(options, false));
           child = isClosed ? child : startProcess();
         }, RESTART_DELAY_MS);
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -4,6 +4,7 @@
 import {
   type EdgeServer,
   type EdgeServerOptions,
+  type BackOffRecord,
   type RunRecord,
   startEdgeServer,
 } from "../edge/backendServer";
@@ -60,6 +61,8 @@
   readonly folder: string;
   /** Requests that backend servers have started to run. */
   readonly runs: readonly RunRecord[];
+  /** Refusals with which backend servers asked for no requests for a time. */
+  readonly backOffs: readonly BackOffRecord[];
   /** Descriptions of keys that two backend servers owned at once. */
   readonly ownershipConflicts: readonly string[];
   /** Writes the next version of the configuration, which adds a route and keeps all earlier ones. */
@@ -91,6 +94,7 @@
   const store = createEdgeObjectStore(Math.random);
   const folder = createSoakFolder();
   const runs: RunRecord[] = [];
+  const backOffs: BackOffRecord[] = [];
   const ownershipConflicts: string[] = [];
   const servers: ProxiedServer[] = [];
   const daemons: ConnectedDaemon[] = [];
@@ -99,6 +103,7 @@
   for (const options of listServerOptions()) {
     const server = await startEdgeServer(options, store, () => servers.map((each) => each.server), {
       onRunStarted: (run) => runs.push(run),
+      onBackOff: (backOff) => backOffs.push(backOff),
       onOwnershipConflict: (detail) => ownershipConflicts.push(detail),
     });
     const proxy = await startLinkProxy(server.getPort);
@@ -130,6 +135,7 @@
     daemons,
     folder,
     runs,
+    backOffs,
     ownershipConflicts,
     writeConfiguration,
     writeConfigurationSeries,
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -5,6 +5,7 @@
 import { sleep, systemClock } from "../../src/types";
 import { startDeployment } from "./deployment";
 import { MAX_FAULT_MS, createFaultInjector } from "./faults";
+import { createPipeliningCallers } from "./pipeliningCallers";
 import { findBrokenPromises } from "./promises";
 import { createSoakCallers } from "./soakCallers";
 
@@ -46,7 +47,7 @@
 export async function runSoak({ seed, faultsMs, checksTimeBounds }: SoakOptions): Promise<SoakResult> {
   const randomInt = createRandomInt(seed);
   const deployment = await startDeployment(seed, randomInt);
-  const injector = createFaultInjector(deployment, randomInt);
+  const injector = createFaultInjector(deployment, randomInt, createRandomInt(seed + 3));
   const callers = createSoakCallers({
     seed,
     // A generator of its own: the number of requests must not change which faults a seed injects.
@@ -56,7 +57,12 @@
     findAddedRoute: (ms) => deployment.findAddedRoute(ms),
   });
   const stopLoad = new AbortController();
-  const load = callers.run(stopLoad.signal);
+  const pipelining = createPipeliningCallers({
+    seed,
+    randomInt: createRandomInt(seed + 2),
+    daemons: deployment.daemons,
+  });
+  const load = Promise.all([callers.run(stopLoad.signal), pipelining.run(stopLoad.signal)]);
   const delays = monitorEventLoopDelay();
   delays.enable();
   try {
@@ -67,7 +73,7 @@
     stopLoad.abort();
     await load;
     const { attempts } = callers;
-    const { runs, ownershipConflicts, folder } = deployment;
+    const { runs, backOffs, ownershipConflicts, folder } = deployment;
     return {
       seed,
       requests: attempts.length,
@@ -77,6 +83,8 @@
       brokenPromises: findBrokenPromises({
         attempts,
         runs,
+        backOffs,
+        series: pipelining.series,
         ownershipConflicts,
         // A fault that disturbs a link may have started before the request and ended after it.
         wereLinksUndisturbed: (attempt, run) =>
