--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -169,7 +169,8 @@
     const subset = options.subsets.choose(service.name, servers);
     const objectiveMs = route.objectiveMs ?? request.deadlineAt - clock.now();
     const isPrompt = ({ name, slots }: DiscoveredServer) =>
-      loads.estimateWaitMs(name, slots) <= objectiveMs * MAX_SUBSET_WAIT_SHARE;
+      loads.estimateLatencyMs(name, slots) - loads.getProcessingMs(name) <=
+      objectiveMs * MAX_SUBSET_WAIT_SHARE;
     const preferred = subset === servers ? [] : subset.filter(isPrompt);
     const selection = selectAmong(preferred, request, tried, denied);
     return selection.kind === "server" ? selection : selectAmong(servers, request, tried, denied);
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/serverLoads.ts
@@ -22,6 +22,8 @@
 const USUAL_TIME_WEIGHT = 0.05;
 /** A server that has not answered for this multiple of its processing time is taken to have a queue, or to be hung. */
 const SILENCE_RATIO = 2;
+/** With fewer requests in flight, one that takes long explains the silence. */
+const MIN_SILENT_REQUESTS = 3;
 /** Share of busy slots that is assumed without a recent report. */
 const DEFAULT_UTILISATION = 0.4;
 
@@ -142,7 +144,7 @@
     },
     estimateLatencyMs: (server, slots) => {
       const view = getView(server);
-      return estimateWaitMs(view, slots) + estimateProcessingMs(view);
+      return Math.max(estimateWaitMs(view, slots), getExcessSilenceMs(view)) + estimateProcessingMs(view);
     },
     estimateWaitMs: (server, slots) => estimateWaitMs(getView(server), slots),
     findLoadAgeMs: (server) => {
@@ -214,13 +216,16 @@
     const occupied = weight * reported + (1 - weight) * slots * DEFAULT_UTILISATION;
     const ahead = Math.max(occupied, view.startTimes.length);
     const queueMs = (Math.max(0, ahead + 1 - slots) / slots) * estimateProcessingMs(view);
-    return Math.max(queueMs, getSilenceMs(view) - SILENCE_RATIO * getProcessingMs(view));
+    return view.startTimes.length < MIN_SILENT_REQUESTS
+      ? queueMs
+      : Math.max(queueMs, getExcessSilenceMs(view));
   }
 
-  /** Returns for how long a request of this daemon has been in flight while the server answered nothing. */
-  function getSilenceMs({ startTimes, answeredAt }: ServerView): number {
-    const [oldest] = startTimes;
-    return oldest === undefined ? 0 : clock.now() - Math.max(oldest, answeredAt);
+  /** Returns by how much a request of this daemon is in flight for longer than usual while nothing is answered. */
+  function getExcessSilenceMs(view: ServerView): number {
+    const [oldest] = view.startTimes;
+    const silenceMs = oldest === undefined ? 0 : clock.now() - Math.max(oldest, view.answeredAt);
+    return Math.max(0, silenceMs - SILENCE_RATIO * getProcessingMs(view));
   }
 
   function getFailureShare(view: ServerView): number {
