--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -1,6 +1,6 @@
 /** Connections to backend servers: sends a request and reports whether it was answered or may have run. */
 import {
-  Agent,
+  type Agent,
   type ClientRequest,
   type IncomingMessage,
   type OutgoingHttpHeaders,
@@ -12,21 +12,12 @@
 import { describeError } from "../errors";
 import { type CallerWatch, discardBody } from "../http";
 import { type Clock, formatAddress } from "../types";
+import { readBody } from "./answerBody";
 import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
+import { createKeptConnections } from "./keptConnections";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
 const CONNECT_TIMEOUT_MS = 300;
-/** Maximum idle time of a connection that is reused, unless its server states a timeout. */
-const MAX_IDLE_MS = 4000;
-/** The same if the server states a timeout that is longer by {@link IDLE_MARGIN_MS}. */
-const MAX_STATED_IDLE_MS = 8000;
-/** A connection is not used in the last part of its stated timeout, in which its server may be closing it. */
-const IDLE_MARGIN_MS = 1500;
-/**
- * A backend server may have dropped a connection that was idle for longer than this. A request that must not run twice
- * would be lost on it: only its head is sent at first, which cannot run, but meets the reset of a dropped connection.
- */
-const MAX_IDLE_UNCONFIRMED_MS = 250;
 /**
  * A server resets connections beyond those that it accepts, and those that it has dropped. After this time, which is
  * more than a round trip between data centres and the server's own handshake, the reset would have arrived.
@@ -36,11 +27,8 @@
 const TURNED_AWAY_PAUSE_MS = 250;
 /** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
 const TURNED_AWAY_MEMORY_MS = 3000;
-/** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
-const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 /** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
 const MAX_INTERIM_ANSWERS = 16;
-const MILLISECONDS_PER_SECOND = 1000;
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
@@ -120,19 +108,15 @@
   getMaxConnections: (server: DiscoveredServer) => number,
 ): ServerConnections {
   const pools = new Map<string, ServerPool>();
-  const idleSince = new WeakMap<Socket, number>();
-  /** Maximum idle time of each connection, in milliseconds. */
-  const maxIdleMs = new WeakMap<Socket, number>();
+  const kept = createKeptConnections(clock);
   const failedSockets = new WeakSet<Socket>();
-  /** Identifier of the last request on each connection. */
-  const lastRequests = new WeakMap<Socket, string>();
   let openedCount = 0;
 
   return {
     send,
     hasRoom: (server) => {
       const pool = getPool(server);
-      const mayOpen = clock.now() - pool.turnedAwayAt >= TURNED_AWAY_PAUSE_MS || hasIdle(pool.agent);
+      const mayOpen = clock.now() - pool.turnedAwayAt >= TURNED_AWAY_PAUSE_MS || kept.hasAny(pool.agent);
       return mayOpen && pool.inFlight < getMaxConnections(server);
     },
     retain: (servers) => {
@@ -154,12 +138,12 @@
 
   async function send(outgoing: OutgoingRequest): Promise<SendResult> {
     const pool = getPool(outgoing.server);
-    closeUnfit(pool.agent, outgoing);
+    kept.closeUnfit(pool.agent, outgoing);
     pool.inFlight += 1;
     const firstResult = await exchange(pool, outgoing);
     if (firstResult.kind === "dropped") {
       // The other idle connections are likely to be dropped, too.
-      listIdle(pool.agent).forEach((socket) => socket.destroy());
+      kept.closeAll(pool.agent);
     }
     const result = firstResult.kind === "dropped" ? await exchange(pool, outgoing) : firstResult;
     onTransferEnd(result, () => {
@@ -221,7 +205,7 @@
           cancelConnectTimeout?.();
           sendRequest();
         }
-        maxIdleMs.set(answer.socket, readMaxIdleMs(answer));
+        kept.recordAnswer(answer);
         const rejection = outgoing.findRejection(answer, clientRequest.reusedSocket);
         if (rejection === undefined) {
           void receive(answer);
@@ -249,8 +233,7 @@
       }
 
       function onSocket(socket: Socket): void {
-        socket.removeListener("data", destroyOnData);
-        lastRequests.set(socket, outgoing.id);
+        kept.recordUse(socket, outgoing.id);
         if (!socket.connecting) {
           sendOnKeptConnection(socket);
           return;
@@ -274,8 +257,7 @@
       }
 
       function sendOnKeptConnection(socket: Socket): void {
-        const idleMs = clock.now() - (idleSince.get(socket) ?? clock.now());
-        if (outgoing.isIdempotent || idleMs <= MAX_IDLE_UNCONFIRMED_MS) {
+        if (outgoing.isIdempotent || !kept.mayBeDropped(socket)) {
           sendRequest();
           return;
         }
@@ -377,56 +359,11 @@
     let pool = pools.get(address);
     if (pool === undefined) {
       const never = Number.NEGATIVE_INFINITY;
-      pool = { agent: createAgent(), inFlight: 0, turnedAwayAt: never, suspectedAt: never };
+      pool = { agent: kept.createAgent(), inFlight: 0, turnedAwayAt: never, suspectedAt: never };
       pools.set(address, pool);
     }
     return pool;
   }
-
-  function createAgent(): Agent {
-    const agent = new Agent({ keepAlive: true, scheduling: "lifo", noDelay: true });
-    agent.on("free", (socket: Socket) => {
-      idleSince.set(socket, clock.now());
-      // Data without a pending request means that answers no longer match requests on this connection.
-      socket.on("data", destroyOnData);
-    });
-    return agent;
-  }
-
-  /**
-   * Closes idle connections on which a request must not be sent: those that the server may have dropped, and one that
-   * carried the same request before, on which a repeated answer would pass for the new one.
-   */
-  function closeUnfit(agent: Agent, { id, isIdempotent, body }: OutgoingRequest): void {
-    const now = clock.now();
-    // Without a body, the head is the whole request and may run.
-    const isConfirmable = isIdempotent || body.byteLength > 0;
-    for (const socket of listIdle(agent)) {
-      const idleMs = now - (idleSince.get(socket) ?? now);
-      const limitMs = isConfirmable ? (maxIdleMs.get(socket) ?? MAX_IDLE_MS) : MAX_IDLE_UNCONFIRMED_MS;
-      if (idleMs > limitMs || lastRequests.get(socket) === id) {
-        socket.destroy();
-      }
-    }
-  }
-}
-
-/** Returns for how long a connection may be idle, from the timeout that its server states. */
-function readMaxIdleMs({ headers }: IncomingMessage): number {
-  const [, seconds] = /timeout=(\d{1,6})/.exec(String(headers["keep-alive"] ?? "")) ?? [];
-  if (seconds === undefined) {
-    return MAX_IDLE_MS;
-  }
-  const statedMs = Number(seconds) * MILLISECONDS_PER_SECOND;
-  return Math.min(MAX_STATED_IDLE_MS, Math.max(0, statedMs - IDLE_MARGIN_MS));
-}
-
-function listIdle(agent: Agent): readonly Socket[] {
-  return Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
-}
-
-function hasIdle(agent: Agent): boolean {
-  return listIdle(agent).some((socket) => !socket.destroyed);
 }
 
 /** Calls back when nothing more is to be received: at once, or at the end of the answer that is streamed. */
@@ -437,40 +374,3 @@
     callback();
   }
 }
-
-function destroyOnData(this: Socket): void {
-  this.destroy();
-}
-
-/** Reads an answer until its end, or until it exceeds the size up to which answers are buffered. */
-function readBody(answer: IncomingMessage): Promise<AnswerBody> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.byteLength;
-      if (bytes > MAX_BUFFERED_ANSWER_BYTES) {
-        answer.pause();
-        answer.removeListener("data", onData);
-        resolve({ kind: "streamed", head: chunks, rest: answer });
-      }
-    };
-    answer.on("data", onData);
-    answer.once("end", () => {
-      resolve({ kind: isFramed(answer) ? "whole" : "unframed", content: Buffer.concat(chunks, bytes) });
-    });
-    answer.once("error", reject);
-    answer.once("close", () => {
-      reject(new Error("connection closed before the end of the answer"));
-    });
-  });
-}
-
-const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
-function isFramed(answer: IncomingMessage): boolean {
-  const { headers, statusCode = 0 } = answer;
-  const hasLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  return hasLength || STATUS_WITHOUT_BODY.has(statusCode);
-}
