Compare how far daemons follow the changes, not only whether their states differ

Change: a reply says up to which version the coordinator knows the changes; the time of a difference starts again when a daemon has reached the version at which it began. One that is stuck, falls behind or has the version but another state polls after 0.7 s as before.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -59,6 +59,8 @@
 });
 const replySchema = z.object({
   digests: digestsSchema,
+  /** Versions up to which the coordinator knows the changes; daemons of earlier versions send none. */
+  versions: z.record(z.string(), z.number()).default({}),
   /** Version of the coordinator's lease, which the coordinator holds when it sends the reply. */
   leaseVersion: z.int(),
   /** Number of daemons; null until the coordinator has heard from all of them. */
@@ -114,6 +116,14 @@
   readonly receivedAt: number;
 }
 
+/** A difference between this daemon's state and the expected one. */
+interface Difference {
+  /** Local time since which this daemon has not reached the version. */
+  readonly since: number;
+  /** The expected version when the difference was found. */
+  readonly version: Version;
+}
+
 /** States that other daemons sent to this one. */
 export interface PeerStates {
   /** Records a daemon's state in place of its previous one. */
@@ -177,7 +187,7 @@
  */
 export function createFreshnessCheck(options: FreshnessCheckOptions): FreshnessCheck {
   const { channel, clock, watchers, peers } = options;
-  const differsSince = new Map<string, number>();
+  const differences = new Map<string, Difference>();
   const refreshedAt = new Map<string, number>();
   /** Last contact with the coordinator or, on the coordinator, with another daemon. */
   let contactAt = clock.now();
@@ -196,6 +206,7 @@
       const daemons = countDaemons();
       channel.send(state.address, MessageKind.Reply, {
         digests: computeReferenceDigests(),
+        versions: Object.fromEntries(watchers.map((watcher) => [watcher.prefix, watcher.getVersion()])),
         leaseVersion: options.getLeaseVersion(),
         daemons,
         largestProcessors: computeLargestProcessors(),
@@ -214,7 +225,10 @@
     options.departures.merge(reply.departures);
     options.ownerShares.replace(reply.ownerShares);
     options.confirmLease(reply.leaseVersion);
-    compareDigests((prefix) => reply.digests[prefix]);
+    compareDigests(
+      (prefix) => reply.digests[prefix],
+      (prefix) => reply.versions[prefix] ?? 0,
+    );
   });
 
   return {
@@ -269,7 +283,10 @@
     const peerDigests = peers.getDigests();
     if (peerDigests.length > 0) {
       contactAt = clock.now();
-      compareDigests((prefix) => findMajority(peerDigests.map((each) => each[prefix])));
+      compareDigests(
+        (prefix) => findMajority(peerDigests.map((each) => each[prefix])),
+        () => 0,
+      );
     }
     refreshWithoutContact();
   }
@@ -281,29 +298,40 @@
     }
   }
 
-  function compareDigests(findExpected: (prefix: string) => number | undefined): void {
+  function compareDigests(
+    findExpected: (prefix: string) => number | undefined,
+    getExpectedVersion: (prefix: string) => Version,
+  ): void {
     for (const watcher of watchers) {
       const { prefix } = watcher;
       const digest = findExpected(prefix);
       if (digest === undefined) {
-        differsSince.delete(prefix);
+        differences.delete(prefix);
         continue;
       }
       if (digest === watcher.computeDigest()) {
-        differsSince.delete(prefix);
+        differences.delete(prefix);
         if (!options.isCoordinator()) {
           watcher.confirm();
         }
         continue;
       }
-      const since = differsSince.get(prefix) ?? clock.now();
-      differsSince.set(prefix, since);
-      if (clock.now() - since >= MAX_DIFFERENCE_MS) {
+      const difference = findDifference(watcher, getExpectedVersion(prefix));
+      differences.set(prefix, difference);
+      if (clock.now() - difference.since >= MAX_DIFFERENCE_MS) {
         refresh(watcher);
       }
     }
   }
 
+  /** While objects keep changing, states differ all the time; one that follows the changes is not stale. */
+  function findDifference(watcher: PrefixWatcher, expectedVersion: Version): Difference {
+    const known = differences.get(watcher.prefix);
+    const version = watcher.getVersion();
+    const hasFollowed = known !== undefined && version >= known.version && version < expectedVersion;
+    return known === undefined || hasFollowed ? { since: clock.now(), version: expectedVersion } : known;
+  }
+
   function refresh(watcher: PrefixWatcher): void {
     const last = refreshedAt.get(watcher.prefix) ?? Number.NEGATIVE_INFINITY;
     if (clock.now() - last >= REFRESH_INTERVAL_MS) {
--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -70,6 +70,8 @@
    * the state was last confirmed. Negative infinity while only stale answers were read.
    */
   getCurrentAt(): number;
+  /** Returns the version of the store up to which the changes are known; 0 when that is not known. */
+  getVersion(): Version;
   /** Records that the state equals the newest one, as another daemon knows it. */
   confirm(): void;
   /** Computes a digest of the known versions; equal digests almost certainly mean equal versions. */
@@ -109,6 +111,7 @@
   return {
     prefix,
     getCurrentAt: () => currentAt,
+    getVersion: () => since ?? 0,
     confirm: () => {
       currentAt = clock.now();
     },
--- a/src/keyRanges/assignmentFeed.ts
+++ b/src/keyRanges/assignmentFeed.ts
@@ -78,6 +78,7 @@
   return {
     prefix: ASSIGNMENT_PREFIX,
     getCurrentAt: () => currentAt,
+    getVersion: () => 0,
     confirm: () => {
       currentAt = clock.now();
     },
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -535,7 +535,11 @@
 describe("freshness check", () => {
   const LEASE_VERSION = 7;
 
-  function startDaemons(digests: readonly number[], currentAfterMs = 0) {
+  function startDaemons(
+    digests: readonly number[],
+    currentAfterMs = 0,
+    getVersion: (index: number, elapsedMs: number) => number = () => 0,
+  ) {
     const clock = createFakeClock();
     const network = createNetwork();
     const stop = new AbortController();
@@ -559,6 +563,7 @@
             prefix: "config/",
             getCurrentAt: () =>
               clock.now() >= startedAt + currentAfterMs ? clock.now() : Number.NEGATIVE_INFINITY,
+            getVersion: () => getVersion(index, clock.now() - startedAt),
             confirm: () => {
               currents.add(port);
             },
@@ -631,6 +636,31 @@
     stop.abort();
   });
 
+  // Guards against hundreds of daemons that all poll the store while servers come and go.
+  const lags = [
+    {
+      name: "follows the changes",
+      getVersion: (index: number, ms: number) => ms - index * 500,
+      polls: false,
+    },
+    {
+      name: "is ever further behind",
+      getVersion: (index: number, ms: number) => ms / (index + 1),
+      polls: true,
+    },
+    { name: "is stuck", getVersion: (index: number, ms: number) => (index === 0 ? ms : 5), polls: true },
+    { name: "has the version and another state", getVersion: (_: number, ms: number) => ms, polls: true },
+  ];
+  test.each(lags)(
+    "while objects keep changing, a daemon that $name polls: $polls",
+    async ({ getVersion, polls }) => {
+      const { clock, refreshes, stop } = startDaemons([1, 2], 0, getVersion);
+      await clock.advance(4000);
+      expect((refreshes[1] ?? 0) > 0).toBe(polls);
+      stop.abort();
+    },
+  );
+
   // Guards against stale state that counts as current because the coordinator's own was not read anew yet.
   test("daemons that agree with the coordinator know that their state is current, once its own is", async () => {
     const { clock, currents, stop } = startDaemons([1, 1, 2], 1000);
