A leaving owner in an excluded data centre serves no keys

Cause: the moment in which an owner that says that it leaves still serves its keys was granted whatever its entry and the exclusions say. Test: the case failed on ('admitted').

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -46,6 +46,8 @@
   getUsable(service: ServiceName): readonly DiscoveredServer[];
   /** Returns whether a server may get new work. */
   isUsable(server: DiscoveredServer): boolean;
+  /** Returns whether a server may get new work by its entry and the exclusions, whatever it says in answers. */
+  isListedUsable(server: DiscoveredServer): boolean;
   /** Returns whether a server is cold now. */
   isCold(server: DiscoveredServer): boolean;
   /** Records how long a server stays cold according to its own answer; never shortens the known time. */
@@ -125,6 +127,7 @@
     getByService: (service) => byService.get(service) ?? [],
     getUsable: (service) => usableByService.get(service) ?? [],
     isUsable,
+    isListedUsable,
     isCold: (server) => clock.now() < getColdUntil(server),
     recordCold: (name, coldForMs) => {
       const entry = entries.get(name);
@@ -151,8 +154,11 @@
   };
 
   function isUsable(server: DiscoveredServer): boolean {
-    const isReady = server.phase === ServerPhase.Ready && !excluded.has(server.dataCentre);
-    return isReady && leaving.findLeavingMs(server) === undefined;
+    return isListedUsable(server) && leaving.findLeavingMs(server) === undefined;
+  }
+
+  function isListedUsable(server: DiscoveredServer): boolean {
+    return server.phase === ServerPhase.Ready && !excluded.has(server.dataCentre);
   }
 
   /** Returns whether the statement is the first one of the process. */
--- a/src/gateway/serverAdmission.ts
+++ b/src/gateway/serverAdmission.ts
@@ -42,7 +42,7 @@
 
 /** Options for {@link createServerAdmission}. */
 export interface ServerAdmissionOptions {
-  readonly directory: Pick<ServerDirectory, "isUsable" | "isCold" | "findLeavingMs">;
+  readonly directory: Pick<ServerDirectory, "isUsable" | "isListedUsable" | "isCold" | "findLeavingMs">;
   readonly connections: Pick<ServerConnections, "hasRoom">;
   readonly loads: Pick<ServerLoads, "isReachable" | "estimateWaitMs" | "getProcessingMs">;
   readonly permits: Pick<PermitExchange, "isExhausted">;
@@ -71,8 +71,8 @@
   return { mayServeKeys, findObstacle };
 
   function mayServeKeys(server: DiscoveredServer): boolean {
-    const leavingMs = directory.findLeavingMs(server);
-    return directory.isUsable(server) || (leavingMs !== undefined && leavingMs < options.leavingOwnerMs);
+    const leavingMs = directory.findLeavingMs(server) ?? 0;
+    return directory.isListedUsable(server) && leavingMs < options.leavingOwnerMs;
   }
 
   function findObstacle(request: RoutedRequest, server: DiscoveredServer): Obstacle | undefined {
--- a/test/serverAdmission.test.ts
+++ b/test/serverAdmission.test.ts
@@ -6,7 +6,7 @@
 
 /** What is known of a server; all is well unless a case changes it. */
 const healthy = {
-  isUsable: true,
+  isListedUsable: true,
   leavingMs: undefined as number | undefined,
   isReachable: true,
   backOffMs: 0,
@@ -26,7 +26,8 @@
   const known = { ...healthy, ...change };
   const admission = createServerAdmission({
     directory: {
-      isUsable: () => known.isUsable,
+      isUsable: () => known.isListedUsable && known.leavingMs === undefined,
+      isListedUsable: () => known.isListedUsable,
       isCold: () => known.isCold,
       findLeavingMs: () => known.leavingMs,
     },
@@ -60,14 +61,20 @@
 const { Leaving, Unreachable, BackingOff, Overloaded, RateLimited, Cold } = RejectionReason;
 const cases: readonly AdmissionCase[] = [
   { name: "healthy", change: {}, keyless: "admitted", keyed: "admitted" },
-  { name: "draining or excluded", change: { isUsable: false }, keyless: Leaving, keyed: Leaving },
+  { name: "draining or excluded", change: { isListedUsable: false }, keyless: Leaving, keyed: Leaving },
   {
     name: "leaving since a moment ago",
-    change: { isUsable: false, leavingMs: 500 },
+    change: { leavingMs: 500 },
     keyless: Leaving,
     keyed: "admitted",
   },
-  { name: "leaving", change: { isUsable: false, leavingMs: 1500 }, keyless: Leaving, keyed: Leaving },
+  { name: "leaving", change: { leavingMs: 1500 }, keyless: Leaving, keyed: Leaving },
+  {
+    name: "leaving since a moment ago, in an excluded data centre",
+    change: { isListedUsable: false, leavingMs: 500 },
+    keyless: Leaving,
+    keyed: Leaving,
+  },
   { name: "unreachable", change: { isReachable: false }, keyless: Unreachable, keyed: Unreachable },
   { name: "backing off", change: { backOffMs: 10 }, keyless: BackingOff, keyed: BackingOff },
   { name: "an overloaded owner", change: { share: 0.4 }, keyless: "admitted", keyed: Overloaded },
