--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,10 +16,8 @@
   type KeyControl,
   type KeyLoad,
   getClaimDelayMs,
-  coordinateKeys,
   createAssignmentFeed,
   createCoordinatorLease,
-  computeOwnerShares,
   createKeyLoad,
   createLoadReporter,
   createOwnerShares,
@@ -43,6 +41,7 @@
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import type { CallerProtocol, ServerProtocol } from "./protocols";
+import { createKeyCoordination } from "./keyCoordination";
 import { createPermitExchange } from "./permitExchange";
 import { createRetryBudgetShare } from "./retryBudgetShare";
 import { createRouteCosts } from "./routeCosts";
@@ -63,8 +62,6 @@
 const CLEANUP_INTERVAL_MS = 500;
 /** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
 const LEAVING_OWNER_SHARE = 0.5;
-/** Maximum moves of key ranges in progress; more listeners than this on their signal indicate a leak. */
-const MAX_MOVES = 500;
 /** Maximum periodic tasks; more listeners than this on the stop signal indicate a leak. */
 const MAX_TASKS = 50;
 /**
@@ -84,9 +81,6 @@
  * fraction of the time within which they are useful.
  */
 const LARGE_ANSWER_REMOTE_COST_MS = 200;
-/** Interval at which the coordinator looks for overloaded owners; a fraction of that at which daemons report. */
-const OWNER_SHARE_INTERVAL_MS = 250;
-const MILLISECONDS_PER_SECOND = 1000;
 /** Interval at which the coordinator checks whether a much larger VM could take over. */
 const RESIGNATION_CHECK_INTERVAL_MS = 1000;
 /** Minimum pause between two resignations in favour of a larger VM. */
@@ -157,15 +151,13 @@
   const owners = createOwnerTable(clock, logger);
   let isShuttingDown = false;
   let resignedAt = Number.NEGATIVE_INFINITY;
-  let coordination: AbortController | undefined;
-  const coordinatedServices = new Set<ServiceName>();
 
   const routing = createRoutingState({
     configurationPath: paths.configurationPath,
     decode: options.decodeConfiguration,
     onConfiguration: (configuration) => {
       callerListener.applyLimits(configuration.limits);
-      coordinateServices();
+      coordination.addServices();
     },
     onExclusions: (dataCentres) => {
       directory.setExcluded(dataCentres);
@@ -258,14 +250,10 @@
     getClaimDelayMs: () => getClaimDelayMs(options.processors, freshness.getLargestProcessors()),
     findCountedSize: () => freshness.findCountedSize(),
     onElected: () => {
-      coordination = new AbortController();
-      setMaxListeners(MAX_MOVES, coordination.signal);
-      coordinateServices();
+      coordination.start();
     },
     onLost: () => {
-      coordination?.abort();
-      coordination = undefined;
-      coordinatedServices.clear();
+      coordination.stop();
     },
   });
 
@@ -326,6 +314,29 @@
     createWatcher(paths.exclusions, CONFIGURATION_BATCH_PAUSE_MS, routing.exclusions),
     feed,
   ];
+  const coordination = createKeyCoordination({
+    listKeyedServices: () =>
+      [...(routing.findActive()?.configuration.services.values() ?? [])]
+        .filter((service) => service.isKeyed)
+        .map((service) => service.name),
+    getKeyLoad,
+    ownerShares,
+    objects,
+    directory,
+    owners,
+    control: options.control,
+    publish: (...change) => {
+      feed.publish(...change);
+    },
+    clock,
+    logger,
+    isCoordinator: () => lease.isHeld(),
+    getStoreSilenceMs: () => lease.renewedAgoMs(),
+    isFirstStart: options.isFirstStart,
+    getTimeline: () => getTimeline(lease.getVersion()),
+    maxGrantMs: limits.maxGrantMs,
+    getCapacities: estimateServerCapacities,
+  });
   const freshness = createFreshnessCheck({
     daemon: options.daemon,
     address: options.peers,
@@ -370,14 +381,7 @@
     resignForLargerVm,
     createErrorReport(logger, "resign for a larger VM"),
   );
-
-  void repeat(
-    clock,
-    OWNER_SHARE_INTERVAL_MS,
-    stop.signal,
-    updateOwnerShares,
-    createErrorReport(logger, "compute shares of overloaded owners"),
-  );
+  void coordination.run(stop.signal);
 
   return { isReady, shutDown };
 
@@ -394,40 +398,6 @@
     });
   }
 
-  function coordinateServices(): void {
-    const signal = coordination?.signal;
-    if (signal === undefined) {
-      return;
-    }
-    for (const service of routing.findActive()?.configuration.services.values() ?? []) {
-      if (service.isKeyed && !coordinatedServices.has(service.name)) {
-        coordinatedServices.add(service.name);
-        void coordinateKeys(
-          {
-            service: service.name,
-            objects,
-            directory,
-            owners,
-            control: options.control,
-            load: getKeyLoad(service.name),
-            publish: (...change) => {
-              feed.publish(...change);
-            },
-            clock,
-            logger,
-            isCoordinator: () => lease.isHeld(),
-            getStoreSilenceMs: () => lease.renewedAgoMs(),
-            isFirstStart: options.isFirstStart,
-            getTimeline: () => getTimeline(lease.getVersion()),
-            maxGrantMs: limits.maxGrantMs,
-            getCapacities: estimateServerCapacities,
-          },
-          signal,
-        );
-      }
-    }
-  }
-
   function estimateServerCapacities(servers: readonly DiscoveredServer[]): readonly number[] {
     return estimateCapacities(
       servers.map((server) => ({
@@ -439,23 +409,6 @@
     );
   }
 
-  /** Finds overloaded owners while this daemon is the coordinator, which alone knows the requests for all keys. */
-  function updateOwnerShares(): void {
-    if (!lease.isHeld()) {
-      return;
-    }
-    const shares = [...coordinatedServices].flatMap((service) => {
-      const servers = directory.getByService(service);
-      const capacities = estimateServerCapacities(servers);
-      const byServer = new Map(servers.map((server, index) => [server.name, capacities[index] ?? 0]));
-      return computeOwnerShares(owners.getRanges(service), getKeyLoad(service).measureRate(), (server) => {
-        const capacity = byServer.get(server);
-        return capacity === undefined ? undefined : capacity * MILLISECONDS_PER_SECOND;
-      });
-    });
-    ownerShares.replace(shares);
-  }
-
   /** Returns the requests per second that a server accepts now; null when it sets no limit. */
   function findMaxRate(server: DiscoveredServer): number | null {
     const policy = findPolicy(server.service);
