--- a/test/serverStatements.test.ts
+++ b/test/serverStatements.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { RejectionReason, RouteKind } from "../src/gateway";
 import { type Clock, systemClock } from "../src/types";
+import { createWireKeyControl } from "../platform/keyControl";
 import { wireServerProtocol } from "../platform/protocols";
 import {
   LEAVING_OWNER_MS,
@@ -261,6 +262,51 @@
   });
 });
 
+// Guards against keys that count as released, or as lost, while their owner still works on them.
+describe("a server that repeats an earlier answer to a control call", () => {
+  const grant = { from: 0, to: 9, token: 3, durationMs: 4000, handover: null };
+  const format = (status: string) => `HTTP/1.1 ${status}\r\nContent-Length: 0\r\n\r\n`;
+
+  test("does not end a release before it has answered that", async () => {
+    const control = createWireKeyControl();
+    const target = createTestServer("s1", server.port);
+    const answered = new Set<unknown>();
+    let hasFinished = false;
+    server.setBehaviour((socket, request) => {
+      if (answered.has(socket)) {
+        socket.write(format("200 OK"));
+        return;
+      }
+      answered.add(socket);
+      const delayMs = request.head.includes("release") && answered.size > 2 ? 100 : 0;
+      setTimeout(() => {
+        hasFinished ||= delayMs > 0;
+        socket.write(format("200 OK"));
+      }, delayMs);
+    });
+    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    expect(await control.release(target, { from: 0, to: 4 }, 4)).toMatchObject({ kind: "released" });
+    expect(await control.release(target, { from: 5, to: 9 }, 5)).toMatchObject({ kind: "released" });
+    expect(hasFinished).toBe(true);
+    control.close();
+  });
+
+  test.each(["409 Conflict", "421 Misdirected Request"])("does not end a grant with %s", async (status) => {
+    const control = createWireKeyControl();
+    const target = createTestServer("s1", server.port);
+    const answered = new Set<unknown>();
+    server.setBehaviour((socket) => {
+      socket.write(format(answered.has(socket) ? status : "200 OK"));
+      answered.add(socket);
+    });
+    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    await new Promise(setImmediate);
+    expect(await control.grant(target, grant)).toMatchObject({ kind: "unanswered" });
+    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    control.close();
+  });
+});
+
 // Guards against answering 502 to a request that reached no server: the server was full, so it has not run.
 describe("a server that resets connections beyond those that it accepts", () => {
   test.each([RouteKind.Unsafe, RouteKind.Safe])("gets no %s request on them", async (kind) => {
