Do not give a length to an answer that may be incomplete

Change: such an answer is not passed on (502) while requests behind it are at servers; otherwise the close marks its end, as before.

--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -19,6 +19,8 @@
   Broken: "broken",
   Foreign: "foreign-answer",
   Unsigned: "unsigned-answer",
+  /** The answer has no length, and the close that would mark its end would lose requests sent behind it. */
+  Unframed: "unframed-answer",
   Abandoned: "abandoned",
 } as const;
 export type RejectionReason = (typeof RejectionReason)[keyof typeof RejectionReason];
--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -5,7 +5,7 @@
 import { describeError } from "../errors";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock } from "../types";
-import type { AnswerBody } from "./attemptTypes";
+import { type AnswerBody, RejectionReason } from "./attemptTypes";
 import type { RequestPlace } from "./callerConnections";
 import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
@@ -92,7 +92,13 @@
     const { response, place } = pending;
     const status = message.statusCode ?? Status.BadGateway;
     const headers = selectForwardedHeaders(message.rawHeaders, NO_NAMES);
-    if (body.kind === "unframed" && place.closeAfter()) {
+    if (body.kind === "unframed" && place.hasWorkBehind()) {
+      // It may be incomplete, so it must not get a length; and a close would lose the requests behind it.
+      refuse(pending, { status: Status.BadGateway, detail: RejectionReason.Unframed });
+      return;
+    }
+    if (body.kind === "unframed") {
+      place.closeAfter();
       // The backend server sent no length, so the end of the connection marks the end of the body here too.
       response.useChunkedEncodingByDefault = false;
       response.writeHead(status, { ...headers, connection: "close" });
--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -33,6 +33,8 @@
    * requests behind it are at backend servers; then the last of them closes the connection.
    */
   closeAfter(): boolean;
+  /** Returns whether requests behind this one are at backend servers. */
+  hasWorkBehind(): boolean;
   /** Returns whether an answer must ask again to close the connection, since an earlier one could not. */
   mustClose(): boolean;
 }
@@ -106,6 +108,7 @@
     return {
       waitForTurn: (isIdempotent, deadlineAt) => waitForTurn(connection, place, isIdempotent, deadlineAt),
       closeAfter: () => closeAfter(connection, place),
+      hasWorkBehind: () => hasWorkBehind(connection, place),
       mustClose: () => connection.isCloseWanted,
     };
   }
@@ -185,13 +188,20 @@
   }
 
   function closeAfter(connection: Connection, place: Place): boolean {
-    const behind = connection.places.slice(connection.places.indexOf(place) + 1);
     connection.isCloseWanted = true;
-    if (behind.some((each) => each.isDispatched)) {
+    if (hasWorkBehind(connection, place)) {
       return false;
     }
     connection.isClosing = true;
-    behind.forEach((waiting) => waiting.check?.());
+    listBehind(connection, place).forEach((waiting) => waiting.check?.());
     return true;
   }
 }
+
+function listBehind(connection: Connection, place: Place): readonly Place[] {
+  return connection.places.slice(connection.places.indexOf(place) + 1);
+}
+
+function hasWorkBehind(connection: Connection, place: Place): boolean {
+  return listBehind(connection, place).some((each) => each.isDispatched);
+}
