Log what a planned stop waits for and what its exit cuts off

Callers saw closed connections around SIGTERM; the log could not tell why. It named neither the requests in flight at the exit, nor the time at which the listener was closed, nor answers that were not yet written; and the last lines could be lost, since the exit did not wait for the output.

1003, 1004 and 1005 now give requests in flight, unwritten answers and connections; 1008 marks the closing of the listener; 1835 names up to 20 requests that the exit cuts off.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -50,10 +50,21 @@
   readonly metrics: Metrics;
 }
 
+/** A request that has not been answered yet. */
+export interface RequestInFlight {
+  /** Undefined when the caller sent none. */
+  readonly requestId: string | undefined;
+  readonly arrivedAt: number;
+}
+
 /** The HTTP listener for callers. */
 export interface CallerListener {
   /** Returns the number of requests that have not been answered yet. */
   countInFlight(): number;
+  /** Returns the requests that have not been answered yet, in the order of their arrival. */
+  listInFlight(): readonly RequestInFlight[];
+  /** Returns the number of answers that have been ended but not yet written to their sockets in full. */
+  countUnwritten(): number;
   /** Returns the number of open connections from callers. */
   countConnections(): Promise<number>;
   /** Applies the configured timeouts of connections. */
@@ -79,7 +90,7 @@
   const connections = createCallerConnections(clock);
   const bodies = createRequestBodies();
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
-  let inFlight = 0;
+  const inFlight = new Set<RequestInFlight>();
   let isClosing = false;
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
     void serve(message, response);
@@ -89,7 +100,9 @@
   await listen(server, options.address);
 
   return {
-    countInFlight: () => inFlight,
+    countInFlight: () => inFlight.size,
+    listInFlight: () => [...inFlight],
+    countUnwritten: () => answers.countUnflushed(),
     countConnections: () =>
       new Promise((resolve) => {
         server.getConnections((_error, count) => {
@@ -127,16 +140,17 @@
   async function serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = clock.now();
     const { socket } = message;
-    inFlight += 1;
+    const fields = callerProtocol.read(message.headers);
+    const entry: RequestInFlight = { requestId: fields.requestId, arrivedAt };
+    inFlight.add(entry);
     try {
-      const fields = callerProtocol.read(message.headers);
       const place = connections.add(message, response);
       await answer(message, { response, socket, fields, place }, arrivedAt);
     } catch (error) {
       logger.log(Event.UnexpectedError, { step: "serve caller", error: describeError(error) });
       response.destroy();
     } finally {
-      inFlight -= 1;
+      inFlight.delete(entry);
     }
   }
 
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -1,5 +1,5 @@
 /** Shuts a gateway down without interrupting a request. */
-import { Event, type Logger } from "../observability";
+import { Event, type EventDetail, type Logger } from "../observability";
 import { type Clock, sleep } from "../types";
 import type { CallerListener } from "./callerListener";
 
@@ -11,6 +11,8 @@
 const IDLE_CHECK_MS = 50;
 /** Part of the grace period that is reserved for the exit of the process itself. */
 const EXIT_MARGIN_MS = 300;
+/** Maximum log lines about single requests that the exit cuts off. */
+const MAX_CUT_REQUESTS_LOGGED = 20;
 
 /** Options for {@link shutDownGracefully}. */
 export interface GracefulShutdownOptions {
@@ -31,16 +33,38 @@
 export async function shutDownGracefully(options: GracefulShutdownOptions): Promise<void> {
   const { callerListener, clock, logger } = options;
   const startedAt = clock.now();
-  logger.log(Event.ShutdownStarted, { inFlight: callerListener.countInFlight() });
+  logger.log(Event.ShutdownStarted, await describeLoad());
   callerListener.drain();
   await options.resign();
   await sleep(clock, LAME_DUCK_MS);
   callerListener.close();
+  logger.log(Event.ShutdownListenerClosed, { ...(await describeLoad()), afterMs: getElapsedMs() });
   await waitUntilIdle(options, startedAt + options.gracePeriodMs - EXIT_MARGIN_MS);
-  logger.log(callerListener.countInFlight() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
-    inFlight: callerListener.countInFlight(),
-    tookMs: Math.round(clock.now() - startedAt),
+  const isFinished = callerListener.countInFlight() === 0 && callerListener.countUnwritten() === 0;
+  logger.log(isFinished ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
+    ...(await describeLoad()),
+    tookMs: getElapsedMs(),
   });
+  logCutRequests();
+
+  async function describeLoad(): Promise<EventDetail> {
+    return {
+      inFlight: callerListener.countInFlight(),
+      unwritten: callerListener.countUnwritten(),
+      connections: await callerListener.countConnections(),
+    };
+  }
+
+  function getElapsedMs(): number {
+    return Math.round(clock.now() - startedAt);
+  }
+
+  function logCutRequests(): void {
+    for (const { requestId, arrivedAt } of callerListener.listInFlight().slice(0, MAX_CUT_REQUESTS_LOGGED)) {
+      const heldMs = Math.round(clock.now() - arrivedAt);
+      logger.log(Event.RequestCut, { requestId, heldMs, sinceStopMs: getElapsedMs() });
+    }
+  }
 }
 
 async function waitUntilIdle(
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -24,6 +24,12 @@
   ShutdownDeadlineExceeded: defineEvent(1005, Severity.Warn, "graceful shutdown exceeded its deadline"),
   UnexpectedError: defineEvent(1006, Severity.Error, "unexpected error; the daemon continues"),
   ProcessPaused: defineEvent(1007, Severity.Warn, "process was paused"),
+  ShutdownListenerClosed: defineEvent(
+    1008,
+    Severity.Info,
+    "caller listener closed for the graceful shutdown",
+  ),
+  StopSignalRepeated: defineEvent(1009, Severity.Info, "stop signal received again; the shutdown goes on"),
   PlatformUnavailable: defineEvent(1101, Severity.Warn, "platform unavailable"),
   PlatformAvailable: defineEvent(1102, Severity.Info, "platform available again"),
   HistoryLost: defineEvent(
@@ -130,6 +136,7 @@
   RequestOutcomeUnknown: defineEvent(1832, Severity.Warn, "request ended without an answer; it may have run"),
   RequestRetried: defineEvent(1833, Severity.Info, "request retried"),
   AnswerBrokenOff: defineEvent(1834, Severity.Warn, "answer broken off; the caller got a part of it"),
+  RequestCut: defineEvent(1835, Severity.Warn, "request cut off by the exit of the daemon; it may have run"),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   RequestFailed: defineEvent(1701, Severity.Debug, "request ended without an answer"),
--- a/src/observability/lineOutput.ts
+++ b/src/observability/lineOutput.ts
@@ -11,6 +11,8 @@
 export interface LineOutput extends NodeJS.WritableStream {
   /** Returns the number of lines dropped since the last call, and resets it. */
   consumeDroppedCount(): number;
+  /** Resolves when no line waits any more; a reader that does not read can delay it without end. */
+  whenWritten(): Promise<void>;
 }
 
 /** Writes text to a file descriptor; the callback receives an error, or null on success. */
@@ -26,6 +28,7 @@
   const waiting: string[] = [];
   let isWriting = false;
   let dropped = 0;
+  const onWritten: (() => void)[] = [];
   const stream = new Writable({
     decodeStrings: false,
     write: (line: string, _encoding, done) => {
@@ -44,10 +47,21 @@
       dropped = 0;
       return count;
     },
+    whenWritten: () =>
+      new Promise<void>((resolve) => {
+        onWritten.push(resolve);
+        writeNext();
+      }),
   });
 
   function writeNext(): void {
-    if (isWriting || waiting.length === 0) {
+    if (isWriting) {
+      return;
+    }
+    if (waiting.length === 0) {
+      onWritten.splice(0).forEach((resolve) => {
+        resolve();
+      });
       return;
     }
     isWriting = true;
--- a/test/observability.test.ts
+++ b/test/observability.test.ts
@@ -59,6 +59,30 @@
   });
 });
 
+// Guards against losing the last lines before the exit, which say how the shutdown ended.
+test("the output tells when the lines that waited are written", async () => {
+  const pending: (() => void)[] = [];
+  const written: string[] = [];
+  const output = createLineOutput((text, done) => {
+    written.push(text);
+    pending.push(() => {
+      done(null);
+    });
+  });
+  output.write("1\n");
+  output.write("2\n");
+  let isWritten = false;
+  const whenWritten = output.whenWritten().then(() => {
+    isWritten = true;
+  });
+  pending.shift()?.();
+  await Promise.resolve();
+  expect(isWritten).toBe(false);
+  pending.shift()?.();
+  await whenWritten;
+  expect(written).toEqual(["1\n", "2\n"]);
+});
+
 describe("loop delay", () => {
   test("a timer that runs 300 ms late is logged, and is the longest delay until the next scrape", async () => {
     const clock = createFakeClock();
