--- /dev/null
+++ b/test/support/singleDaemon.ts
@@ -0,0 +1,127 @@
+/** One daemon as a real process, with a store and a backend server that answers when the test says so. */
+import { type ServerResponse, createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { request } from "undici";
+import { CONFIGURATION_NAME, StoreKind, WireHeader, WirePath } from "../../platform/wireNames";
+import { createEdgeObjectStore } from "../../standins/edge/objectStore";
+import { HOST } from "../../standins/scenarios/ports";
+import { createSoakFolder, startSoakDaemon } from "../../standins/soak/daemons";
+
+const READINESS_PORT = 8001;
+const POLL_INTERVAL_MS = 20;
+/** Polls until a wait is given up, so that the processes are ended. */
+const MAX_POLLS = 1500;
+
+/**
+ * Starts the daemon and waits until it is ready. Its only route is `/long/` on the host `a.example`; requests to it
+ * are not idempotent. The program must have been built.
+ *
+ * @param seed - Determines the address of the daemon.
+ * @returns The daemon and its backend server.
+ */
+export async function startSingleDaemon(seed: number) {
+  const waiting: { readonly id: string; readonly response: ServerResponse }[] = [];
+  const server = createServer((message, response) => {
+    message.resume();
+    waiting.push({ id: String(message.headers[WireHeader.RequestId]), response });
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  const store = createEdgeObjectStore(Math.random);
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, configuration);
+  store.put(StoreKind.Servers, "desk-0", {
+    address: `${HOST}:${port}`,
+    born: Date.now(),
+    info: { service: "desk", version: "v1", zone: "a", capacity: 4 },
+    status: { state: "ready", seq: 1, warmupLeftS: 0 },
+  });
+  const endpoint = await store.openEndpoint();
+  const daemon = startSoakDaemon({
+    name: "d0",
+    dataCentre: "a",
+    host: `127.0.${seed}.10`,
+    storePort: endpoint.port,
+    folder: createSoakFolder(),
+  });
+  const close = async () => {
+    await daemon.close();
+    server.closeAllConnections();
+    server.close();
+    await store.close();
+  };
+  try {
+    await poll(() => daemon.isReady());
+  } catch (error) {
+    await close();
+    throw error;
+  }
+  const url = new URL(daemon.url);
+
+  return {
+    daemon: {
+      host: url.hostname,
+      callerPort: Number(url.port),
+      terminate: () => {
+        daemon.terminate();
+      },
+      /** Waits until readiness probes fail, as they do once a shutdown has begun. */
+      waitUntilNotReady: () => poll(async () => !(await daemon.isReady())),
+      /** Returns whether the process answers readiness probes, whatever the answer. */
+      isAnswering: async () => {
+        try {
+          const answer = await request(`http://${url.hostname}:${READINESS_PORT}${WirePath.Ready}`);
+          await answer.body.dump();
+          return true;
+        } catch {
+          return false;
+        }
+      },
+    },
+    /** Waits until a request is at the backend server. */
+    waitUntilAtServer: () => poll(() => Promise.resolve(waiting.length > 0)),
+    /** Answers all requests that are at the backend server. */
+    answer: () => {
+      waiting.splice(0).forEach(({ id, response }) => {
+        response.writeHead(200, { [WireHeader.RequestId]: id, [WireHeader.Signature]: `signed-${id}` });
+        response.end("x");
+      });
+    },
+    close,
+  };
+}
+
+async function poll(condition: () => Promise<boolean>): Promise<void> {
+  for (let count = 0; count < MAX_POLLS; count += 1) {
+    if (await condition()) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
+  }
+  throw new Error("the daemon process did not get to the expected state");
+}
+
+const configuration = {
+  version: "00000001",
+  resources: [
+    {
+      type: "routes",
+      metadata: { name: "long" },
+      spec: {
+        host: "a.example",
+        pathPrefix: "/long/",
+        kind: "unsafe",
+        timeoutS: 8,
+        aimS: 0.5,
+        priority: 1,
+        service: "desk",
+        attempts: 1,
+      },
+    },
+    { type: "services", metadata: { name: "desk" }, spec: { maxConns: 130, warmupS: 0, sharded: false } },
+    {
+      type: "limits",
+      metadata: {},
+      spec: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutS: 3, idleTimeoutS: 15 },
+    },
+  ],
+};
