Close each connection of a stopping daemon by what is pending on it

Cause: one count over all connections decided about each of them. While any answer was being written, no connection was closed and the listener stayed open, so that requests were taken until the end of the grace period and cut there.

Change: the order of requests on a connection, which already knows each request until its answer is written, also says whether anything is pending there, including a request of which a part has been read. There is no count that could be wrong for another connection. The HTTP server's own methods are not used for closing: they take a connection for idle once its answer has ended.

The test of an unread answer waits for the end of its connection, which the listener now reports without a turn of the event loop.

--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -1,6 +1,5 @@
 /** Writes answers and refusals to callers. */
 import type { ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { pipeline } from "node:stream/promises";
 import { describeError } from "../errors";
 import { type Counters, Event, type Logger } from "../observability";
@@ -27,7 +26,6 @@
 /** A caller's request that is to be answered. */
 export interface PendingAnswer {
   readonly response: ServerResponse;
-  readonly socket: Socket;
   readonly fields: CallerFields;
   readonly place: RequestPlace;
 }
@@ -52,8 +50,6 @@
   refuse(pending: PendingAnswer, refusal: Refusal): void;
   /** Closes connections after their next answers, so that callers connect to other daemons. */
   drain(): void;
-  /** Returns the number of answers that have been ended but not yet written to their sockets in full. */
-  countUnflushed(): number;
 }
 
 /** Options for {@link createCallerAnswers}. */
@@ -73,7 +69,6 @@
 export function createCallerAnswers(options: CallerAnswersOptions): CallerAnswers {
   const { clock, logger, counters } = options;
   let isDraining = false;
-  let unflushed = 0;
 
   return {
     forward,
@@ -81,7 +76,6 @@
     drain: () => {
       isDraining = true;
     },
-    countUnflushed: () => unflushed,
   };
 
   async function forward(
@@ -102,7 +96,7 @@
       // The backend server sent no length, so the end of the connection marks the end of the body here too.
       response.useChunkedEncodingByDefault = false;
       response.writeHead(status, { ...headers, connection: "close" });
-      sendBody(pending, body.content);
+      response.end(body.content);
       return;
     }
     const connection = createConnectionField(place);
@@ -113,7 +107,7 @@
     }
     const length = request.method === "HEAD" ? {} : { "content-length": String(body.content.byteLength) };
     response.writeHead(status, { ...headers, ...length, ...connection });
-    sendBody(pending, body.content);
+    response.end(body.content);
   }
 
   async function stream(
@@ -150,26 +144,13 @@
       "content-length": String(content.byteLength),
       ...createConnectionField(place),
     });
-    sendBody(pending, content);
+    response.end(content);
   }
 
   function createConnectionField(place: RequestPlace): { readonly connection?: "close" } {
     const isCloseWanted = isDraining || place.mustClose();
     return isCloseWanted && place.closeAfter() ? { connection: "close" } : {};
   }
-
-  function sendBody({ response, socket }: PendingAnswer, content: Buffer): void {
-    unflushed += 1;
-    const finish = () => {
-      response.removeListener("close", finish);
-      socket.removeListener("close", finish);
-      unflushed -= 1;
-    };
-    response.once("close", finish);
-    // A response that waits for its turn gets no event when the connection is closed.
-    socket.once("close", finish);
-    response.end(content);
-  }
 }
 
 async function* joinBody(body: Extract<AnswerBody, { kind: "streamed" }>): AsyncGenerator<Buffer> {
--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -13,6 +13,8 @@
 const MAX_READ_AHEAD = 16;
 /** Maximum requests behind others that are at backend servers; their answers are kept in memory until their turn. */
 const MAX_DISPATCHED_BEHIND = 200;
+/** A caller that has just connected has a request to send; its connection is not idle for this time. */
+const NEW_CONNECTION_MS = 500;
 
 /** Whether a request may be sent to a backend server. */
 export const Turn = {
@@ -39,10 +41,32 @@
   mustClose(): boolean;
 }
 
+/** A request whose answer has not been written to its connection in full. */
+export interface PendingRequest {
+  /** Undefined when the caller sent none. */
+  readonly requestId: string | undefined;
+  readonly arrivedAt: number;
+  /** Whether the answer is complete and only its writing is not. */
+  readonly isAnswered: boolean;
+}
+
 /** Order of the requests on all connections. */
 export interface CallerConnections {
+  /** Follows a connection that was just accepted, until it closes. */
+  open(socket: Socket): void;
   /** Adds a request that was just read, behind the other requests of its connection. */
-  add(message: IncomingMessage, response: ServerResponse): RequestPlace;
+  add(message: IncomingMessage, response: ServerResponse, requestId: string | undefined): RequestPlace;
+  /** Returns the requests of all connections that are not answered, or whose answers are not written in full. */
+  listPending(): readonly PendingRequest[];
+  /** Returns the number of such requests. */
+  countPending(): number;
+  /** Returns the number of open connections. */
+  countOpen(): number;
+  /**
+   * Closes the connections on which nothing is pending: no request, not even a part of one, and no unwritten answer.
+   * Returns their number.
+   */
+  closeIdle(): number;
   /**
    * Calls back when all requests that were read from a connection in full have been answered; at once when there is
    * none. The connection must not be read from any more.
@@ -52,13 +76,19 @@
 
 interface Place {
   readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string | undefined;
+  readonly arrivedAt: number;
   isDispatched: boolean;
   /** Checks whether the request may be sent to a backend server now; undefined when it does not wait. */
   check: (() => void) | undefined;
 }
 
 interface Connection {
+  readonly openedAt: number;
   readonly places: Place[];
+  /** Bytes that had been read from the connection at the end of the last request; more are a part of the next one. */
+  bytesAtRest: number;
   isCloseWanted: boolean;
   isClosing: boolean;
   onAnswered: (() => void) | undefined;
@@ -71,15 +101,35 @@
  * @returns The order.
  */
 export function createCallerConnections(clock: Clock): CallerConnections {
-  const connections = new WeakMap<Socket, Connection>();
+  const connections = new Map<Socket, Connection>();
   let dispatchedBehind = 0;
+  let pendingCount = 0;
 
   return {
+    open: (socket) => {
+      getConnection(socket);
+    },
     add,
+    listPending: () =>
+      [...connections.values()].flatMap(({ places }) =>
+        places.map(({ requestId, arrivedAt, response }) => ({
+          requestId,
+          arrivedAt,
+          isAnswered: response.writableEnded,
+        })),
+      ),
+    countPending: () => pendingCount,
+    countOpen: () => connections.size,
+    closeIdle: () => {
+      const idle = [...connections].filter(([socket, connection]) => isIdle(socket, connection));
+      idle.forEach(([socket]) => socket.destroy());
+      return idle.length;
+    },
     whenAnswered: (socket, callback) => {
       const connection = connections.get(socket);
       if (connection?.places.at(-1)?.message.complete === false) {
         connection.places.pop();
+        pendingCount -= 1;
       }
       if (connection === undefined || connection.places.length === 0) {
         callback();
@@ -89,11 +139,17 @@
     },
   };
 
-  function add(message: IncomingMessage, response: ServerResponse): RequestPlace {
+  function add(
+    message: IncomingMessage,
+    response: ServerResponse,
+    requestId: string | undefined,
+  ): RequestPlace {
     const { socket } = message;
-    const connection = connections.get(socket) ?? createConnection(socket);
-    const place: Place = { message, isDispatched: false, check: undefined };
+    const connection = getConnection(socket);
+    const arrivedAt = clock.now();
+    const place: Place = { message, response, requestId, arrivedAt, isDispatched: false, check: undefined };
     connection.places.push(place);
+    pendingCount += 1;
     if (connection.places.length >= MAX_READ_AHEAD) {
       socket.pause();
     }
@@ -105,6 +161,10 @@
     response.once("close", finish);
     // A response that waits for its turn gets no event when the connection is closed.
     socket.once("close", finish);
+    // An answer may be written before the end of the request's body has arrived.
+    message.once("close", () => {
+      connection.bytesAtRest = socket.bytesRead;
+    });
     return {
       waitForTurn: (isIdempotent, deadlineAt) => waitForTurn(connection, place, isIdempotent, deadlineAt),
       closeAfter: () => closeAfter(connection, place),
@@ -113,9 +173,15 @@
     };
   }
 
+  function getConnection(socket: Socket): Connection {
+    return connections.get(socket) ?? createConnection(socket);
+  }
+
   function createConnection(socket: Socket): Connection {
     const connection: Connection = {
+      openedAt: clock.now(),
       places: [],
+      bytesAtRest: 0,
       isCloseWanted: false,
       isClosing: false,
       onAnswered: undefined,
@@ -123,14 +189,21 @@
     connections.set(socket, connection);
     // Each request that is read adds a few listeners until it is answered.
     socket.setMaxListeners(0);
+    socket.once("close", () => connections.delete(socket));
     return connection;
   }
 
+  function isIdle(socket: Socket, { places, openedAt, bytesAtRest }: Connection): boolean {
+    const isNew = bytesAtRest === 0 && clock.now() - openedAt < NEW_CONNECTION_MS;
+    return places.length === 0 && !isNew && socket.bytesRead === bytesAtRest && socket.writableLength === 0;
+  }
+
   function remove(socket: Socket, connection: Connection, place: Place): void {
     const index = connection.places.indexOf(place);
     if (index === -1) {
       return;
     }
+    pendingCount -= 1;
     if (place.isDispatched && index > 0) {
       dispatchedBehind -= 1;
     }
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -1,6 +1,6 @@
 /** HTTP/1.1 listener for callers: passes requests to the dispatcher and returns answers or refusals. */
 import { type IncomingMessage, type ServerResponse, createServer } from "node:http";
-import { Socket } from "node:net";
+import { Server as NetServer, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { describeError } from "../errors";
 import { type CallerWatch, listen, watchCaller } from "../http";
@@ -8,7 +8,7 @@
 import type { Address, Clock } from "../types";
 import { RejectionReason } from "./attemptTypes";
 import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
-import { Turn, createCallerConnections } from "./callerConnections";
+import { type PendingRequest, Turn, createCallerConnections } from "./callerConnections";
 import type { DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
 import type { CallerFields, CallerProtocol, ServerProtocol } from "./protocols";
@@ -50,30 +50,21 @@
   readonly metrics: Metrics;
 }
 
-/** A request that has not been answered yet. */
-export interface RequestInFlight {
-  /** Undefined when the caller sent none. */
-  readonly requestId: string | undefined;
-  readonly arrivedAt: number;
-}
-
 /** The HTTP listener for callers. */
 export interface CallerListener {
-  /** Returns the number of requests that have not been answered yet. */
-  countInFlight(): number;
-  /** Returns the requests that have not been answered yet, in the order of their arrival. */
-  listInFlight(): readonly RequestInFlight[];
-  /** Returns the number of answers that have been ended but not yet written to their sockets in full. */
-  countUnwritten(): number;
+  /** Returns the number of requests that are not answered, or whose answers are not written in full. */
+  countPending(): number;
+  /** Returns these requests. */
+  listPending(): readonly PendingRequest[];
   /** Returns the number of open connections from callers. */
-  countConnections(): Promise<number>;
+  countConnections(): number;
   /** Applies the configured timeouts of connections. */
   applyLimits(limits: CallerLimits): void;
   /** Sends `Connection: close` with each further answer, so that callers close their connections. */
   drain(): void;
-  /** Closes connections without a request; does nothing while any answer is still being written. */
-  closeIdle(): void;
-  /** Stops accepting connections; while an answer is still being written, a later `closeIdle` does so. */
+  /** Closes the connections on which nothing is pending. Returns their number. */
+  closeIdle(): number;
+  /** Stops accepting connections. */
   close(): void;
 }
 
@@ -90,25 +81,20 @@
   const connections = createCallerConnections(clock);
   const bodies = createRequestBodies();
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
-  const inFlight = new Set<RequestInFlight>();
-  let isClosing = false;
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
     void serve(message, response);
   });
   server.requestTimeout = 0;
+  server.on("connection", (socket: Socket) => {
+    connections.open(socket);
+  });
   server.on("clientError", refuseMalformedRequest);
   await listen(server, options.address);
 
   return {
-    countInFlight: () => inFlight.size,
-    listInFlight: () => [...inFlight],
-    countUnwritten: () => answers.countUnflushed(),
-    countConnections: () =>
-      new Promise((resolve) => {
-        server.getConnections((_error, count) => {
-          resolve(count);
-        });
-      }),
+    countPending: () => connections.countPending(),
+    listPending: () => connections.listPending(),
+    countConnections: () => connections.countOpen(),
     applyLimits: (limits) => {
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
@@ -116,41 +102,22 @@
     drain: () => {
       answers.drain();
     },
-    closeIdle,
+    closeIdle: () => connections.closeIdle(),
     close: () => {
-      isClosing = true;
-      closeIdle();
+      // The method of the HTTP server would also close connections whose answers are not written in full.
+      NetServer.prototype.close.call(server);
     },
   };
 
-  /**
-   * Closes idle connections, unless an answer is still being written: Node.js treats a connection as idle once
-   * its answer has ended, and would cut off the unwritten rest.
-   */
-  function closeIdle(): void {
-    if (answers.countUnflushed() > 0) {
-      return;
-    }
-    if (isClosing && server.listening) {
-      server.close();
-    }
-    server.closeIdleConnections();
-  }
-
   async function serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = clock.now();
-    const { socket } = message;
-    const fields = callerProtocol.read(message.headers);
-    const entry: RequestInFlight = { requestId: fields.requestId, arrivedAt };
-    inFlight.add(entry);
     try {
-      const place = connections.add(message, response);
-      await answer(message, { response, socket, fields, place }, arrivedAt);
+      const fields = callerProtocol.read(message.headers);
+      const place = connections.add(message, response, fields.requestId);
+      await answer(message, { response, fields, place }, arrivedAt);
     } catch (error) {
       logger.log(Event.UnexpectedError, { step: "serve caller", error: describeError(error) });
       response.destroy();
-    } finally {
-      inFlight.delete(entry);
     }
   }
 
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -30,7 +30,7 @@
 export function addGatewayGauges(options: GatewayGaugeOptions): void {
   const { metrics, callerListener, routing, owners, directory, connections, rateLimits } = options;
   metrics.addGauge("requests_in_flight", "Requests not answered yet", "state", () => ({
-    open: callerListener.countInFlight(),
+    open: callerListener.countPending(),
   }));
   metrics.addGauge("configuration_version", "Version in force", "name", () => ({
     main: routing.findActive()?.configuration.version ?? 0,
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -33,25 +33,26 @@
 export async function shutDownGracefully(options: GracefulShutdownOptions): Promise<void> {
   const { callerListener, clock, logger } = options;
   const startedAt = clock.now();
-  logger.log(Event.ShutdownStarted, await describeLoad());
+  logger.log(Event.ShutdownStarted, describeLoad());
   callerListener.drain();
   await options.resign();
   await sleep(clock, LAME_DUCK_MS);
   callerListener.close();
-  logger.log(Event.ShutdownListenerClosed, { ...(await describeLoad()), afterMs: getElapsedMs() });
+  logger.log(Event.ShutdownListenerClosed, { ...describeLoad(), afterMs: getElapsedMs() });
   await waitUntilIdle(options, startedAt + options.gracePeriodMs - EXIT_MARGIN_MS);
-  const isFinished = callerListener.countInFlight() === 0 && callerListener.countUnwritten() === 0;
-  logger.log(isFinished ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
-    ...(await describeLoad()),
+  logger.log(callerListener.countPending() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
+    ...describeLoad(),
     tookMs: getElapsedMs(),
   });
   logCutRequests();
 
-  async function describeLoad(): Promise<EventDetail> {
+  function describeLoad(): EventDetail {
+    const pending = callerListener.listPending();
+    const unwritten = pending.filter(({ isAnswered }) => isAnswered).length;
     return {
-      inFlight: callerListener.countInFlight(),
-      unwritten: callerListener.countUnwritten(),
-      connections: await callerListener.countConnections(),
+      inFlight: pending.length - unwritten,
+      unwritten,
+      connections: callerListener.countConnections(),
     };
   }
 
@@ -60,9 +61,11 @@
   }
 
   function logCutRequests(): void {
-    for (const { requestId, arrivedAt } of callerListener.listInFlight().slice(0, MAX_CUT_REQUESTS_LOGGED)) {
+    for (const { requestId, arrivedAt, isAnswered } of callerListener
+      .listPending()
+      .slice(0, MAX_CUT_REQUESTS_LOGGED)) {
       const heldMs = Math.round(clock.now() - arrivedAt);
-      logger.log(Event.RequestCut, { requestId, heldMs, sinceStopMs: getElapsedMs() });
+      logger.log(Event.RequestCut, { requestId, isAnswered, heldMs, sinceStopMs: getElapsedMs() });
     }
   }
 }
@@ -73,7 +76,7 @@
 ): Promise<void> {
   while (clock.now() < deadlineAt) {
     callerListener.closeIdle();
-    if (callerListener.countInFlight() === 0 && (await callerListener.countConnections()) === 0) {
+    if (callerListener.countPending() === 0 && callerListener.countConnections() === 0) {
       return;
     }
     await sleep(clock, IDLE_CHECK_MS);
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -11,6 +11,7 @@
 import { systemClock } from "../src/types";
 import { wireCallerProtocol, wireServerProtocol } from "../platform/protocols";
 import { findFreePort } from "../standins/scenarios/ports";
+import { comesTrue } from "./support/plannedStop";
 
 const HOST = "127.0.0.1";
 /** More than the buffers of a socket hold, so that a part of the answer waits until the caller reads. */
@@ -82,7 +83,7 @@
   });
   expect(received).toBeGreaterThanOrEqual(ANSWER_BYTES);
   clearInterval(closeTimer);
-  expect(await listener.countConnections()).toBe(0);
+  expect(await comesTrue(() => listener.countConnections() === 0)).toBe(true);
 });
 
 const framings = [
--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -126,9 +126,9 @@
     });
     const leaving = Array.from({ length: 5 }, () => connectCaller(port));
     leaving.forEach(({ socket }) => socket.write(formatRequest("/short/1", DEADLINE_MS)));
-    expect(await comesTrue(() => listener.countInFlight() === leaving.length)).toBe(true);
+    expect(await comesTrue(() => listener.countPending() === leaving.length)).toBe(true);
     leaving.forEach(({ socket }) => socket.destroy());
-    expect(await comesTrue(() => listener.countInFlight() === 0)).toBe(true);
+    expect(await comesTrue(() => listener.countPending() === 0)).toBe(true);
     const slow = await connectSlowCaller(port);
     listener.drain();
     listener.close();
