Refuse requests that a stopping daemon cannot finish before its exit

Callers saw: of unsafe requests with 4.5 s of work, those taken 2.1 to 2.2 s after SIGTERM were reset at 5.7 s though their backend servers ran them.

Cause: a stopping daemon took every request, whether it could end before the exit or not.

After the listener has closed, the deadline alone counts, since other daemons take all that comes. So nothing can be cut that arrived after the listener was closed, and of what arrived before only what takes longer than usual.

--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -22,6 +22,8 @@
   /** The answer has no length, and the close that would mark its end would lose requests sent behind it. */
   Unframed: "unframed-answer",
   Abandoned: "abandoned",
+  /** This daemon is stopping, and the request may not end before its process exits. */
+  Stopping: "stopping",
 } as const;
 export type RejectionReason = (typeof RejectionReason)[keyof typeof RejectionReason];
 
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -13,7 +13,9 @@
 import { selectForwardedHeaders } from "./forwardedHeaders";
 import type { CallerFields, CallerProtocol, ServerProtocol } from "./protocols";
 import { type BodyReadResult, createRequestBodies } from "./requestBody";
+import type { RouteCosts } from "./routeCosts";
 import type { RouteMatcher } from "./routeMatcher";
+import { createStopAdmission } from "./stopAdmission";
 import {
   type CallerLimits,
   type Route,
@@ -43,6 +45,8 @@
   /** Returns the configuration in force; undefined until one has arrived. */
   readonly findActive: () => ActiveConfiguration | undefined;
   readonly dispatch: Dispatcher;
+  /** Returns the time within which nearly all requests of a route are answered, in milliseconds. */
+  readonly findUsualMs: RouteCosts["findUsualMs"];
   readonly callerProtocol: CallerProtocol;
   readonly serverProtocol: ServerProtocol;
   readonly clock: Clock;
@@ -60,8 +64,11 @@
   countConnections(): number;
   /** Applies the configured timeouts of connections. */
   applyLimits(limits: CallerLimits): void;
-  /** Sends `Connection: close` with each further answer, so that callers close their connections. */
-  drain(): void;
+  /**
+   * Sends `Connection: close` with each further answer, so that callers close their connections, and refuses requests
+   * that may not end by `exitAt`, the local time at which the process exits.
+   */
+  drain(exitAt: number): void;
   /**
    * Reads what has arrived, then closes the connections on which nothing is pending. Returns their number. After
    * a pause of the process, its timers run before it has read the requests of that time.
@@ -83,6 +90,7 @@
   const { counters } = metrics;
   const connections = createCallerConnections(clock);
   const bodies = createRequestBodies();
+  const stopAdmission = createStopAdmission(clock, options.findUsualMs);
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
     void serve(message, response);
@@ -102,8 +110,9 @@
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     },
-    drain: () => {
+    drain: (exitAt) => {
       answers.drain();
+      stopAdmission.start(exitAt);
     },
     closeIdle: async () => {
       await readArrived();
@@ -113,6 +122,7 @@
       await readArrived();
       // The method of the HTTP server would also close connections whose answers are not written in full.
       NetServer.prototype.close.call(server);
+      stopAdmission.restrictToDeadlines();
     },
   };
 
@@ -178,7 +188,8 @@
       default:
         turn satisfies never;
     }
-    const result = await bodies.hold(request.body, options.dispatch(request));
+    const result =
+      stopAdmission.findRefusal(request) ?? (await bodies.hold(request.body, options.dispatch(request)));
     const outcome = result.kind === "answered" ? String(result.message.statusCode) : result.reason;
     metrics.recordLatency(request.service.name, outcome, clock.now() - request.arrivedAt);
     await sendResult(pending, request, result);
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -32,6 +32,10 @@
   readonly expectedWaitMs: number | undefined;
   /** Age of the server's last load report, in milliseconds; undefined when there is none. */
   readonly loadAgeMs: number | undefined;
+  /** Time until the exit of this daemon, in milliseconds; only for a request that it refused since it is stopping. */
+  readonly exitInMs?: number;
+  /** Time that the request was expected to take, in milliseconds; only for such a request. */
+  readonly expectedMs?: number;
 }
 
 /** Result of a request. */
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -33,13 +33,14 @@
 export async function shutDownGracefully(options: GracefulShutdownOptions): Promise<void> {
   const { callerListener, clock, logger } = options;
   const startedAt = clock.now();
+  const exitAt = startedAt + options.gracePeriodMs - EXIT_MARGIN_MS;
   logger.log(Event.ShutdownStarted, describeLoad());
-  callerListener.drain();
+  callerListener.drain(exitAt);
   await options.resign();
   await sleep(clock, LAME_DUCK_MS);
   await callerListener.close();
   logger.log(Event.ShutdownListenerClosed, { ...describeLoad(), afterMs: getElapsedMs() });
-  await waitUntilIdle(options, startedAt + options.gracePeriodMs - EXIT_MARGIN_MS);
+  await waitUntilIdle(options, exitAt);
   logger.log(callerListener.countPending() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
     ...describeLoad(),
     tookMs: getElapsedMs(),
--- a/src/gateway/routeCosts.ts
+++ b/src/gateway/routeCosts.ts
@@ -11,12 +11,22 @@
 const MIN_WEIGHT = 0.1;
 const MAX_WEIGHT = 10;
 
+/** Weight of an answer in the mean deviation from the mean time. */
+const DEVIATION_WEIGHT = 0.1;
+/** Mean deviations above the mean time within which nearly all requests of a route end. */
+const USUAL_DEVIATIONS = 4;
+
 /** Work of the requests of all routes. */
 export interface RouteCosts {
   /** Records the time that a server took for a request, in milliseconds. */
   record(route: Route, service: ServiceName, durationMs: number): void;
   /** Returns the work of a route's request relative to the mean of its service; 1 while that is not known. */
   getWeight(route: Route, service: ServiceName): number;
+  /**
+   * Returns the time within which nearly all requests of a route are answered, in milliseconds; undefined while none
+   * has been.
+   */
+  findUsualMs(route: Route, service: ServiceName): number | undefined;
 }
 
 /**
@@ -27,11 +37,21 @@
 export function createRouteCosts(): RouteCosts {
   const byRoute = new Map<string, number>();
   const byService = new Map<ServiceName, number>();
+  const deviations = new Map<string, number>();
 
   return {
     record: (route, service, durationMs) => {
-      update(byRoute, formatRoute(route, service), durationMs);
-      update(byService, service, durationMs);
+      const name = formatRoute(route, service);
+      const mean = byRoute.get(name);
+      const deviation = mean === undefined ? durationMs / 2 : Math.abs(durationMs - mean);
+      update(deviations, name, deviation, DEVIATION_WEIGHT);
+      update(byRoute, name, durationMs, TIME_WEIGHT);
+      update(byService, service, durationMs, TIME_WEIGHT);
+    },
+    findUsualMs: (route, service) => {
+      const name = formatRoute(route, service);
+      const mean = byRoute.get(name);
+      return mean === undefined ? undefined : mean + USUAL_DEVIATIONS * (deviations.get(name) ?? 0);
     },
     getWeight: (route, service) => {
       const own = byRoute.get(formatRoute(route, service));
@@ -43,9 +63,9 @@
   };
 }
 
-function update<Name>(means: Map<Name, number>, name: Name, value: number): void {
+function update<Name>(means: Map<Name, number>, name: Name, value: number, weight: number): void {
   const known = means.get(name) ?? value;
-  means.set(name, known + (Math.max(1, value) - known) * TIME_WEIGHT);
+  means.set(name, known + (Math.max(1, value) - known) * weight);
 }
 
 function formatRoute(route: Route, service: ServiceName): string {
--- /dev/null
+++ b/src/gateway/stopAdmission.ts
@@ -0,0 +1,64 @@
+/** Decides which requests a stopping daemon still sends to backend servers. */
+import type { Clock } from "../types";
+import { RejectionReason } from "./attemptTypes";
+import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
+import type { RouteCosts } from "./routeCosts";
+
+/** A refused caller may return at once: it reaches another daemon. */
+const RETRY_AFTER_MS = 20;
+
+/** Admission of requests while the daemon is stopping. */
+export interface StopAdmission {
+  /** Starts to refuse requests that may not end by `exitAt`, a local time. */
+  start(exitAt: number): void;
+  /** Takes deadlines for the ends of requests from now on: the callers that are left have other daemons to go to. */
+  restrictToDeadlines(): void;
+  /** Returns the refusal of a request; undefined when it ends in time. */
+  findRefusal(request: RoutedRequest): DispatchResult | undefined;
+}
+
+/**
+ * Creates the admission of a daemon that is not stopping.
+ *
+ * @param clock - Clock that deadlines are measured by.
+ * @param findUsualMs - Returns the time within which nearly all requests of a route are answered, in milliseconds.
+ * @returns The admission.
+ */
+export function createStopAdmission(clock: Clock, findUsualMs: RouteCosts["findUsualMs"]): StopAdmission {
+  let exitAt = Number.POSITIVE_INFINITY;
+  let isRestricted = false;
+
+  return {
+    start: (at) => {
+      exitAt = at;
+    },
+    restrictToDeadlines: () => {
+      isRestricted = true;
+    },
+    findRefusal,
+  };
+
+  function findRefusal({ route, service, deadlineAt }: RoutedRequest): DispatchResult | undefined {
+    const now = clock.now();
+    const remainingMs = deadlineAt - now;
+    const usualMs = isRestricted ? undefined : findUsualMs(route, service.name);
+    const expectedMs = Math.min(remainingMs, usualMs ?? remainingMs);
+    const exitInMs = exitAt - now;
+    if (expectedMs <= exitInMs) {
+      return undefined;
+    }
+    return {
+      kind: "notRun",
+      reason: RejectionReason.Stopping,
+      retryAfterMs: RETRY_AFTER_MS,
+      inputs: {
+        server: undefined,
+        assignmentVersion: 0,
+        expectedWaitMs: undefined,
+        loadAgeMs: undefined,
+        exitInMs: Math.round(exitInMs),
+        expectedMs: Math.round(expectedMs),
+      },
+    };
+  }
+}
--- a/test/callerConnections.test.ts
+++ b/test/callerConnections.test.ts
@@ -72,6 +72,7 @@
       new Promise((finish) => {
         dispatched.push({ request, finish });
       }),
+    findUsualMs: () => undefined,
     callerProtocol: wireCallerProtocol,
     serverProtocol: wireServerProtocol,
     clock: systemClock,
@@ -182,7 +183,7 @@
     const { listener: draining, send, ids, finish, read, isClosed, waitUntil } = await start();
     send(get("a"), get("b"));
     await waitUntil(() => ids().length === 2);
-    draining.drain();
+    draining.drain(Number.POSITIVE_INFINITY);
     finish("a", createAnswer("a"));
     await waitUntil(() => listAnswers(read()).length === 1);
     send(get("c"));
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -43,6 +43,7 @@
     address: { host: HOST, port },
     findActive: () => ({ configuration, matcher: createRouteMatcher(configuration) }),
     dispatch: () => Promise.resolve(result),
+    findUsualMs: () => undefined,
     callerProtocol: wireCallerProtocol,
     serverProtocol: wireServerProtocol,
     clock: systemClock,
@@ -63,7 +64,7 @@
   const caller = connect(port, HOST);
   caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n");
   await new Promise<void>((resolve) => caller.once("readable", resolve));
-  listener.drain();
+  listener.drain(Number.POSITIVE_INFINITY);
   await listener.close();
   // Graceful shutdown does the same until no connection is left.
   const closeTimer = setInterval(() => {
--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -130,7 +130,7 @@
     leaving.forEach(({ socket }) => socket.destroy());
     expect(await comesTrue(() => listener.countPending() === 0)).toBe(true);
     const slow = await connectSlowCaller(port);
-    listener.drain();
+    listener.drain(Number.POSITIVE_INFINITY);
     await listener.close();
     const timer = setInterval(() => {
       void listener.closeIdle();
@@ -202,7 +202,7 @@
       workerData: { port, host: "127.0.0.1", request, isKept, state },
     });
     expect(await once(caller, "message")).toEqual([earlier]);
-    listener.drain();
+    listener.drain(Number.POSITIVE_INFINITY);
     const outcome = once(caller, "message");
     // Stands for a stall after which the timer of the check is due: the loop has read nothing since.
     await new Promise((resolve) => setTimeout(resolve, 1));
