Do not let the resignation of a stopping coordinator hold up its shutdown

Callers would see: requests cut at the end of the grace period on the coordinator, if the store is slow or silent when it is stopped.

Cause: the shutdown waited for the store's answer to the resignation before it began to count the time in which new connections are accepted. With a silent store, the listener was open until the process was killed.

Evidence: "resigning against a silent store delays neither the closing of the listener nor the end" failed: listener open after 4 s, not ended after 6 s.

Change: the resignation is sent and not waited for.

--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -21,7 +21,7 @@
   readonly logger: Logger;
   /** Maximum time from the stop signal to the exit of the process, in milliseconds. */
   readonly gracePeriodMs: number;
-  /** Resigns as coordinator, so that another daemon can take over. */
+  /** Resigns as coordinator, so that another daemon can take over; not waited for, since the store may not answer. */
   readonly resign: () => Promise<void>;
 }
 
@@ -36,7 +36,7 @@
   const exitAt = startedAt + options.gracePeriodMs - EXIT_MARGIN_MS;
   logger.log(Event.ShutdownStarted, describeLoad());
   callerListener.drain(exitAt);
-  await options.resign();
+  void options.resign();
   await sleep(clock, LAME_DUCK_MS);
   await callerListener.close();
   logger.log(Event.ShutdownListenerClosed, { ...describeLoad(), afterMs: getElapsedMs() });
