Write answers whole before the daemon's connections to callers close

What callers saw: an answer larger than the socket's buffers was cut when its caller read it slowly while the daemon was stopping.

Cause: the count of requests in flight went down when response.end() was called. The shutdown then called close(), and both server.close() and closeIdleConnections() of Node.js destroy a connection whose response is ended, written or not.

Evidence: daemonStop.test.ts, "an answer in memory is written whole to a caller that reads late": on the code before, the shutdown had ended ("expected true to be false") while the caller still had to read. The streamed case passes on the code before, too: there the count goes down when the response is finished, which is after it was written. It stays as a test, since the new code closes sockets itself.

Why it works: requests are counted until their response emits `close`, which follows the write of the last byte, and a connection is closed only when nothing is unwritten on it and no request has begun to arrive.

--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -10,6 +10,7 @@
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
 import { type RequestReadResult, readCallerBody, readCallerRequest } from "./callerRequest";
+import { createCallerSockets } from "./callerSockets";
 import { HeaderName, readHeader } from "./headers";
 import type { Router } from "./router";
 
@@ -41,11 +42,11 @@
 
 /** HTTP server for callers. */
 export interface CallerServer {
-  /** Returns the number of requests that have not been answered yet. */
+  /** Returns the number of requests whose answers have not been written to their sockets in full. */
   countInFlight(): number;
   /** Starts draining: each answer from now on carries `connection: close`. */
   drain(): void;
-  /** Stops accepting connections and closes idle ones. Resolves when all connections have closed. */
+  /** Stops accepting connections and closes each one once it is idle. Resolves when all have closed. */
   close(): Promise<void>;
 }
 
@@ -68,20 +69,15 @@
   });
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, app);
   server.on("clientError", refuseMalformedRequest);
+  const sockets = createCallerSockets(server);
   await listen(server, options.address);
 
   return {
-    countInFlight: () => inFlight,
+    countInFlight: () => sockets.countUnwritten(),
     drain: () => {
       isDraining = true;
     },
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    close: () => sockets.close(),
   };
 
   async function serve(message: express.Request, response: express.Response): Promise<void> {
--- /dev/null
+++ b/src/routing/callerSockets.ts
@@ -0,0 +1,83 @@
+/** Connections of callers: which of them carry a request that is not answered in full, and when they are closed. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+
+/** Connections of callers. */
+export interface CallerSockets {
+  /** Returns the number of requests whose answers have not been written to their sockets in full. */
+  countUnwritten(): number;
+  /** Stops accepting connections and closes each one once it is idle. Resolves when all have closed. */
+  close(): Promise<void>;
+}
+
+interface Connection {
+  /** Requests whose answers have not been written to the socket in full. */
+  readonly unwritten: Set<ServerResponse>;
+  /** Bytes received up to the end of the last request. */
+  completeBytes: number;
+}
+
+/**
+ * Follows the connections of a server.
+ *
+ * @param server - The server, before its first connection.
+ * @returns Its connections.
+ */
+export function createCallerSockets(server: Server): CallerSockets {
+  const connections = new Map<Socket, Connection>();
+  let isClosing = false;
+
+  server.on("connection", (socket) => {
+    connections.set(socket, { unwritten: new Set(), completeBytes: 0 });
+    // A response behind another one gets no event when the connection is closed.
+    socket.once("close", () => connections.delete(socket));
+  });
+  server.prependListener("request", addRequest);
+
+  return {
+    countUnwritten: () => [...connections.values()].reduce((sum, { unwritten }) => sum + unwritten.size, 0),
+    close: () =>
+      new Promise((resolve) => {
+        isClosing = true;
+        // `close` of an HTTP server also destroys connections whose answers are ended but not written yet.
+        NetServer.prototype.close.call(server, () => {
+          resolve();
+        });
+        for (const socket of connections.keys()) {
+          closeIfIdle(socket);
+        }
+      }),
+  };
+
+  function addRequest(message: IncomingMessage, response: ServerResponse): void {
+    const { socket } = message;
+    const connection = connections.get(socket);
+    if (connection === undefined) {
+      return;
+    }
+    connection.unwritten.add(response);
+    connection.completeBytes = socket.bytesRead;
+    if (hasBody(message)) {
+      message.once("end", () => {
+        connection.completeBytes = socket.bytesRead;
+        closeIfIdle(socket);
+      });
+    }
+    response.once("close", () => {
+      connection.unwritten.delete(response);
+      closeIfIdle(socket);
+    });
+  }
+
+  function closeIfIdle(socket: Socket): void {
+    const connection = connections.get(socket);
+    const isIdle = connection?.unwritten.size === 0 && connection.completeBytes === socket.bytesRead;
+    if (isClosing && isIdle) {
+      socket.destroySoon();
+    }
+  }
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined || (headers["content-length"] ?? "0") !== "0";
+}
