Read what callers have sent before their connections close

What callers saw: requests that had reached a stopping daemon short of processor time were reset without an answer.

Cause: the connections were closed from a timer. After a stall of the process, timers run before the sockets are polled, so requests in the kernel, and connections in the accept queue, were reset unread.

Evidence: two tests in daemonStop.test.ts send their requests before the event loop can read them. On the code before: "expected [ '/first' ] to deeply equal [ '/first', '/second' ]", and 0 of 20 queued connections got an answer.

Why it works: the connections are closed after two turns of the event loop in a row in which nothing arrived. Node.js accepts one connection a turn, so two turns alone would not empty the accept queue. The number of turns is bounded. A connection that becomes idle while the daemon closes waits in the same way.

--- a/src/routing/callerSockets.ts
+++ b/src/routing/callerSockets.ts
@@ -1,6 +1,7 @@
 /** Connections of callers: which of them carry a request that is not answered in full, and when they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { readArrivals } from "../http/arrivals";
 
 /** Connections of callers. */
 export interface CallerSockets {
@@ -25,9 +26,11 @@
  */
 export function createCallerSockets(server: Server): CallerSockets {
   const connections = new Map<Socket, Connection>();
+  let arrivals = 0;
   let isClosing = false;
 
   server.on("connection", (socket) => {
+    arrivals += 1;
     connections.set(socket, { unwritten: new Set(), completeBytes: 0 });
     // A response behind another one gets no event when the connection is closed.
     socket.once("close", () => connections.delete(socket));
@@ -36,20 +39,24 @@
 
   return {
     countUnwritten: () => [...connections.values()].reduce((sum, { unwritten }) => sum + unwritten.size, 0),
-    close: () =>
-      new Promise((resolve) => {
-        isClosing = true;
-        // `close` of an HTTP server also destroys connections whose answers are ended but not written yet.
-        NetServer.prototype.close.call(server, () => {
-          resolve();
-        });
-        for (const socket of connections.keys()) {
-          closeIfIdle(socket);
-        }
-      }),
+    close,
   };
 
+  async function close(): Promise<void> {
+    await readArrivals(() => arrivals);
+    isClosing = true;
+    const closed = new Promise<void>((resolve) => {
+      // `close` of an HTTP server also destroys connections whose answers are ended but not written yet.
+      NetServer.prototype.close.call(server, () => {
+        resolve();
+      });
+    });
+    [...connections.keys()].forEach(closeIfIdle);
+    await closed;
+  }
+
   function addRequest(message: IncomingMessage, response: ServerResponse): void {
+    arrivals += 1;
     const { socket } = message;
     const connection = connections.get(socket);
     if (connection === undefined) {
@@ -60,19 +67,26 @@
     if (hasBody(message)) {
       message.once("end", () => {
         connection.completeBytes = socket.bytesRead;
-        closeIfIdle(socket);
+        void closeOnceIdle(socket);
       });
     }
     response.once("close", () => {
       connection.unwritten.delete(response);
-      closeIfIdle(socket);
+      void closeOnceIdle(socket);
     });
   }
 
+  async function closeOnceIdle(socket: Socket): Promise<void> {
+    if (isClosing) {
+      await readArrivals(() => socket.bytesRead);
+      closeIfIdle(socket);
+    }
+  }
+
   function closeIfIdle(socket: Socket): void {
     const connection = connections.get(socket);
     const isIdle = connection?.unwritten.size === 0 && connection.completeBytes === socket.bytesRead;
-    if (isClosing && isIdle) {
+    if (isIdle) {
       socket.destroySoon();
     }
   }
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -1,11 +1,12 @@
 /** Planned stop of a daemon. Guards against requests that were taken, or had arrived, and get no whole answer. */
 import { Readable } from "node:stream";
 import { describe, expect, test } from "vitest";
-import type { Body } from "../src/types";
+import { type Body, emptyBody } from "../src/types";
 import { connectCaller, createBodyAnswer, startStoppingDaemon, waitUntil } from "./support/stoppingDaemon";
 
 /** Larger than the buffers of both sockets. */
 const LONG_ANSWER_BYTES = 32_000_000;
+const QUEUED_CONNECTIONS = 20;
 
 const longBodies: readonly (readonly [string, () => Body])[] = [
   ["in memory", () => ({ kind: "buffer", content: Buffer.alloc(LONG_ANSWER_BYTES) })],
@@ -33,4 +34,36 @@
       await daemon.advanceUntil(() => daemon.hasStopped());
     },
   );
+
+  // Guards against resetting a request that waits in the kernel when the connections are closed.
+  test("a request that has arrived but is not read is answered when connections close", async () => {
+    const daemon = await startStoppingDaemon(() => Promise.resolve(createBodyAnswer(emptyBody)));
+    const caller = connectCaller(daemon.port);
+    caller.send("/desk/first");
+    await waitUntil(() => caller.received() !== "");
+    // Both happen before the event loop reads the request.
+    caller.send("/desk/second");
+    await daemon.callers.close();
+    expect(daemon.routed).toEqual(["/first", "/second"]);
+    await waitUntil(() => caller.isClosed());
+    expect(caller.received().match(/200 OK/g)).toHaveLength(2);
+  });
+
+  // Guards against resetting connections that the kernel has accepted and the process has not.
+  test("connections in the accept queue are served when the listener closes", async () => {
+    const daemon = await startStoppingDaemon(() => Promise.resolve(createBodyAnswer(emptyBody)));
+    const callers = Array.from({ length: QUEUED_CONNECTIONS }, () => connectCaller(daemon.port));
+    callers.forEach((caller, index) => {
+      caller.send(`/desk/${index}`);
+    });
+    // The connections are requested on the next tick, before the event loop accepts any.
+    await new Promise((resolve) => {
+      process.nextTick(resolve);
+    });
+    await daemon.callers.close();
+    await waitUntil(() => callers.every((caller) => caller.isClosed()));
+    expect(callers.filter((caller) => caller.received().startsWith("HTTP/1.1 200"))).toHaveLength(
+      QUEUED_CONNECTIONS,
+    );
+  });
 });
