Answer the requests of other daemons in full before a stop

What callers saw: a request that one daemon had forwarded to another, stopping one ended with the outcome unknown.

Cause: the shutdown counted the requests being executed, not the answers being sent to other daemons, and closed the connections from a timer: what had arrived was not read, and what was not written yet was dropped.

Evidence: daemonStop.test.ts, "requests that other daemons send just before the end are answered in full": on the code before, "expected [ 'failure', 'failure', …(18) ] to deeply equal [ 'answer', …".

Why it works: before the subsystems stop, the daemon reads what other daemons have sent, and waits until every request of theirs has its whole answer and no connection holds unwritten bytes, at most until the deadline of the shutdown. The leases have ended by then, so late requests are refused as not run.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -407,6 +407,7 @@
       leases,
       callers,
       dispatcher,
+      peers,
       timeoutMs: settings.shutdown_timeout,
       logHandoverError,
       stopSubsystems,
--- a/src/daemon/gracefulShutdown.ts
+++ b/src/daemon/gracefulShutdown.ts
@@ -2,6 +2,7 @@
 import { Event, type Logger } from "../observability";
 import type { Membership } from "../membership";
 import { type LeaseManager, chooseSuccessor } from "../ownership";
+import type { Peers } from "../peers";
 import type { CallerServer, LeaseholderDispatcher } from "../routing";
 import type { SnapshotStore } from "../snapshots";
 import { type Clock, sleep } from "../types";
@@ -20,6 +21,7 @@
   readonly leases: LeaseManager;
   readonly callers: CallerServer;
   readonly dispatcher: LeaseholderDispatcher;
+  readonly peers: Pick<Peers, "countUnfinished" | "readArrived">;
   /** Maximum duration of the shutdown in milliseconds. */
   readonly timeoutMs: number;
   readonly logHandoverError: (error: unknown) => void;
@@ -47,6 +49,9 @@
   membership.leave();
   // The datagrams of `leave` must be sent before the socket is closed.
   await sleep(clock, IDLE_CHECK_MS);
+  // Requests that other daemons have sent in the meantime are refused as not run, since the leases have ended.
+  await options.peers.readArrived();
+  await waitUntilIdle(options, deadlineAt);
   await options.stopSubsystems();
   logger.log(Event.ShutdownFinished);
 }
@@ -70,12 +75,13 @@
 }
 
 async function waitUntilIdle(options: GracefulShutdownOptions, deadlineAt: number): Promise<void> {
-  const { clock, callers, dispatcher, logger } = options;
-  while (callers.countInFlight() > 0 || dispatcher.countInFlight() > 0) {
+  const { clock, callers, dispatcher, peers, logger } = options;
+  while (callers.countInFlight() > 0 || dispatcher.countInFlight() > 0 || peers.countUnfinished() > 0) {
     if (clock.now() > deadlineAt) {
       logger.log(Event.ShutdownDeadlineExceeded, {
         callers: callers.countInFlight(),
         requests: dispatcher.countInFlight(),
+        peers: peers.countUnfinished(),
       });
       return;
     }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -24,6 +24,8 @@
   onClose(handler: () => void): void;
   /** Counts the bytes sent so far. */
   countSentBytes(): number;
+  /** Counts the bytes that are not written to the socket yet. */
+  countUnwrittenBytes(): number;
   /** Closes the connection. */
   close(): void;
 }
@@ -141,6 +143,7 @@
     sendHello: send,
     send,
     countSentBytes: () => sentBytes,
+    countUnwrittenBytes: () => socket.bufferedAmount,
     onMessage: (handler) => {
       messageHandler = handler;
       for (const message of earlyMessages.splice(0)) {
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -4,6 +4,7 @@
 import type { Membership } from "../membership";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Handover, PeerIdentity, ServerStatus, SlotLoads } from "../ownership";
+import { readArrivals } from "../http/arrivals";
 import type { ObjectAnswer, ObjectCall, ObjectCallHandler } from "../objectStore";
 import type { RawSnapshot, SnapshotVersions } from "../snapshots";
 import {
@@ -81,6 +82,10 @@
   identify(address: Address): Promise<PeerIdentity>;
   /** Counts the bytes sent to other daemons so far. */
   countSentBytes(): number;
+  /** Counts the connections on which answers to requests are unfinished or bytes are not written yet. */
+  countUnfinished(): number;
+  /** Reads the messages that have arrived. */
+  readArrived(): Promise<void>;
   /** Closes the listener and all connections. */
   close(): Promise<void>;
 }
@@ -104,7 +109,8 @@
 export async function createPeers(options: PeersOptions): Promise<Peers> {
   const { hello, membership, handlers, clock, logger, counters } = options;
   const dialledPeers = new Map<DaemonName, Promise<OpenPeer>>();
-  const openLinks = new Set<PeerLink>();
+  const openLinks = new Map<PeerLink, WorkChannel>();
+  let arrivals = 0;
   let closedLinkBytes = 0;
   const dialFailedAt = new Map<DaemonName, number>();
   const server = await listen(options.address);
@@ -135,9 +141,15 @@
       }
     },
     identify,
-    countSentBytes: () => [...openLinks].reduce((sum, link) => sum + link.countSentBytes(), closedLinkBytes),
+    countSentBytes: () =>
+      [...openLinks.keys()].reduce((sum, link) => sum + link.countSentBytes(), closedLinkBytes),
+    countUnfinished: () =>
+      [...openLinks].filter(
+        ([link, channel]) => channel.countReceived() > 0 || link.countUnwrittenBytes() > 0,
+      ).length,
+    readArrived: () => readArrivals(() => arrivals),
     close: async () => {
-      for (const link of openLinks) {
+      for (const link of openLinks.keys()) {
         link.close();
       }
       await new Promise<void>((resolve) => {
@@ -201,7 +213,7 @@
     const channel = createWorkChannel(link, handlers.handleWork);
     const pendingAnswers = new Map<number, PendingAnswer>();
     let lastQueryId = 0;
-    openLinks.add(link);
+    openLinks.set(link, channel);
     link.onClose(() => {
       openLinks.delete(link);
       closedLinkBytes += link.countSentBytes();
@@ -213,6 +225,7 @@
       }
     });
     link.onMessage((message) => {
+      arrivals += 1;
       handleMessage(link, channel, pendingAnswers, message);
     });
     link.send({ kind: "statuses", statuses: handlers.listOwnStatuses() });
--- a/src/peers/workChannel.ts
+++ b/src/peers/workChannel.ts
@@ -44,6 +44,8 @@
   forward(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult>;
   /** Handles a message from the other side. */
   handleMessage(message: WorkMessage): void;
+  /** Returns the number of requests from the other side whose answers have not been sent in full. */
+  countReceived(): number;
   /** Fails sent requests with an unknown outcome and cancels received ones, after the link was lost. */
   failAll(): void;
 }
@@ -72,7 +74,7 @@
   const receivedRequests = new Map<number, ReceivedRequest>();
   let lastId = 0;
 
-  return { forward, handleMessage, failAll };
+  return { forward, handleMessage, countReceived: () => receivedRequests.size, failAll };
 
   function forward(work: WorkRequest, body: Body, signal: AbortSignal): Promise<WorkResult> {
     lastId += 1;
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -1,12 +1,35 @@
 /** Planned stop of a daemon. Guards against requests that were taken, or had arrived, and get no whole answer. */
 import { Readable } from "node:stream";
 import { describe, expect, test } from "vitest";
-import { type Body, emptyBody } from "../src/types";
-import { connectCaller, createBodyAnswer, startStoppingDaemon, waitUntil } from "./support/stoppingDaemon";
+import type { Membership } from "../src/membership";
+import { type Body, type Clock, type WorkRequest, type WorkResult, emptyBody } from "../src/types";
+import {
+  connectCaller,
+  createBodyAnswer,
+  startStoppingDaemon,
+  startStoppingPeer,
+  waitUntil,
+} from "./support/stoppingDaemon";
 
 /** Larger than the buffers of both sockets. */
 const LONG_ANSWER_BYTES = 32_000_000;
 const QUEUED_CONNECTIONS = 20;
+const PEER_REQUESTS = 20;
+const PEER_ANSWER_BYTES = 2_000_000;
+
+const work: WorkRequest = {
+  id: "w",
+  service: "desk",
+  server: "one",
+  key: "k",
+  method: "GET",
+  target: "/k",
+  headers: {},
+  timeoutMs: 1000,
+  isIdempotent: true,
+  idempotencyKey: null,
+  relayTo: null,
+};
 
 const longBodies: readonly (readonly [string, () => Body])[] = [
   ["in memory", () => ({ kind: "buffer", content: Buffer.alloc(LONG_ANSWER_BYTES) })],
@@ -66,4 +89,41 @@
       QUEUED_CONNECTIONS,
     );
   });
+
+  // Guards against dropping unread requests of other daemons, and answers to them that are not written yet.
+  test("requests that other daemons send just before the end are answered in full", async () => {
+    const stopping = await startStoppingPeer("stopping", () =>
+      Promise.resolve(createBodyAnswer({ kind: "buffer", content: Buffer.alloc(PEER_ANSWER_BYTES) })),
+    );
+    const other = await startStoppingPeer("other", () => Promise.reject(new Error("unexpected")));
+    const peer = await other.connect("stopping");
+    const daemon = await startStoppingDaemon(() => Promise.resolve(createBodyAnswer(emptyBody)));
+    const results: Promise<WorkResult>[] = [];
+    let hasLeft = false;
+    const stallingClock: Clock = {
+      now: () => daemon.clock.now(),
+      schedule: (delayMs, callback) =>
+        daemon.clock.schedule(delayMs, () => {
+          // As after a stall: the requests arrive, and timers run before the event loop reads them.
+          while (hasLeft && results.length < PEER_REQUESTS) {
+            const request = { ...work, id: `w${results.length}` };
+            results.push(peer.forward(request, emptyBody, new AbortController().signal));
+          }
+          callback();
+        }),
+    };
+    const leave = () => {
+      hasLeft = true;
+    };
+    daemon.stop({
+      clock: stallingClock,
+      peers: stopping,
+      membership: { setLeaving: () => undefined, leave } as unknown as Membership,
+      stopSubsystems: () => stopping.close(),
+    });
+    await daemon.advanceUntil(() => daemon.hasStopped());
+    const kinds = (await Promise.all(results)).map((result) => result.kind);
+    expect(kinds).toEqual(Array(PEER_REQUESTS).fill("answer"));
+    await other.close();
+  });
 });
--- a/test/support/fakeLinks.ts
+++ b/test/support/fakeLinks.ts
@@ -77,6 +77,7 @@
         side.onClose.push(handler);
       },
       countSentBytes: () => 0,
+      countUnwrittenBytes: () => 0,
       close: disconnect,
     };
   }
--- a/test/support/stoppingDaemon.ts
+++ b/test/support/stoppingDaemon.ts
@@ -4,9 +4,18 @@
 import { CONFIGURATION_PATH } from "../../src/configuration";
 import { type GracefulShutdownOptions, shutDownGracefully } from "../../src/daemon/gracefulShutdown";
 import { createCounters, silentLogger } from "../../src/observability";
+import type { Membership } from "../../src/membership";
+import { PEER_PROTOCOL, type PeerHandlers, type Peers, createPeers } from "../../src/peers";
 import { type CallerServer, type Router, createCallerServer } from "../../src/routing";
 import { createSnapshotStore } from "../../src/snapshots";
-import { type Body, type WorkResult, sleep, systemClock } from "../../src/types";
+import {
+  type Address,
+  type Body,
+  type WorkHandler,
+  type WorkResult,
+  sleep,
+  systemClock,
+} from "../../src/types";
 import { type FakeClock, createFakeClock } from "./fakeClock";
 
 const SHUTDOWN_TIMEOUT_MS = 30_000;
@@ -18,6 +27,9 @@
   servers: {},
 };
 
+/** Peer addresses by daemon. */
+const addresses = new Map<string, Address>();
+
 /** A daemon that can be shut down. */
 export interface StoppingDaemon {
   readonly clock: FakeClock;
@@ -66,6 +78,7 @@
     snapshots,
     callers,
     dispatcher: { countInFlight: () => 0 },
+    peers: { countUnfinished: () => 0, readArrived: () => Promise.resolve() },
     timeoutMs: SHUTDOWN_TIMEOUT_MS,
     logHandoverError: () => undefined,
     stopSubsystems: () => Promise.resolve(),
@@ -127,6 +140,43 @@
   };
 }
 
+/**
+ * Listens for other daemons.
+ *
+ * @param daemon - Name of the daemon.
+ * @param handleWork - Executes the requests that others forward.
+ * @returns The connections.
+ */
+export async function startStoppingPeer(daemon: string, handleWork: WorkHandler): Promise<Peers> {
+  const address = { host: "127.0.0.1", port: await findFreePort() };
+  addresses.set(daemon, address);
+  const handlers: Partial<PeerHandlers> = {
+    handleWork,
+    listOwnStatuses: () => [],
+    applyStatuses: () => undefined,
+  };
+  return createPeers({
+    hello: {
+      kind: "hello",
+      protocol: PEER_PROTOCOL,
+      cluster: "test",
+      daemon,
+      incarnation: 1,
+      dataCentre: "north",
+      release: "0",
+    },
+    address,
+    membership: {
+      get: (name: string) => ({ address: addresses.get(name) }),
+      probeNow: () => undefined,
+    } as unknown as Membership,
+    handlers: handlers as PeerHandlers,
+    clock: systemClock,
+    logger: silentLogger,
+    counters: createCounters("test"),
+  });
+}
+
 /** Creates the answer of a backend server with a body. */
 export function createBodyAnswer(body: Body, headers: Record<string, string> = {}): WorkResult {
   const load = { inFlight: 0, queued: 0, limit: 1, latencyMs: 1 };
