Ignore further stop signals while the daemon shuts down

What callers saw: all requests in flight were cut at once when a stopping daemon was sent SIGTERM or SIGINT again.

Cause: each handler was added with process.once. After the first signal none was left, and the default action ends the process.

Evidence: daemonStop.test.ts, "a second SIGTERM does not end the process" and the same for SIGINT: on the handlers before, "expected [] to have a length of 1 but got +0". The test counts listeners and sends no real signal.

Why it works: the listeners stay for the life of the process. They are added before the daemon starts, so a signal during the start leads to a graceful shutdown as well.

Measured: both cases pass.

--- a/src/cli/commands/daemon.ts
+++ b/src/cli/commands/daemon.ts
@@ -2,6 +2,7 @@
 import { startDaemon } from "../../daemon";
 import { loadSettings } from "../../settings";
 import { type Command, ExitCode, getTextFlag } from "../command";
+import { waitForStopSignal } from "../stopSignal";
 
 export const daemonCommand: Command = {
   name: "daemon",
@@ -9,19 +10,10 @@
   summary: "Run one daemon. SIGTERM or SIGINT shuts it down gracefully.",
   flags: { settings: { type: "string", isRequired: true, help: "TOML settings file of this daemon" } },
   run: async (_input, flags) => {
+    const stopSignal = waitForStopSignal();
     const daemon = await startDaemon(loadSettings(getTextFlag(flags, "settings")));
-    await waitForShutdownSignal();
+    await stopSignal;
     await daemon.shutDown();
     return ExitCode.Success;
   },
 };
-
-function waitForShutdownSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    const onSignal = () => {
-      resolve();
-    };
-    process.once("SIGTERM", onSignal);
-    process.once("SIGINT", onSignal);
-  });
-}
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -1,6 +1,7 @@
 /** Planned stop of a daemon. Guards against requests that were taken, or had arrived, and get no whole answer. */
 import { Readable } from "node:stream";
 import { describe, expect, test } from "vitest";
+import { waitForStopSignal } from "../src/cli/stopSignal";
 import type { Membership } from "../src/membership";
 import { type Body, type Clock, type WorkRequest, type WorkResult, emptyBody } from "../src/types";
 import {
@@ -126,4 +127,16 @@
     expect(kinds).toEqual(Array(PEER_REQUESTS).fill("answer"));
     await other.close();
   });
+
+  // Guards against a second signal that ends the process in the middle of the shutdown.
+  test.each(["SIGTERM", "SIGINT"] as const)("a second %s does not end the process", async (signal) => {
+    const before = process.listeners(signal);
+    const stopSignal = waitForStopSignal();
+    process.emit(signal);
+    await stopSignal;
+    const remaining = process.listeners(signal).filter((listener) => !before.includes(listener));
+    remaining.forEach((listener) => process.removeListener(signal, listener));
+    // Without a listener, the next signal ends the process.
+    expect(remaining).toHaveLength(1);
+  });
 });
