Refuse requests that cannot end before a stopping daemon does

What callers saw: a request that was taken late in a shutdown and took longer than what was left of it was cut by the exit.

Cause: the daemon passed on every request until its connections were closed, without asking whether it could end in time.

Why it works: a request is refused at once with status 503, outcome not-run, reason daemon-stopping and retry-after when the longest recent time of its service, or its deadline if that is earlier or no time is known, ends after the shutdown. One that is taken gets the end of the shutdown as deadline, so retries end in a refusal before the exit. The same holds for requests that other daemons forward.

A slow caller of a streamed answer counts towards the time of its service.

--- a/src/daemon/gracefulShutdown.ts
+++ b/src/daemon/gracefulShutdown.ts
@@ -39,7 +39,8 @@
   const deadlineAt = clock.now() + options.timeoutMs;
   logger.log(Event.ShutdownStarted);
   membership.setLeaving();
-  callers.drain();
+  callers.drain(deadlineAt);
+  options.dispatcher.drain(deadlineAt);
   await handOverLeases(options, deadlineAt);
   await sleep(clock, LAME_DUCK_MS);
   await waitUntilIdle(options, deadlineAt);
--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -13,6 +13,7 @@
 import { createCallerSockets } from "./callerSockets";
 import { HeaderName, readHeader } from "./headers";
 import type { Router } from "./router";
+import { createStopGate } from "./stopGate";
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const MAX_CONCURRENT_REQUESTS = 20_000;
@@ -44,8 +45,11 @@
 export interface CallerServer {
   /** Returns the number of requests whose answers have not been written to their sockets in full. */
   countInFlight(): number;
-  /** Starts draining: each answer from now on carries `connection: close`. */
-  drain(): void;
+  /**
+   * Starts draining: each answer from now on carries `connection: close`, and requests that cannot end before the
+   * local time `stopsAt` are refused.
+   */
+  drain(stopsAt: number): void;
   /** Stops accepting connections and closes each one once it is idle. Resolves when all have closed. */
   close(): Promise<void>;
 }
@@ -61,6 +65,7 @@
   const { snapshots, clock, counters, logger } = options;
   let inFlight = 0;
   let isDraining = false;
+  const gate = createStopGate(clock);
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
@@ -74,8 +79,9 @@
 
   return {
     countInFlight: () => sockets.countUnwritten(),
-    drain: () => {
+    drain: (stopsAt) => {
       isDraining = true;
+      gate.close(stopsAt);
     },
     close: () => sockets.close(),
   };
@@ -123,12 +129,21 @@
       sendFailure(response, requestId, failure, "the caller has disconnected");
       return;
     }
-    const result = await options.router(readResult.request, body, caller.signal);
+    const { request } = readResult;
+    if (!gate.canEnd(request.service, request.deadlineAt)) {
+      const failure = createNotRunFailure(RefusalReason.DaemonStopping);
+      sendFailure(response, requestId, failure, "the daemon stops before the request can end");
+      return;
+    }
+    const startedAt = clock.now();
+    const deadlineAt = gate.limitDeadline(request.deadlineAt);
+    const result = await options.router({ ...request, deadlineAt }, body, caller.signal);
     if (result.kind === "failure") {
       sendFailure(response, requestId, result.failure);
       return;
     }
     await sendAnswer(response, requestId, result.answer);
+    gate.record(request.service, clock.now() - startedAt);
   }
 
   function readHead(message: express.Request): RequestReadResult {
--- a/src/routing/leaseholderDispatcher.ts
+++ b/src/routing/leaseholderDispatcher.ts
@@ -16,6 +16,7 @@
   type WorkResult,
 } from "../types";
 import { type ServerClient, createServerClient } from "./serverClient";
+import { createStopGate } from "./stopGate";
 import { type WorkRegistry, isReplayable } from "./workRegistry";
 
 /** Options for {@link createLeaseholderDispatcher}. */
@@ -35,6 +36,8 @@
   readonly handleWork: WorkHandler;
   /** Returns the number of requests being executed or relayed. */
   countInFlight(): number;
+  /** Starts to refuse requests that cannot end before the local time `stopsAt`. */
+  drain(stopsAt: number): void;
   /** Closes all connections to backend servers immediately. */
   close(): void;
 }
@@ -53,6 +56,7 @@
 export function createLeaseholderDispatcher(options: LeaseholderDispatcherOptions): LeaseholderDispatcher {
   const { leases, clock, registry, counters } = options;
   const clients = new Map<ServerName, OpenClient>();
+  const gate = createStopGate(clock);
   let inFlight = 0;
 
   return {
@@ -72,6 +76,9 @@
       }
     },
     countInFlight: () => inFlight,
+    drain: (stopsAt) => {
+      gate.close(stopsAt);
+    },
     close: () => {
       for (const { client } of clients.values()) {
         client.close();
@@ -134,7 +141,11 @@
     if (lease?.service !== work.service) {
       return fail(Outcome.NotRun, RefusalReason.NotLeaseholder, work);
     }
-    const deadlineAt = clock.now() + work.timeoutMs;
+    const startedAt = clock.now();
+    const deadlineAt = startedAt + work.timeoutMs;
+    if (!gate.canEnd(work.service, deadlineAt)) {
+      return fail(Outcome.NotRun, RefusalReason.DaemonStopping, work);
+    }
     const admission = await lease.acquirePermit(work.key ?? undefined, deadlineAt, signal);
     if (admission.kind === "refused") {
       return fail(Outcome.NotRun, admission.reason, work);
@@ -150,7 +161,18 @@
     }
     counters.increment("dispatch.sent");
     const { permit } = admission;
-    return client.send({ work, body, permit, generation: lease.generation, deadlineAt, signal });
+    const result = await client.send({
+      work,
+      body,
+      permit,
+      generation: lease.generation,
+      deadlineAt: gate.limitDeadline(deadlineAt),
+      signal,
+    });
+    if (result.kind === "answer") {
+      gate.record(work.service, clock.now() - startedAt);
+    }
+    return result;
   }
 
   function findOrCreateClient(lease: ServerLease): ServerClient | undefined {
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -14,6 +14,7 @@
   InvalidRequest: "invalid-request",
   HeadersTooLarge: "headers-too-large",
   NotReady: "not-ready",
+  DaemonStopping: "daemon-stopping",
   NoOwner: "no-owner",
   NoLeaseholder: "no-leaseholder",
   LeaseholderUnreachable: "leaseholder-unreachable",
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -3,7 +3,14 @@
 import { describe, expect, test } from "vitest";
 import { waitForStopSignal } from "../src/cli/stopSignal";
 import type { Membership } from "../src/membership";
-import { type Body, type Clock, type WorkRequest, type WorkResult, emptyBody } from "../src/types";
+import { createCounters } from "../src/observability";
+import {
+  type LeaseholderDispatcherOptions,
+  createLeaseholderDispatcher,
+  createWorkRegistry,
+} from "../src/routing";
+import { createFakeClock } from "./support/fakeClock";
+import { type Body, type Clock, type WorkRequest, type WorkResult, emptyBody, sleep } from "../src/types";
 import {
   connectCaller,
   createBodyAnswer,
@@ -15,6 +22,8 @@
 /** Larger than the buffers of both sockets. */
 const LONG_ANSWER_BYTES = 32_000_000;
 const QUEUED_CONNECTIONS = 20;
+/** Shorter than the deadlines of most requests. */
+const SHORT_SHUTDOWN_MS = 2000;
 const PEER_REQUESTS = 20;
 const PEER_ANSWER_BYTES = 2_000_000;
 
@@ -139,4 +148,89 @@
     // Without a listener, the next signal ends the process.
     expect(remaining).toHaveLength(1);
   });
+
+  interface LateRequest {
+    readonly name: string;
+    /** Time that a request of the service has taken before, in milliseconds. */
+    readonly beforeMs?: number;
+    readonly timeoutMs: number;
+    readonly isTaken: boolean;
+  }
+
+  const lateRequests: readonly LateRequest[] = [
+    { name: "whose service is fast enough", beforeMs: 100, timeoutMs: 10_000, isTaken: true },
+    { name: "whose service is too slow", beforeMs: 3000, timeoutMs: 10_000, isTaken: false },
+    { name: "of an unknown service with a late deadline", timeoutMs: 10_000, isTaken: false },
+    { name: "of an unknown service with an early deadline", timeoutMs: 500, isTaken: true },
+    { name: "of a slow service with an early deadline", beforeMs: 3000, timeoutMs: 500, isTaken: true },
+  ];
+
+  // Guards against passing on a request that the end of the shutdown would cut.
+  test.each(lateRequests)(
+    "a late request $name: taken $isTaken",
+    async ({ beforeMs, timeoutMs, isTaken }) => {
+      let takesMs = 0;
+      const daemon = await startStoppingDaemon(async () => {
+        await sleep(daemon.clock, takesMs);
+        return createBodyAnswer(emptyBody);
+      });
+      if (beforeMs !== undefined) {
+        takesMs = beforeMs;
+        const earlier = connectCaller(daemon.port);
+        earlier.send("/desk/earlier");
+        await daemon.advanceUntil(() => earlier.received() !== "");
+      }
+      daemon.stop({ timeoutMs: SHORT_SHUTDOWN_MS });
+      takesMs = 0;
+      const caller = connectCaller(daemon.port);
+      caller.send("/desk/late", `x-hemlockbank-timeout-ms: ${timeoutMs}`);
+      await waitUntil(() => caller.received() !== "" || daemon.routed.includes("/late"));
+      expect(daemon.routed.includes("/late")).toBe(isTaken);
+      await daemon.advanceUntil(() => caller.received() !== "");
+      expect(caller.received()).toMatch(
+        isTaken ? /^HTTP.1.1 200/ : /^HTTP.1.1 503[^]*retry-after: 1[^]*not-run/,
+      );
+    },
+  );
+
+  // Guards against a request that is retried, or waits, until the end of the shutdown cuts it.
+  test("a request taken during the stop gets its deadline from it", async () => {
+    const deadlines: number[] = [];
+    const daemon = await startStoppingDaemon((request) => {
+      deadlines.push(request.deadlineAt);
+      return Promise.resolve(createBodyAnswer(emptyBody));
+    });
+    const earlier = connectCaller(daemon.port);
+    earlier.send("/desk/earlier");
+    await waitUntil(() => earlier.received() !== "");
+    const stopsAt = daemon.clock.now() + SHORT_SHUTDOWN_MS;
+    daemon.stop({ timeoutMs: SHORT_SHUTDOWN_MS });
+    const late = connectCaller(daemon.port);
+    late.send("/desk/late", "x-hemlockbank-timeout-ms: 10000");
+    await waitUntil(() => late.received() !== "");
+    expect(deadlines[0]).toBeGreaterThan(stopsAt);
+    expect(deadlines[1]).toBeLessThan(stopsAt);
+  });
+
+  // Guards against running forwarded requests of other daemons that the end of the shutdown would cut.
+  test.each([
+    [10_000, "daemon-stopping"],
+    [500, "lease-not-held"],
+  ])("a forwarded request with %i ms left is refused as %s", async (timeoutMs, reason) => {
+    const clock = createFakeClock();
+    const acquirePermit = () => Promise.resolve({ kind: "refused", reason: "lease-not-held" });
+    const dispatcher = createLeaseholderDispatcher({
+      leases: { get: () => ({ service: work.service, acquirePermit }) },
+      registry: createWorkRegistry(clock),
+      clock,
+      counters: createCounters("test"),
+    } as unknown as LeaseholderDispatcherOptions);
+    dispatcher.drain(clock.now() + SHORT_SHUTDOWN_MS);
+    const result = await dispatcher.handleWork(
+      { ...work, timeoutMs },
+      emptyBody,
+      new AbortController().signal,
+    );
+    expect(result).toMatchObject({ kind: "failure", failure: { outcome: "not-run", reason } });
+  });
 });
--- a/test/support/stoppingDaemon.ts
+++ b/test/support/stoppingDaemon.ts
@@ -77,7 +77,7 @@
     leases: { all: () => [], handOver: () => Promise.resolve(), stop: () => Promise.resolve() },
     snapshots,
     callers,
-    dispatcher: { countInFlight: () => 0 },
+    dispatcher: { countInFlight: () => 0, drain: () => undefined },
     peers: { countUnfinished: () => 0, readArrived: () => Promise.resolve() },
     timeoutMs: SHUTDOWN_TIMEOUT_MS,
     logHandoverError: () => undefined,
@@ -107,7 +107,7 @@
 export interface RawCaller {
   readonly socket: Socket;
   /** Sends a GET request, at once if the connection is open. */
-  send(path: string): void;
+  send(path: string, field?: string): void;
   /** Returns what was received so far. */
   received(): string;
   /** Counts the bytes after the first head. */
@@ -133,7 +133,8 @@
   socket.on("error", () => undefined);
   return {
     socket,
-    send: (path) => socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`),
+    send: (path, field = "accept: a") =>
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\n${field}\r\n\r\n`),
     received: () => Buffer.concat(chunks).toString("latin1"),
     countBodyBytes: () => bytes - (chunks[0]?.indexOf(HEAD_END) ?? 0) - HEAD_END.length,
     isClosed: () => socket.destroyed,
