Bound the time that a stopping daemon waits for its handover

What callers saw: while the platform did not answer, a stopping daemon used its whole shutdown for the handover of its leases. Its connections were closed after the deadline, or never, so the process was killed with requests in flight.

Cause: the handover was retried up to the deadline of the whole shutdown, and one call without an answer was waited for without a limit.

Evidence: daemonStop.test.ts, "the shutdown ends in time while the platform refuses" and "... does not answer": on the code before, "expected false to be true", the shutdown had not ended at its deadline.

Why it works: the shutdown goes on after half of its time. The handover is still retried until the requests have ended.

--- a/src/daemon/gracefulShutdown.ts
+++ b/src/daemon/gracefulShutdown.ts
@@ -8,6 +8,8 @@
 import { type Clock, sleep } from "../types";
 
 const HANDOVER_RETRY_MS = 500;
+/** Part of the shutdown that waits for the handover; the rest is for requests in flight. */
+const HANDOVER_SHARE = 0.5;
 /** Time for load balancers to notice that the daemon is no longer ready. */
 const LAME_DUCK_MS = 1000;
 const IDLE_CHECK_MS = 20;
@@ -41,11 +43,16 @@
   membership.setLeaving();
   callers.drain(deadlineAt);
   options.dispatcher.drain(deadlineAt);
-  await handOverLeases(options, deadlineAt);
-  await sleep(clock, LAME_DUCK_MS);
+  const handover = new AbortController();
+  await Promise.race([
+    handOverLeases(options, handover.signal),
+    sleep(clock, options.timeoutMs * HANDOVER_SHARE, handover.signal),
+  ]);
+  await sleep(clock, Math.min(LAME_DUCK_MS, deadlineAt - clock.now()));
   await waitUntilIdle(options, deadlineAt);
   await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
   await waitUntilIdle(options, deadlineAt);
+  handover.abort();
   await options.leases.stop();
   membership.leave();
   // The datagrams of `leave` must be sent before the socket is closed.
@@ -59,18 +66,18 @@
 
 /**
  * Hands over all leases. While the platform is unavailable, the daemon keeps its leases, goes on serving and
- * retries until the deadline.
+ * retries until aborted, which is when its requests have ended.
  */
-async function handOverLeases(options: GracefulShutdownOptions, deadlineAt: number): Promise<void> {
+async function handOverLeases(options: GracefulShutdownOptions, signal: AbortSignal): Promise<void> {
   const { clock, leases, membership, snapshots } = options;
-  while (clock.now() < deadlineAt) {
+  while (!signal.aborted) {
     const servers = leases.all().map((lease) => lease.server);
     try {
       await leases.handOver(servers, (server) => chooseSuccessor({ leases, membership, snapshots }, server));
       return;
     } catch (error) {
       options.logHandoverError(error);
-      await sleep(clock, HANDOVER_RETRY_MS);
+      await sleep(clock, HANDOVER_RETRY_MS, signal);
     }
   }
 }
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "vitest";
 import { waitForStopSignal } from "../src/cli/stopSignal";
 import type { Membership } from "../src/membership";
+import type { LeaseManager } from "../src/ownership";
 import { createCounters } from "../src/observability";
 import {
   type LeaseholderDispatcherOptions,
@@ -24,6 +25,7 @@
 const QUEUED_CONNECTIONS = 20;
 /** Shorter than the deadlines of most requests. */
 const SHORT_SHUTDOWN_MS = 2000;
+const LONG_SHUTDOWN_MS = 20_000;
 const PEER_REQUESTS = 20;
 const PEER_ANSWER_BYTES = 2_000_000;
 
@@ -233,4 +235,28 @@
     );
     expect(result).toMatchObject({ kind: "failure", failure: { outcome: "not-run", reason } });
   });
+
+  const unavailablePlatforms: readonly (readonly [string, () => Promise<void>])[] = [
+    ["refuses", () => Promise.reject(new Error("unavailable"))],
+    ["does not answer", () => new Promise(() => undefined)],
+  ];
+
+  // Guards against a handover that leaves no time to finish requests and to close connections.
+  test.each(unavailablePlatforms)(
+    "the shutdown ends in time while the platform %s",
+    async (_name, handOver) => {
+      const daemon = await startStoppingDaemon(() => Promise.resolve(createBodyAnswer(emptyBody)));
+      const caller = connectCaller(daemon.port);
+      caller.send("/desk/k");
+      await waitUntil(() => caller.received() !== "");
+      const stop = () => Promise.resolve();
+      daemon.stop({
+        timeoutMs: LONG_SHUTDOWN_MS,
+        leases: { all: () => [], handOver, stop } as unknown as LeaseManager,
+      });
+      await daemon.clock.advance(LONG_SHUTDOWN_MS - 1);
+      expect(daemon.hasStopped()).toBe(true);
+      await waitUntil(() => caller.isClosed());
+    },
+  );
 });
