Close listener and idle connections although one caller is slow

What callers saw: while one caller read its answer slowly, a stopping daemon took new connections and requests until its end, and cut those that were then in flight.

Cause: the listener and idle connections were closed only once nothing was in flight, or at the deadline of the shutdown.

Evidence: daemonStop.test.ts, "a slow caller does not keep the listener and idle connections open": on the code before, "expected [ '/slow', '/kept', '/late' ] to deeply equal [ '/slow', '/kept' ]".

Why it works: the listener closes when load balancers have noticed the stop. Each connection closes by itself once it is idle.

--- a/src/daemon/gracefulShutdown.ts
+++ b/src/daemon/gracefulShutdown.ts
@@ -49,8 +49,8 @@
     sleep(clock, options.timeoutMs * HANDOVER_SHARE, handover.signal),
   ]);
   await sleep(clock, Math.min(LAME_DUCK_MS, deadlineAt - clock.now()));
-  await waitUntilIdle(options, deadlineAt);
-  await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
+  // At once: one slow caller must not keep the listener and the connections of others open.
+  await Promise.race([callers.close(), sleep(clock, deadlineAt - clock.now(), handover.signal)]);
   await waitUntilIdle(options, deadlineAt);
   handover.abort();
   await options.leases.stop();
@@ -59,7 +59,9 @@
   await sleep(clock, IDLE_CHECK_MS);
   // Requests that other daemons have sent in the meantime are refused as not run, since the leases have ended.
   await options.peers.readArrived();
-  await waitUntilIdle(options, deadlineAt);
+  if (clock.now() <= deadlineAt) {
+    await waitUntilIdle(options, deadlineAt);
+  }
   await options.stopSubsystems();
   logger.log(Event.ShutdownFinished);
 }
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -25,6 +25,8 @@
 const QUEUED_CONNECTIONS = 20;
 /** Shorter than the deadlines of most requests. */
 const SHORT_SHUTDOWN_MS = 2000;
+/** Load balancers have noticed the stop by then. */
+const LAME_DUCK_END_MS = 1500;
 const LONG_SHUTDOWN_MS = 20_000;
 const PEER_REQUESTS = 20;
 const PEER_ANSWER_BYTES = 2_000_000;
@@ -259,4 +261,30 @@
       await waitUntil(() => caller.isClosed());
     },
   );
+
+  // Guards against one slow caller that keeps the listener and all connections open until the end.
+  test("a slow caller does not keep the listener and idle connections open", async () => {
+    const daemon = await startStoppingDaemon((request) => {
+      const content = Buffer.alloc(request.target === "/slow" ? LONG_ANSWER_BYTES : 0);
+      const headers = { "content-length": String(content.byteLength) };
+      return Promise.resolve(createBodyAnswer({ kind: "buffer", content }, headers));
+    });
+    const [slow, kept] = [connectCaller(daemon.port), connectCaller(daemon.port)];
+    slow.send("/desk/slow");
+    kept.send("/desk/kept");
+    await waitUntil(() => slow.received() !== "" && kept.received() !== "");
+    slow.socket.pause();
+    daemon.stop();
+    await daemon.clock.advance(LAME_DUCK_END_MS);
+    const late = connectCaller(daemon.port);
+    late.send("/desk/late");
+    await waitUntil(() => late.isClosed() || late.received() !== "");
+    expect(daemon.routed).toEqual(["/slow", "/kept"]);
+    await waitUntil(() => kept.isClosed());
+    expect(daemon.hasStopped()).toBe(false);
+    slow.socket.resume();
+    await waitUntil(() => slow.isClosed());
+    expect(slow.countBodyBytes()).toBe(LONG_ANSWER_BYTES);
+    await daemon.advanceUntil(() => daemon.hasStopped());
+  });
 });
