Fail a body between daemons that exceeds its flow-control window

What callers saw: nothing yet. A daemon that sends a body on without credit would fill the memory of the daemon that receives it.

Cause: the receiving end of a body kept every chunk, whether the sender had credit for it or not.

Evidence: faultyServers.test.ts, "a body that exceeds its window fails": on the code before, "expected false to be true". The other 14 cases of the file pass on the code before and show those faults to be harmless: endless heads, refusals and trailers of answers, endless bodies with a reader that does not read and then leaves, the same answers to control calls, and a message without an end from a peer.

Why it works: a sender's credit starts with one window and grows by what the receiver returns, so more than one window of bytes for which no credit was returned is a violation of the protocol. The stream fails, and later chunks are dropped.

Measured: the 15 cases pass, and the 11 of peers.test.ts.

--- a/src/peers/bodyStreams.ts
+++ b/src/peers/bodyStreams.ts
@@ -1,5 +1,6 @@
 /** Streams bodies over a shared connection. Each has its own flow-control window, so none blocks another. */
 import { Readable } from "node:stream";
+import { PeerError } from "../errors";
 import type { Body } from "../types";
 
 /** Flow-control window: maximum number of bytes in flight that the reader has not consumed yet. */
@@ -85,7 +86,7 @@
 export interface BodyReceiver {
   /** The received body. */
   readonly stream: Readable;
-  /** Appends a chunk to the stream, and ends the stream after the last one. */
+  /** Appends a chunk to the stream, and ends the stream after the last one. Fails it if the window is exceeded. */
   push(chunk: Uint8Array, isLast: boolean): void;
   /** Destroys the stream with an error, so that its reader cannot take a truncated body for complete. */
   abort(error: Error): void;
@@ -119,6 +120,11 @@
     stream,
     push: (chunk, isLast) => {
       uncreditedBytes += chunk.byteLength;
+      if (uncreditedBytes > WINDOW_BYTES) {
+        // The sender ignores the window, so the rest would be kept in memory without a limit.
+        stream.destroy(new PeerError("body exceeds its window", { props: { step: "receive" } }));
+        return;
+      }
       if (chunk.byteLength > 0) {
         stream.push(chunk);
       }
--- a/test/support/stoppingDaemon.ts
+++ b/test/support/stoppingDaemon.ts
@@ -178,6 +178,11 @@
   });
 }
 
+/** Returns the port on which a daemon listens for others. */
+export function getPeerPort(daemon: string): number {
+  return addresses.get(daemon)?.port ?? 0;
+}
+
 /** Creates the answer of a backend server with a body. */
 export function createBodyAnswer(body: Body, headers: Record<string, string> = {}): WorkResult {
   const load = { inFlight: 0, queued: 0, limit: 1, latencyMs: 1 };
