Refuse answers whose transfer coding is not chunks alone

What callers saw: an answer with a transfer coding such as gzip, cut by a close or a reset, reached the caller as a whole answer with status 200, directly and across two daemons.

Cause: any transfer coding counted as a sign of the end of the body. Only chunks mark it: the other codings end with the connection. The daemon does not decode them either, so even whole ones reached callers coded, without the field that says so.

Evidence: brokenAnswers.test.ts, "an answer with 'a coding' that breaks 'in its body by a close' does not look whole" and the same by a reset, on both paths: on the code before, "expected true to be false". The cases of a length, of chunks and of no length pass on the code before: closes and resets in head and body, directly and across two daemons.

Why it works: such an answer is refused as unframed, with the outcome unknown, like one without any length.

Measured: the 60 cases pass, and the 17 of serverClient.test.ts.

--- a/src/routing/serverClient.ts
+++ b/src/routing/serverClient.ts
@@ -245,20 +245,26 @@
 }
 
 /**
- * Finds why an answer cannot be used: it belongs to another request, or it has neither a length nor a
- * transfer encoding, so that its end cannot be distinguished from a broken connection.
+ * Finds why an answer cannot be used: it belongs to another request, or it has neither a length nor
+ * chunks, so that its end cannot be distinguished from a broken connection.
  */
 function findUnusableReason(response: Dispatcher.ResponseData, work: WorkRequest): RefusalReason | undefined {
   const echoedId = readHeader(response.headers, HeaderName.RequestId);
   if (echoedId !== undefined && echoedId !== work.id) {
     return RefusalReason.MismatchedAnswer;
   }
+  const coding = readHeader(response.headers, "transfer-encoding");
   const isFramed =
-    response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+    coding === undefined ? response.headers["content-length"] !== undefined : isChunked(coding);
   const hasNoBody = STATUSES_WITHOUT_BODY.has(response.statusCode) || work.method === "HEAD";
   return isFramed || hasNoBody ? undefined : RefusalReason.UnframedAnswer;
 }
 
+/** Returns whether a transfer coding is chunks alone. Others may end with the connection, and are not decoded here. */
+function isChunked(coding: string): boolean {
+  return coding.trim().toLowerCase() === "chunked";
+}
+
 function isShort(response: Dispatcher.ResponseData): boolean {
   const length = readHeader(response.headers, "content-length");
   return length === undefined
