Reset the connection of a broken answer to an HTTP/1.0 caller

What callers saw: a chunked answer of a backend server that broke off ended regularly for an HTTP/1.0 caller, as after a whole answer.

Cause: such an answer has neither a length nor chunks on its way to the caller, so the close of the connection marks its end. The daemon closed the connection of a broken answer in the same way.

Evidence: brokenAnswers.test.ts, "an answer with 'chunks' that breaks 'in its body by a close' does not look whole" and the same by a reset, to an HTTP/1.0 caller, directly and across two daemons: on the code before, "expected true to be false".

Why it works: when neither a length nor chunks mark the end, the connection is reset before the pipeline closes it. resetAndDestroy of Node.js alone is not enough: it ends the connection regularly first. The caller of the test writes after an end, since Node.js reports a reset that arrives together with data as an end; a write fails after a reset only.

--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -6,6 +6,7 @@
 import express from "express";
 import { describeError } from "../errors";
 import { listen, watchCaller } from "../http";
+import { resetConnection } from "../http/resetConnection";
 import { type Counters, Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
@@ -171,10 +172,21 @@
       response.end(workAnswer.body.content);
       return;
     }
+    const { stream } = workAnswer.body;
+    const breakOffUnlessEnded = () => {
+      if (!stream.readableEnded) {
+        breakOff(response);
+      }
+    };
+    // Before the listeners of the pipeline, which closes the connection as after a whole answer.
+    stream.once("error", breakOffUnlessEnded);
+    stream.once("close", breakOffUnlessEnded);
+    if (stream.destroyed) {
+      breakOffUnlessEnded();
+    }
     try {
-      await pipeline(workAnswer.body.stream, response);
+      await pipeline(stream, response);
     } catch (error) {
-      // Closing the connection before the announced length is reached lets the caller detect the truncation.
       counters.increment("callers.answerBroken");
       logger.log(Event.RequestFailed, { requestId, step: "send answer", error: describeError(error) });
       response.destroy();
@@ -225,6 +237,15 @@
   }
 }
 
+/** Resets the connection of an incomplete answer if its close alone would not show the truncation to the caller. */
+function breakOff(response: ServerResponse): void {
+  const hasMarkedEnd = response.chunkedEncoding || response.hasHeader("content-length");
+  if (!hasMarkedEnd && response.socket !== null) {
+    // To an HTTP/1.0 caller, a close is the regular end of the body; only a reset is not.
+    resetConnection(response.socket);
+  }
+}
+
 function chooseStatus(failure: Failure): number {
   const status = statusByReason[failure.reason];
   if (status !== undefined) {
--- a/test/brokenAnswers.test.ts
+++ b/test/brokenAnswers.test.ts
@@ -4,6 +4,7 @@
  */
 import { type Socket, connect } from "node:net";
 import { afterEach, describe, expect, test } from "vitest";
+import { resetConnection } from "../src/http/resetConnection";
 import { type WorkMessage, createWorkChannel } from "../src/peers/workChannel";
 import { type ServerClient, createServerClient } from "../src/routing/serverClient";
 import { type WorkHandler, type WorkRequest, emptyBody } from "../src/types";
@@ -72,19 +73,16 @@
 const whole: Break = { name: "not at all", cut: (answer) => answer, end: (socket) => socket.end() };
 const inHead = (answer: string) => answer.slice(0, answer.indexOf(HEAD_END));
 const inBody = (answer: string) => answer.slice(0, answer.length - 500);
-const reset = (socket: Socket) => {
-  socket.resetAndDestroy();
-};
 const close = (socket: Socket) => socket.end();
 const breaks: readonly Break[] = [
   { name: "in its head by a close", cut: inHead, end: close },
-  { name: "in its head by a reset", cut: inHead, end: reset },
+  { name: "in its head by a reset", cut: inHead, end: resetConnection },
   { name: "in its body by a close", cut: inBody, end: close },
-  { name: "in its body by a reset", cut: inBody, end: reset },
+  { name: "in its body by a reset", cut: inBody, end: resetConnection },
 ];
 
 const paths = ["directly", "across two daemons"] as const;
-const versions = ["1.1"] as const;
+const versions = ["1.0", "1.1"] as const;
 const routes = paths.flatMap((path) => versions.map((version) => ({ path, version })));
 
 describe.each(routes)("to an HTTP/$version caller $path", ({ path, version }) => {
@@ -148,11 +146,18 @@
 }
 
 async function receive(port: number, version: string): Promise<boolean> {
-  const socket = connect(port, "127.0.0.1");
+  const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
   let received = "";
   let isReset = false;
   socket.on("data", (chunk) => (received += chunk.toString("latin1")));
   socket.on("error", () => (isReset = true));
+  socket.on("end", () => {
+    // A reset that arrives together with data is reported as an end; but writing fails after it.
+    socket.write(HEAD_END, (error) => {
+      isReset ||= error instanceof Error;
+      socket.destroy();
+    });
+  });
   socket.write(`GET /desk/k HTTP/${version}\r\nHost: a.example\r\nConnection: close${HEAD_END}`);
   await waitUntil(() => socket.destroyed);
   const [head = "", ...rest] = received.split(HEAD_END);
