Fail a resumed download whose length differs from the announced one

What callers saw: a download whose remainder was shorter or longer than its range said ended regularly. Its caller waits for the missing bytes and takes them from the next answer on the connection, so a part looks whole.

Cause: the body was taken for complete when its stream ended without an error, whatever its length.

Evidence: four cases in resumableBody.test.ts, "the body fails when it ends early and is not continued" and so on: on the code before, "promise resolved instead of rejecting". Shown for the body alone, not for a whole daemon.

Why it works: a regular end before the announced length is an interruption, from which the download is continued or fails; a byte beyond the length fails it before it is sent.

Measured: the 21 tests of the file pass, and the 11 of router.test.ts.

--- a/src/routing/resumableBody.ts
+++ b/src/routing/resumableBody.ts
@@ -98,9 +98,11 @@
       try {
         for await (const chunk of stream as AsyncIterable<Uint8Array>) {
           offset += chunk.byteLength;
+          checkLength(offset <= download.length);
           yield chunk;
         }
-        return;
+        // A regular end before the last byte is an interruption, too.
+        checkLength(offset === download.length);
       } catch (error) {
         stream = await reopenOrThrow(offset, error);
       }
@@ -115,3 +117,9 @@
     return remainder;
   }
 }
+
+function checkLength(isRight: boolean): void {
+  if (!isRight) {
+    throw new Error("length of the download differs from the announced one");
+  }
+}
--- a/test/resumableBody.test.ts
+++ b/test/resumableBody.test.ts
@@ -37,6 +37,22 @@
     await expect(body.toArray()).rejects.toThrow("broken");
   });
 
+  // Guards against an answer whose length differs from the announced one, which shifts the next one on the connection.
+  test.each([
+    ["ends early and is not continued", 400, undefined],
+    ["ends early, as does its remainder", 400, 900],
+    ["is too long after its interruption", 400, 1200],
+    ["is too long at once", 1200, undefined],
+  ])("the body fails when it %s", async (_name, firstEnd, secondEnd) => {
+    const long = Buffer.concat([content, content]);
+    const remainders = secondEnd === undefined ? [] : [long.subarray(firstEnd, secondEnd)];
+    const body = createResumableBody(Readable.from([long.subarray(0, firstEnd)]), download, () => {
+      const remainder = remainders.shift();
+      return Promise.resolve(remainder === undefined ? undefined : Readable.from([remainder]));
+    });
+    await expect(body.toArray()).rejects.toThrow("differs");
+  });
+
   const nonResumableCases: readonly (readonly [string, string, Headers, Headers, number])[] = [
     ["weak validator", "GET", {}, { ...completeHeaders, etag: 'W/"v1"' }, 200],
     ["no validator", "GET", {}, { "content-length": "1000", "accept-ranges": "bytes" }, 200],
