Answer all requests of a connection before a stopping daemon closes it

What callers saw: of several requests that were sent on one connection without waiting for answers, a stopping daemon answered the first and ran the others, whose answers were lost.

Cause: each answer during the shutdown carried `connection: close`, also one with requests behind it that were being run. Node.js closes the connection after the first such answer.

Evidence: daemonStop.test.ts, "requests behind one another on a connection are all answered during the stop": on the code before, "expected [ '200 OK' ] to have a length of 2 but got 1".

Why it works: only the answer that has no request behind it closes the connection. A request that arrives behind it later is not run, which the caller knows from the close.

--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -105,10 +105,10 @@
     response: express.Response,
     requestId: string,
   ): Promise<void> {
-    counters.increment("callers.requests");
-    if (isDraining) {
-      response.setHeader("connection", "close");
+    if (sockets.isBehindLastAnswer(message)) {
+      return;
     }
+    counters.increment("callers.requests");
     const readResult = readHead(message);
     if (readResult.kind === "refused") {
       sendFailure(response, requestId, createNotRunFailure(readResult.reason), readResult.detail);
@@ -167,6 +167,7 @@
     requestId: string,
     workAnswer: WorkAnswer,
   ): Promise<void> {
+    closeWhenDraining(response);
     response.writeHead(workAnswer.status, { ...workAnswer.headers, [HeaderName.RequestId]: requestId });
     if (workAnswer.body.kind === "buffer") {
       response.end(workAnswer.body.content);
@@ -193,12 +194,19 @@
     }
   }
 
+  function closeWhenDraining(response: ServerResponse): void {
+    if (isDraining && sockets.closeAfter(response)) {
+      response.setHeader("connection", "close");
+    }
+  }
+
   function sendFailure(response: ServerResponse, requestId: string, failure: Failure, detail?: string): void {
     counters.increment("callers.refused", failure.reason);
     logger.log(Event.RequestFailed, { requestId, ...failure });
     if (response.destroyed) {
       return;
     }
+    closeWhenDraining(response);
     response.statusCode = chooseStatus(failure);
     response.setHeader(HeaderName.RequestId, requestId);
     response.setHeader(HeaderName.Outcome, failure.outcome);
--- a/src/routing/callerSockets.ts
+++ b/src/routing/callerSockets.ts
@@ -7,6 +7,13 @@
 export interface CallerSockets {
   /** Returns the number of requests whose answers have not been written to their sockets in full. */
   countUnwritten(): number;
+  /**
+   * Returns whether an answer, whose head must be written next, may close its connection: no request is behind it.
+   * Then requests that arrive behind it later must not be run.
+   */
+  closeAfter(response: ServerResponse): boolean;
+  /** Returns whether an answer ahead of a request closes its connection, so that it cannot be answered. */
+  isBehindLastAnswer(message: IncomingMessage): boolean;
   /** Stops accepting connections and closes each one once it is idle. Resolves when all have closed. */
   close(): Promise<void>;
 }
@@ -16,6 +23,8 @@
   readonly unwritten: Set<ServerResponse>;
   /** Bytes received up to the end of the last request. */
   completeBytes: number;
+  /** Whether an answer whose head is written closes the connection. */
+  hasLastAnswer: boolean;
 }
 
 /**
@@ -31,7 +40,7 @@
 
   server.on("connection", (socket) => {
     arrivals += 1;
-    connections.set(socket, { unwritten: new Set(), completeBytes: 0 });
+    connections.set(socket, { unwritten: new Set(), completeBytes: 0, hasLastAnswer: false });
     // A response behind another one gets no event when the connection is closed.
     socket.once("close", () => connections.delete(socket));
   });
@@ -39,6 +48,15 @@
 
   return {
     countUnwritten: () => [...connections.values()].reduce((sum, { unwritten }) => sum + unwritten.size, 0),
+    closeAfter: (response) => {
+      const connection = connections.get(response.req.socket);
+      if (connection === undefined || [...connection.unwritten].at(-1) !== response) {
+        return false;
+      }
+      connection.hasLastAnswer = true;
+      return true;
+    },
+    isBehindLastAnswer: ({ socket }) => connections.get(socket)?.hasLastAnswer === true,
     close,
   };
 
--- a/test/daemonStop.test.ts
+++ b/test/daemonStop.test.ts
@@ -287,4 +287,20 @@
     expect(slow.countBodyBytes()).toBe(LONG_ANSWER_BYTES);
     await daemon.advanceUntil(() => daemon.hasStopped());
   });
+
+  // Guards against running pipelined requests whose answers a closing answer ahead of them cuts off.
+  test("requests behind one another on a connection are all answered during the stop", async () => {
+    const daemon = await startStoppingDaemon(async () => {
+      await sleep(daemon.clock, 100);
+      return createBodyAnswer(emptyBody);
+    });
+    daemon.stop();
+    const caller = connectCaller(daemon.port);
+    caller.send("/desk/first", "x-hemlockbank-timeout-ms: 1000");
+    caller.send("/desk/second", "x-hemlockbank-timeout-ms: 1000");
+    await waitUntil(() => daemon.routed.length === 2);
+    await daemon.advanceUntil(() => daemon.hasStopped());
+    await waitUntil(() => caller.isClosed());
+    expect(caller.received().match(/200 OK/g)).toHaveLength(2);
+  });
 });
