--- a/src/daemon/gracefulShutdown.ts
+++ b/src/daemon/gracefulShutdown.ts
@@ -2,11 +2,14 @@
 import { Event, type Logger } from "../observability";
 import type { Membership } from "../membership";
 import { type LeaseManager, chooseSuccessor } from "../ownership";
+import type { Peers } from "../peers";
 import type { CallerServer, LeaseholderDispatcher } from "../routing";
 import type { SnapshotStore } from "../snapshots";
 import { type Clock, sleep } from "../types";
 
 const HANDOVER_RETRY_MS = 500;
+/** Part of the shutdown that waits for the handover; the rest is for requests in flight. */
+const HANDOVER_SHARE = 0.5;
 /** Time for load balancers to notice that the daemon is no longer ready. */
 const LAME_DUCK_MS = 1000;
 const IDLE_CHECK_MS = 20;
@@ -20,6 +23,7 @@
   readonly leases: LeaseManager;
   readonly callers: CallerServer;
   readonly dispatcher: LeaseholderDispatcher;
+  readonly peers: Pick<Peers, "countUnfinished" | "readArrived">;
   /** Maximum duration of the shutdown in milliseconds. */
   readonly timeoutMs: number;
   readonly logHandoverError: (error: unknown) => void;
@@ -37,45 +41,57 @@
   const deadlineAt = clock.now() + options.timeoutMs;
   logger.log(Event.ShutdownStarted);
   membership.setLeaving();
-  callers.drain();
-  await handOverLeases(options, deadlineAt);
-  await sleep(clock, LAME_DUCK_MS);
-  await waitUntilIdle(options, deadlineAt);
-  await Promise.race([callers.close(), sleep(clock, Math.max(0, deadlineAt - clock.now()))]);
+  callers.drain(deadlineAt);
+  options.dispatcher.drain(deadlineAt);
+  const handover = new AbortController();
+  await Promise.race([
+    handOverLeases(options, handover.signal),
+    sleep(clock, options.timeoutMs * HANDOVER_SHARE, handover.signal),
+  ]);
+  await sleep(clock, Math.min(LAME_DUCK_MS, deadlineAt - clock.now()));
+  // At once: one slow caller must not keep the listener and the connections of others open.
+  await Promise.race([callers.close(), sleep(clock, deadlineAt - clock.now(), handover.signal)]);
   await waitUntilIdle(options, deadlineAt);
+  handover.abort();
   await options.leases.stop();
   membership.leave();
   // The datagrams of `leave` must be sent before the socket is closed.
   await sleep(clock, IDLE_CHECK_MS);
+  // Requests that other daemons have sent in the meantime are refused as not run, since the leases have ended.
+  await options.peers.readArrived();
+  if (clock.now() <= deadlineAt) {
+    await waitUntilIdle(options, deadlineAt);
+  }
   await options.stopSubsystems();
   logger.log(Event.ShutdownFinished);
 }
 
 /**
  * Hands over all leases. While the platform is unavailable, the daemon keeps its leases, goes on serving and
- * retries until the deadline.
+ * retries until aborted, which is when its requests have ended.
  */
-async function handOverLeases(options: GracefulShutdownOptions, deadlineAt: number): Promise<void> {
+async function handOverLeases(options: GracefulShutdownOptions, signal: AbortSignal): Promise<void> {
   const { clock, leases, membership, snapshots } = options;
-  while (clock.now() < deadlineAt) {
+  while (!signal.aborted) {
     const servers = leases.all().map((lease) => lease.server);
     try {
       await leases.handOver(servers, (server) => chooseSuccessor({ leases, membership, snapshots }, server));
       return;
     } catch (error) {
       options.logHandoverError(error);
-      await sleep(clock, HANDOVER_RETRY_MS);
+      await sleep(clock, HANDOVER_RETRY_MS, signal);
     }
   }
 }
 
 async function waitUntilIdle(options: GracefulShutdownOptions, deadlineAt: number): Promise<void> {
-  const { clock, callers, dispatcher, logger } = options;
-  while (callers.countInFlight() > 0 || dispatcher.countInFlight() > 0) {
+  const { clock, callers, dispatcher, peers, logger } = options;
+  while (callers.countInFlight() > 0 || dispatcher.countInFlight() > 0 || peers.countUnfinished() > 0) {
     if (clock.now() > deadlineAt) {
       logger.log(Event.ShutdownDeadlineExceeded, {
         callers: callers.countInFlight(),
         requests: dispatcher.countInFlight(),
+        peers: peers.countUnfinished(),
       });
       return;
     }
--- a/src/routing/callerServer.ts
+++ b/src/routing/callerServer.ts
@@ -6,12 +6,15 @@
 import express from "express";
 import { describeError } from "../errors";
 import { listen, watchCaller } from "../http";
+import { resetConnection } from "../http/resetConnection";
 import { type Counters, Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type Failure, Outcome, RefusalReason, type WorkAnswer } from "../types";
 import { type RequestReadResult, readCallerBody, readCallerRequest } from "./callerRequest";
+import { createCallerSockets } from "./callerSockets";
 import { HeaderName, readHeader } from "./headers";
 import type { Router } from "./router";
+import { createStopGate } from "./stopGate";
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const MAX_CONCURRENT_REQUESTS = 20_000;
@@ -41,11 +44,14 @@
 
 /** HTTP server for callers. */
 export interface CallerServer {
-  /** Returns the number of requests that have not been answered yet. */
+  /** Returns the number of requests whose answers have not been written to their sockets in full. */
   countInFlight(): number;
-  /** Starts draining: each answer from now on carries `connection: close`. */
-  drain(): void;
-  /** Stops accepting connections and closes idle ones. Resolves when all connections have closed. */
+  /**
+   * Starts draining: each answer from now on carries `connection: close`, and requests that cannot end before the
+   * local time `stopsAt` are refused.
+   */
+  drain(stopsAt: number): void;
+  /** Stops accepting connections and closes each one once it is idle. Resolves when all have closed. */
   close(): Promise<void>;
 }
 
@@ -60,6 +66,7 @@
   const { snapshots, clock, counters, logger } = options;
   let inFlight = 0;
   let isDraining = false;
+  const gate = createStopGate(clock);
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
@@ -68,20 +75,16 @@
   });
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, app);
   server.on("clientError", refuseMalformedRequest);
+  const sockets = createCallerSockets(server);
   await listen(server, options.address);
 
   return {
-    countInFlight: () => inFlight,
-    drain: () => {
+    countInFlight: () => sockets.countUnwritten(),
+    drain: (stopsAt) => {
       isDraining = true;
+      gate.close(stopsAt);
     },
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    close: () => sockets.close(),
   };
 
   async function serve(message: express.Request, response: express.Response): Promise<void> {
@@ -102,10 +105,10 @@
     response: express.Response,
     requestId: string,
   ): Promise<void> {
-    counters.increment("callers.requests");
-    if (isDraining) {
-      response.setHeader("connection", "close");
+    if (sockets.isBehindLastAnswer(message)) {
+      return;
     }
+    counters.increment("callers.requests");
     const readResult = readHead(message);
     if (readResult.kind === "refused") {
       sendFailure(response, requestId, createNotRunFailure(readResult.reason), readResult.detail);
@@ -127,12 +130,21 @@
       sendFailure(response, requestId, failure, "the caller has disconnected");
       return;
     }
-    const result = await options.router(readResult.request, body, caller.signal);
+    const { request } = readResult;
+    if (!gate.canEnd(request.service, request.deadlineAt)) {
+      const failure = createNotRunFailure(RefusalReason.DaemonStopping);
+      sendFailure(response, requestId, failure, "the daemon stops before the request can end");
+      return;
+    }
+    const startedAt = clock.now();
+    const deadlineAt = gate.limitDeadline(request.deadlineAt);
+    const result = await options.router({ ...request, deadlineAt }, body, caller.signal);
     if (result.kind === "failure") {
       sendFailure(response, requestId, result.failure);
       return;
     }
     await sendAnswer(response, requestId, result.answer);
+    gate.record(request.service, clock.now() - startedAt);
   }
 
   function readHead(message: express.Request): RequestReadResult {
@@ -155,27 +167,46 @@
     requestId: string,
     workAnswer: WorkAnswer,
   ): Promise<void> {
+    closeWhenDraining(response);
     response.writeHead(workAnswer.status, { ...workAnswer.headers, [HeaderName.RequestId]: requestId });
     if (workAnswer.body.kind === "buffer") {
       response.end(workAnswer.body.content);
       return;
     }
+    const { stream } = workAnswer.body;
+    const breakOffUnlessEnded = () => {
+      if (!stream.readableEnded) {
+        breakOff(response);
+      }
+    };
+    // Before the listeners of the pipeline, which closes the connection as after a whole answer.
+    stream.once("error", breakOffUnlessEnded);
+    stream.once("close", breakOffUnlessEnded);
+    if (stream.destroyed) {
+      breakOffUnlessEnded();
+    }
     try {
-      await pipeline(workAnswer.body.stream, response);
+      await pipeline(stream, response);
     } catch (error) {
-      // Closing the connection before the announced length is reached lets the caller detect the truncation.
       counters.increment("callers.answerBroken");
       logger.log(Event.RequestFailed, { requestId, step: "send answer", error: describeError(error) });
       response.destroy();
     }
   }
 
+  function closeWhenDraining(response: ServerResponse): void {
+    if (isDraining && sockets.closeAfter(response)) {
+      response.setHeader("connection", "close");
+    }
+  }
+
   function sendFailure(response: ServerResponse, requestId: string, failure: Failure, detail?: string): void {
     counters.increment("callers.refused", failure.reason);
     logger.log(Event.RequestFailed, { requestId, ...failure });
     if (response.destroyed) {
       return;
     }
+    closeWhenDraining(response);
     response.statusCode = chooseStatus(failure);
     response.setHeader(HeaderName.RequestId, requestId);
     response.setHeader(HeaderName.Outcome, failure.outcome);
@@ -214,6 +245,15 @@
   }
 }
 
+/** Resets the connection of an incomplete answer if its close alone would not show the truncation to the caller. */
+function breakOff(response: ServerResponse): void {
+  const hasMarkedEnd = response.chunkedEncoding || response.hasHeader("content-length");
+  if (!hasMarkedEnd && response.socket !== null) {
+    // To an HTTP/1.0 caller, a close is the regular end of the body; only a reset is not.
+    resetConnection(response.socket);
+  }
+}
+
 function chooseStatus(failure: Failure): number {
   const status = statusByReason[failure.reason];
   if (status !== undefined) {
