Soak planned stops that come in series and overlap, and check that they cut nothing

Why the soak did not see the incident: each signal to a daemon counted as a disturbance, and a request was checked only if nothing had disturbed its daemon for three seconds. Around a planned stop nothing was checked.

Now a planned stop alone excuses nothing: a request that a server has begun must be answered if, from three seconds before, only planned stops, reloads and changes of the configuration affected its daemon, the links and the servers. A series of faults of its own stops daemons twice, stops all in turn faster than a stop takes, and takes processor time from one that stops. It has its own random numbers, so that the known seeds still inject what they did.

--- a/standins/soak/daemons.ts
+++ b/standins/soak/daemons.ts
@@ -25,6 +25,8 @@
   isUndisturbedFor(ms: number): boolean;
   /** Returns whether the daemon was told to stop and has not started again. */
   isStopping(): boolean;
+  /** The same as `isUndisturbedFor`, but neither the signals of a planned stop nor the exit after it count. */
+  isOrderlyFor(ms: number): boolean;
   /** Returns the local time of the latest disturbance. */
   getDisturbedAt(): number;
   isReady(): Promise<boolean>;
@@ -70,6 +72,7 @@
   const settingsFile = join(options.folder, `${options.name}.toml`);
   writeFileSync(settingsFile, createSettings(options, true));
   let disturbedAt = performance.now();
+  let unplannedAt = disturbedAt;
   let isClosed = false;
   let isPaused = false;
   let isStopping = false;
@@ -82,6 +85,7 @@
     url: `http://${options.host}:${Port.callers}`,
     isUndisturbedFor: (ms) => !isPaused && performance.now() - disturbedAt >= ms,
     isStopping: () => isStopping,
+    isOrderlyFor: (ms) => !isPaused && performance.now() - unplannedAt >= ms,
     getDisturbedAt: () => (isPaused ? performance.now() : disturbedAt),
     isReady: async () => {
       try {
@@ -107,7 +111,8 @@
     },
     terminate: () => {
       isStopping = true;
-      signal("SIGTERM");
+      disturbedAt = performance.now();
+      child.kill("SIGTERM");
     },
     reload: () => {
       child.kill("SIGHUP");
@@ -129,6 +134,7 @@
 
   function recordDisturbance(): void {
     disturbedAt = performance.now();
+    unplannedAt = disturbedAt;
   }
 
   function signal(name: NodeJS.Signals): void {
@@ -143,11 +149,12 @@
       stdio: ["ignore", log, log],
     });
     closeSync(log);
-    started.once("exit", () => {
-      recordDisturbance();
+    started.once("exit", (code) => {
+      disturbedAt = performance.now();
+      unplannedAt = isStopping && code === 0 ? unplannedAt : disturbedAt;
       if (!isClosed) {
         setTimeout(() => {
-          recordDisturbance();
+          disturbedAt = performance.now();
           isStopping = false;
           writeFileSync(settingsFile, createSettings(options, false));
           child = isClosed ? child : startProcess();
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -17,6 +17,15 @@
 /** Mean time from the start of a fault to that of the next; most faults last longer, so that they overlap. */
 const MEAN_FAULT_INTERVAL_MS = 700;
 const MEAN_STATEMENT_INTERVAL_MS = 2500;
+const MEAN_STOP_INTERVAL_MS = 4000;
+/** Pause between two signals of one planned stop. */
+const SECOND_STOP_MS = 900;
+/** Pause between the stops of daemons in turn, shorter than a stop takes. */
+const ROLLING_STOP_PAUSE_MS = 1500;
+/** A daemon that is short of processor time runs in short turns, for about as long as a planned stop takes. */
+const STARVED_TURNS = 18;
+const STARVED_PAUSE_MS = 150;
+const STARVED_RUN_MS = 20;
 
 /** Injects random faults into a deployment. */
 export interface FaultInjector {
@@ -42,12 +51,14 @@
  * @param deployment - Deployment to disturb.
  * @param randomInt - Returns a seeded random integer from 0 to below its argument.
  * @param statementRandomInt - The same for what servers state in answers alone, which leaves the other faults as they are.
+ * @param stopRandomInt - The same for planned stops that overlap with others.
  * @returns The injector.
  */
 export function createFaultInjector(
   deployment: SoakDeployment,
   randomInt: (limit: number) => number,
   statementRandomInt: (limit: number) => number,
+  stopRandomInt: (limit: number) => number,
 ): FaultInjector {
   const { daemons, servers, store } = deployment;
   const injectedFaults: string[] = [];
@@ -61,6 +72,7 @@
       await Promise.all([
         runSeries(durationMs, randomInt, chooseFault, MEAN_FAULT_INTERVAL_MS),
         runSeries(durationMs, statementRandomInt, chooseStatementFault, MEAN_STATEMENT_INTERVAL_MS),
+        runSeries(durationMs, stopRandomInt, chooseStopFault, MEAN_STOP_INTERVAL_MS),
       ]);
     },
   };
@@ -93,6 +105,16 @@
     return fault;
   }
 
+  function chooseStopFault(): Fault {
+    const daemon = daemons[stopRandomInt(daemons.length)];
+    const choices = daemon === undefined ? [] : listStopFaults(daemon);
+    const fault = choices[stopRandomInt(choices.length)];
+    if (fault === undefined) {
+      throw new RangeError("cannot choose a stop: the deployment has no daemon");
+    }
+    return fault;
+  }
+
   function wereLinksUndisturbed(from: number, to: number): boolean {
     return !linkDisturbances.some((at) => at > from && at <= to);
   }
@@ -145,6 +167,36 @@
     ];
   }
 
+  /** Lists planned stops that overlap with others. */
+  function listStopFaults({ daemon }: ConnectedDaemon): readonly Fault[] {
+    return [
+      createFault(`stop ${daemon.name} twice`, async () => {
+        daemon.terminate();
+        await sleep(systemClock, SECOND_STOP_MS);
+        daemon.terminate();
+      }),
+      createFault(
+        `starve ${daemon.name} while it stops`,
+        async () => {
+          daemon.terminate();
+          for (let turn = 0; turn < STARVED_TURNS; turn += 1) {
+            daemon.pause();
+            await sleep(systemClock, STARVED_PAUSE_MS);
+            daemon.resume();
+            await sleep(systemClock, STARVED_RUN_MS);
+          }
+        },
+        () => undefined,
+      ),
+      createFault("stop all daemons in turn", async () => {
+        for (const each of daemons) {
+          each.daemon.terminate();
+          await sleep(systemClock, ROLLING_STOP_PAUSE_MS);
+        }
+      }),
+    ];
+  }
+
   /** Lists what a server may state in its answers alone. */
   function listStatementFaults({ server }: ProxiedServer): readonly Fault[] {
     const { name } = server.options;
--- a/standins/soak/promises.ts
+++ b/standins/soak/promises.ts
@@ -50,6 +50,11 @@
   readonly daemonDisturbedAt: number;
   /** Whether the daemon was stopping at some time during the attempt. */
   readonly wasStopping: boolean;
+  /**
+   * Whether from some seconds before the attempt until its end nothing but planned stops, reloads and changes of the
+   * configuration affected the daemon, its store endpoint, the links and the backend servers.
+   */
+  readonly isOrderly: boolean;
   /**
    * Whether the daemon and its access to the store were undisturbed from some seconds before the attempt until its
    * end. It must then know all routes that were added, and all servers that announced their end, two seconds before.
@@ -158,6 +163,18 @@
         return each.isUndisturbed && !hasLeftEarly(each) && isBrokenOff(each) && wasTaken;
       }),
     ],
+    [
+      "a planned stop cut a request that a server had taken",
+      listIds(
+        facts.attempts,
+        (each) =>
+          each.wasStopping &&
+          each.isOrderly &&
+          !hasLeftEarly(each) &&
+          isBrokenOff(each) &&
+          getRuns(each.requestId).length > 0,
+      ),
+    ],
     [
       "an added route was not served",
       listIds(facts.attempts, (each) => each.isInTouch && isRouteMissing(each)),
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -47,7 +47,12 @@
 export async function runSoak({ seed, faultsMs, checksTimeBounds }: SoakOptions): Promise<SoakResult> {
   const randomInt = createRandomInt(seed);
   const deployment = await startDeployment(seed, randomInt);
-  const injector = createFaultInjector(deployment, randomInt, createRandomInt(seed + 3));
+  const injector = createFaultInjector(
+    deployment,
+    randomInt,
+    createRandomInt(seed + 3),
+    createRandomInt(seed + 4),
+  );
   const callers = createSoakCallers({
     seed,
     // A generator of its own: the number of requests must not change which faults a seed injects.
--- a/standins/soak/soakCallers.ts
+++ b/standins/soak/soakCallers.ts
@@ -94,6 +94,7 @@
     const sentAt = performance.now();
     const wasUndisturbed = isUndisturbed(daemon);
     const wasStopping = daemon.isStopping();
+    const wasOrderly = isOrderly(connected);
     const { status, isWhole, leftAt } = await sendRequest({ daemon, kind, path, requestId, leavesAfterMs });
     const endedAt = performance.now();
     attempts.push({
@@ -109,6 +110,7 @@
       daemonDisturbedAt: daemon.getDisturbedAt(),
       isDaemonUndisturbed: daemon.isUndisturbedFor(endedAt - sentAt + MIN_UNDISTURBED_MS),
       wasStopping: wasStopping || daemon.isStopping(),
+      isOrderly: wasOrderly && isOrderly(connected),
       isInTouch:
         daemon.isUndisturbedFor(endedAt - sentAt + MIN_UNDISTURBED_MS) &&
         endpoint.isHealthyFor(endedAt - sentAt + MIN_UNDISTURBED_MS),
@@ -147,6 +149,10 @@
     }
   }
 
+  function isOrderly({ daemon }: ConnectedDaemon): boolean {
+    return daemon.isOrderlyFor(MIN_UNDISTURBED_MS) && options.areLinksUndisturbedFor(MIN_UNDISTURBED_MS);
+  }
+
   function isUndisturbed(daemon: SoakDaemon): boolean {
     return daemon.isUndisturbedFor(MIN_UNDISTURBED_MS) && options.areLinksUndisturbedFor(MIN_UNDISTURBED_MS);
   }
--- a/test/soakPromises.test.ts
+++ b/test/soakPromises.test.ts
@@ -16,6 +16,7 @@
   isDaemonUndisturbed: true,
   daemonDisturbedAt: 0,
   wasStopping: false,
+  isOrderly: true,
   isInTouch: true,
 };
 const run: RunRecord = {
@@ -122,11 +123,19 @@
   {
     name: "a broken connection to a daemon that stops, of a request that it had passed on",
     change: {
-      attempts: [{ ...attempt, status: undefined, isWhole: false, wasStopping: true }],
+      attempts: [{ ...attempt, status: undefined, isWhole: false, wasStopping: true, isOrderly: false }],
       recoveredAt: 2000,
     },
     expected: [/broken off/],
   },
+  {
+    name: "a request cut by a planned stop, the only thing that happened to its daemon",
+    change: {
+      attempts: [{ ...attempt, status: undefined, isWhole: false, wasStopping: true, isUndisturbed: false }],
+      recoveredAt: 2000,
+    },
+    expected: [/planned stop cut/],
+  },
   {
     name: "a connection that a stopping daemon refuses is allowed",
     change: {
