--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -472,6 +472,51 @@
     await store.close();
   });
 
+  /** Outlasts the delays of a busy machine. */
+  const WAIT_MS = 20_000;
+  const unanswered = [
+    { name: "a call without an answer in time", isCancelled: false },
+    { name: "a watch that was cancelled since its connection may be dead", isCancelled: true },
+  ];
+  // Guards against calls that wait in vain on one silent connection after the other while new ones work.
+  test.each(unanswered)("after $name no connection from before is used again", async ({ isCancelled }) => {
+    const answer = JSON.stringify(object);
+    const waiting: ServerResponse[] = [];
+    /** Connections that went silent. */
+    const silent = new Set<unknown>();
+    const port = await startHttpServer((request, _body, response) => {
+      if (!silent.has(request.socket) && request.url?.includes("watch") !== true) {
+        waiting.push(response);
+      }
+    });
+    const clock = createFakeClock();
+    const store = createWireObjectStore({ host: "127.0.0.1", port }, clock);
+    const read = () => store.read("kind/x", CallPriority.Ownership);
+    const answerAll = async (count: number) => {
+      await vi.waitUntil(() => waiting.length === count, { timeout: WAIT_MS });
+      waiting.splice(0).forEach((response) => response.end(answer));
+    };
+    const reads = Promise.all([read(), read(), read()]);
+    await vi.waitUntil(() => waiting.length === 3, { timeout: WAIT_MS });
+    waiting.forEach(({ socket }) => silent.add(socket));
+    await answerAll(3);
+    await reads;
+    const cancel = new AbortController();
+    const lost = store
+      .watch("kind/", 7, { waitMs: 0, signal: cancel.signal })
+      .catch((error: unknown) => error);
+    if (isCancelled) {
+      cancel.abort();
+    } else {
+      await clock.advance(1000);
+    }
+    expect(await lost).toBeInstanceOf(PlatformUnavailableError);
+    const next = read();
+    await answerAll(1);
+    expect((await next)?.version).toBe(7);
+    await store.close();
+  });
+
   const largeHistories = [
     { name: "whose length is announced", isAnnounced: true },
     { name: "that comes in chunks", isAnnounced: false },
