Notice departures in time when all connections to the store go silent

Callers saw: bookings sent to a server later than drainS after it had reported draining, some of them lost with it (502), once all open connections to the store had gone silent at the same moment.

Cause: a dead watch looks like a store without changes. Daemons learn of one by comparing digests with the coordinator's, whose watch died as well. It noticed that after up to 3 s (2 s wait, 1 s margin) and a pause; the others follow within 1.2 s. The configuration and the exclusions are followed in the same way. Besides, the coordinator took its dead watch for an outage and kept a removed server for 2 s more, and went on to confirm the others' old state.

Fix: the coordinator's watches of servers and configuration wait 0.75 s, that of the exclusions 2 s. A watch that is not answered within 0.35 s more is replaced at once by a poll, which is no failure of the store unless it fails as well. Until then the coordinator's replies carry no digest of that prefix, and what a daemon could not compare for 1.3 s it polls itself. All daemons know a change 2.3 s after the silence, without answers' own time: below the 3 s after which they are in touch. Other daemons' watches wait as before.

Calls at rest by the constants: coordinator 1.5 to 3.2 a second, whatever the number of daemons; others none more. The test counts them, also with a store that takes 500 ms.

discovery.test.ts: "a refresh cancels a watch on a dead connection" waited 5 s for a watch that now ends by itself after 2.35 s at most; it waits 0.9 s and asserts the same. The bound on the coordinator's wait is stricter (0.8 s instead of 2), and a poll must follow an unanswered watch.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -13,7 +13,7 @@
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
 const MAX_DIFFERENCE_MS = 700;
-/** A daemon that has not heard from the coordinator for this long polls the object store on its own. */
+/** A daemon that could not compare its state for this long polls the object store on its own. */
 const CONTACT_TIMEOUT_MS = 1300;
 /** Minimum time between refreshes of a prefix; bounds the calls of a daemon that differs or is isolated. */
 const REFRESH_INTERVAL_MS = 1300;
@@ -189,8 +189,8 @@
   const { channel, clock, watchers, peers } = options;
   const differences = new Map<string, Difference>();
   const refreshedAt = new Map<string, number>();
-  /** Last contact with the coordinator or, on the coordinator, with another daemon. */
-  let contactAt = clock.now();
+  /** When each prefix was last compared with the coordinator's state or, on the coordinator, with other daemons'. */
+  const comparedAt = new Map(watchers.map(({ prefix }) => [prefix, clock.now()]));
   /** The coordinator is expected to reply at first, so that a daemon starts with stale reads. */
   let repliedAt = clock.now();
   let coordinatingSince: number | undefined;
@@ -217,8 +217,7 @@
     }
   });
   channel.receive(MessageKind.Reply, replySchema, (reply) => {
-    contactAt = clock.now();
-    repliedAt = contactAt;
+    repliedAt = clock.now();
     countedSize = reply.daemons ?? countedSize;
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
@@ -267,7 +266,7 @@
         departures: options.departures.share(),
       });
     }
-    refreshWithoutContact();
+    refreshUncompared();
   }
 
   function computeLargestProcessors(): number {
@@ -282,20 +281,21 @@
   function compareWithMajority(): void {
     const peerDigests = peers.getDigests();
     if (peerDigests.length > 0) {
-      contactAt = clock.now();
+      watchers.forEach(({ prefix }) => comparedAt.set(prefix, clock.now()));
       compareDigests(
         (prefix) => findMajority(peerDigests.map((each) => each[prefix])),
         () => 0,
       );
     }
-    refreshWithoutContact();
+    refreshUncompared();
   }
 
-  /** Polls the store while there is no contact, since a dead watch looks like a store without changes. */
-  function refreshWithoutContact(): void {
-    if (clock.now() - contactAt > CONTACT_TIMEOUT_MS) {
-      watchers.forEach(refresh);
-    }
+  /** Polls the store for state that cannot be compared, since a dead watch looks like a store without changes. */
+  function refreshUncompared(): void {
+    const now = clock.now();
+    watchers
+      .filter(({ prefix }) => now - (comparedAt.get(prefix) ?? now) > CONTACT_TIMEOUT_MS)
+      .forEach(refresh);
   }
 
   function compareDigests(
@@ -309,6 +309,7 @@
         differences.delete(prefix);
         continue;
       }
+      comparedAt.set(prefix, clock.now());
       if (digest === watcher.computeDigest()) {
         differences.delete(prefix);
         if (!options.isCoordinator()) {
@@ -340,10 +341,13 @@
     }
   }
 
-  /** The digests of the state that this daemon has read anew since it became the coordinator. */
+  /**
+   * The digests of the state that this daemon has read anew since it became the coordinator. Those of a watcher whose
+   * call is unanswered are left out: they would confirm a state that may be old.
+   */
   function computeReferenceDigests(): Digests {
     const since = coordinatingSince ?? Number.POSITIVE_INFINITY;
-    const current = watchers.filter((watcher) => watcher.getCurrentAt() >= since);
+    const current = watchers.filter((watcher) => watcher.isAnswered() && watcher.getCurrentAt() >= since);
     return Object.fromEntries(current.map((watcher) => [watcher.prefix, watcher.computeDigest()]));
   }
 
--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -20,11 +20,19 @@
  * of the store, which a watch that waits for longer would outlive.
  */
 const CHECKED_WATCH_WAIT_MS = 15_000;
+/** The same for daemons without contact to the coordinator, which poll the store at intervals besides. */
+const UNCHECKED_WATCH_WAIT_MS = 2000;
 /**
- * The same for the coordinator, whose state the others are compared with. When all watches have died at once,
- * all daemons agree; only the end of a watch shows it.
+ * The same for the coordinator, whose state the others are compared with, unless a watcher has its own limit. When
+ * all watches have died at once, all daemons agree, and only a watch that is not answered in time shows it. With
+ * the margin and the time in which the others notice a difference this must stay below the shortest bound.
  */
-const UNCHECKED_WATCH_WAIT_MS = 2000;
+const REFERENCE_WATCH_WAIT_MS = 750;
+/**
+ * Exceeds the time that an answer takes unless the store is slow. A watch that is not answered by then is replaced by
+ * a poll on another connection: one more call if the store was only slow.
+ */
+const WATCH_MARGIN_MS = 350;
 /** Base of the exponential backoff after failed calls. */
 const RETRY_BASE_MS = 100;
 /** Maximum of the backoff before jitter, so that a recovered store is noticed within about a second. */
@@ -57,6 +65,10 @@
   readonly pauseMs: number;
   /** Returns whether digests are compared with the coordinator's, so that cheaper, stale watches suffice. */
   readonly isFreshnessChecked: () => boolean;
+  /** Returns whether the others' digests are compared with this daemon's. */
+  readonly isReference: () => boolean;
+  /** Maximum wait of a watch while this daemon is the reference, in milliseconds; a default unless set. */
+  readonly referenceWaitMs?: number | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: () => number;
@@ -70,6 +82,8 @@
    * the state was last confirmed. Negative infinity while only stale answers were read.
    */
   getCurrentAt(): number;
+  /** Returns whether the latest call was answered, or may still be answered in time. */
+  isAnswered(): boolean;
   /** Returns the version of the store up to which the changes are known; 0 when that is not known. */
   getVersion(): Version;
   /** Records that the state equals the newest one, as another daemon knows it. */
@@ -94,6 +108,8 @@
   let since: number | undefined;
   let failures = 0;
   let mustPoll = false;
+  /** Whether no call was answered since a watch was not answered in time. */
+  let isOverdue = false;
   /** The state is read again instead of its history, which may be larger. */
   let mustList = false;
   let currentAt = Number.NEGATIVE_INFINITY;
@@ -111,15 +127,13 @@
   return {
     prefix,
     getCurrentAt: () => currentAt,
+    isAnswered: () => failures === 0 && !isOverdue,
     getVersion: () => since ?? 0,
     confirm: () => {
       currentAt = clock.now();
     },
     computeDigest,
-    refresh: () => {
-      mustPoll = true;
-      pendingWatch?.abort();
-    },
+    refresh,
     run: async (signal) => {
       while (!signal.aborted) {
         try {
@@ -131,6 +145,11 @@
     },
   };
 
+  function refresh(): void {
+    mustPoll = true;
+    pendingWatch?.abort();
+  }
+
   async function readNext(signal: AbortSignal): Promise<void> {
     callStartedAt = clock.now();
     const hasChanged = since === undefined || mustList ? await listState() : await readHistory(since, signal);
@@ -236,9 +255,14 @@
     currentCall = "watch";
     const current = new AbortController();
     pendingWatch = current;
+    const isChecked = options.isFreshnessChecked();
+    const waitMs = getWatchWaitMs(isChecked);
+    // Another connection may work, so this is no failure of the store unless the poll fails as well.
+    const cancelTimeout = clock.schedule(waitMs + WATCH_MARGIN_MS, () => {
+      isOverdue = true;
+      refresh();
+    });
     try {
-      const isChecked = options.isFreshnessChecked();
-      const waitMs = isChecked ? CHECKED_WATCH_WAIT_MS : UNCHECKED_WATCH_WAIT_MS;
       const freshness = isChecked ? Freshness.Stale : Freshness.Newest;
       const combined = AbortSignal.any([signal, current.signal]);
       const watched = await objects.watch(prefix, from, { waitMs, signal: combined, freshness, maxBytes });
@@ -247,10 +271,20 @@
     } catch (error) {
       throw current.signal.aborted ? new WatchCancelledError() : error;
     } finally {
+      cancelTimeout();
       pendingWatch = undefined;
     }
   }
 
+  function getWatchWaitMs(isChecked: boolean): number {
+    if (isChecked) {
+      return CHECKED_WATCH_WAIT_MS;
+    }
+    return options.isReference()
+      ? (options.referenceWaitMs ?? REFERENCE_WATCH_WAIT_MS)
+      : UNCHECKED_WATCH_WAIT_MS;
+  }
+
   function computeDigest(): number {
     let digest = 0;
     for (const [path, version] of versions) {
@@ -282,6 +316,7 @@
       options.onStoreRecovered?.();
     }
     failures = 0;
+    isOverdue = false;
   }
 
   async function handleFailure(error: unknown, signal: AbortSignal): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -74,6 +74,11 @@
  * within which it must be in force.
  */
 const CONFIGURATION_BATCH_PAUSE_MS = 250;
+/**
+ * Maximum wait of the coordinator's watch of the exclusions: with the time in which daemons notice a difference,
+ * a fraction of the five seconds within which an exclusion must be in force.
+ */
+const EXCLUSION_WATCH_WAIT_MS = 2000;
 /** Extra time that a server in the same data centre may take over a remote one: the round trip. */
 const SHORT_ANSWER_REMOTE_COST_MS = 4;
 /**
@@ -311,7 +316,12 @@
         directory.recordStoreRecovery();
       },
     }),
-    createWatcher(paths.exclusions, CONFIGURATION_BATCH_PAUSE_MS, routing.exclusions),
+    createWatcher(
+      paths.exclusions,
+      CONFIGURATION_BATCH_PAUSE_MS,
+      routing.exclusions,
+      EXCLUSION_WATCH_WAIT_MS,
+    ),
     feed,
   ];
   const coordination = createKeyCoordination({
@@ -385,12 +395,19 @@
 
   return { isReady, shutDown };
 
-  function createWatcher(prefix: string, pauseMs: number, listener: PrefixListener): PrefixWatcher {
+  function createWatcher(
+    prefix: string,
+    pauseMs: number,
+    listener: PrefixListener,
+    referenceWaitMs?: number,
+  ): PrefixWatcher {
     return createPrefixWatcher({
       objects,
       prefix,
       pauseMs,
       isFreshnessChecked: () => freshness.isFreshnessChecked(),
+      isReference: () => lease.isHeld(),
+      referenceWaitMs,
       clock,
       logger,
       random,
--- a/src/keyRanges/assignmentFeed.ts
+++ b/src/keyRanges/assignmentFeed.ts
@@ -71,6 +71,7 @@
   let wake: (() => void) | undefined;
   let staleReadAt = Number.NEGATIVE_INFINITY;
   let currentAt = Number.NEGATIVE_INFINITY;
+  let isAnswered = true;
   /** Versions from datagrams that could not be applied, since this daemon lacks the version they change. */
   const missedVersions = new Map<ServiceName, Version>();
   channel.receive(DATAGRAM_KIND, changeSchema, apply);
@@ -78,6 +79,7 @@
   return {
     prefix: ASSIGNMENT_PREFIX,
     getCurrentAt: () => currentAt,
+    isAnswered: () => isAnswered,
     getVersion: () => 0,
     confirm: () => {
       currentAt = clock.now();
@@ -133,12 +135,14 @@
     const startedAt = clock.now();
     try {
       const listed = await options.objects.list(ASSIGNMENT_PREFIX, CallPriority.Ownership, freshness);
+      isAnswered = true;
       owners.apply(listed.objects);
       currentAt = freshness === Freshness.Newest ? startedAt : currentAt;
       const isBehind = [...missedVersions].some(([service, version]) => owners.getVersion(service) < version);
       mustRead ||= freshness === Freshness.Stale && isBehind;
     } catch (error) {
       mustRead = true;
+      isAnswered = false;
       logger.log(Event.PlatformUnavailable, { prefix: ASSIGNMENT_PREFIX, error: describeError(error) });
       await sleep(clock, RETRY_DELAY_MS, signal);
     }
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -252,6 +252,7 @@
       prefix: "servers/",
       pauseMs: 500,
       isFreshnessChecked: () => false,
+      isReference: () => true,
       clock,
       logger: silentLogger,
       random: () => 0.5,
@@ -266,6 +267,7 @@
 
   function startWatcher(
     isFreshnessChecked = false,
+    isReference = !isFreshnessChecked,
     prepare: (store: ReturnType<typeof createSilentStore>) => void = () => undefined,
   ) {
     const clock = createFakeClock();
@@ -277,6 +279,7 @@
       prefix: "config/",
       pauseMs: 10,
       isFreshnessChecked: () => isFreshnessChecked,
+      isReference: () => isReference,
       clock,
       logger: silentLogger,
       random: () => 0.5,
@@ -294,7 +297,7 @@
     const { clock, silentStore, seen, watcher, stop } = startWatcher();
     await clock.advance(100);
     silentStore.setChanges(changed);
-    await clock.advance(5000);
+    await clock.advance(900);
     expect(seen).toEqual([]);
     const before = watcher.computeDigest();
     watcher.refresh();
@@ -319,7 +322,7 @@
 
   // Guards against state that goes back because a cheaper answer was older than what is known.
   test("a stale list that is older than the known state is not used", async () => {
-    const { clock, silentStore, seen, stop } = startWatcher(true, (store) => {
+    const { clock, silentStore, seen, stop } = startWatcher(true, false, (store) => {
       store.setChanges(changed);
       store.failNext(new HistoryGoneError("gone", { props: { step: "watch" } }));
       store.setStale([changed, { objects: [{ path: "config/main", version: 3, value: 0 }], version: 3 }]);
@@ -332,13 +335,17 @@
 
   // Guards against an outage that ends all watches without an error: all daemons then agree on an old state.
   test.each([
-    { isChecked: false, name: "the coordinator's", maxWaitMs: 2000 },
-    { isChecked: true, name: "a checked daemon's", maxWaitMs: 30_000 },
-  ])("$name watch waits for at most $maxWaitMs ms", async ({ isChecked, maxWaitMs }) => {
-    const { clock, silentStore, stop } = startWatcher(isChecked);
+    { isChecked: false, isReference: true, name: "the coordinator's", maxWaitMs: 800 },
+    { isChecked: false, isReference: false, name: "a daemon's without contact", maxWaitMs: 2000 },
+    { isChecked: true, isReference: false, name: "a checked daemon's", maxWaitMs: 30_000 },
+  ])("$name watch waits for at most $maxWaitMs ms", async ({ isChecked, isReference, maxWaitMs }) => {
+    const { clock, silentStore, stop } = startWatcher(isChecked, isReference);
     await clock.advance(100);
     expect(silentStore.waitTimes).toHaveLength(1);
     expect(Math.max(...silentStore.waitTimes)).toBeLessThanOrEqual(maxWaitMs);
+    // Without an answer a poll replaces it soon, on another connection.
+    await clock.advance(maxWaitMs + 400);
+    expect(silentStore.waitTimes[1]).toBe(0);
     stop.abort();
   });
 
@@ -352,6 +359,7 @@
       prefix: "servers/",
       pauseMs: 10,
       isFreshnessChecked: () => false,
+      isReference: () => true,
       clock,
       logger: silentLogger,
       random: () => 0.5,
@@ -465,6 +473,7 @@
       prefix: "config/",
       pauseMs: 250,
       isFreshnessChecked: () => false,
+      isReference: () => true,
       clock,
       logger: silentLogger,
       random: () => 0.5,
@@ -563,6 +572,7 @@
             prefix: "config/",
             getCurrentAt: () =>
               clock.now() >= startedAt + currentAfterMs ? clock.now() : Number.NEGATIVE_INFINITY,
+            isAnswered: () => true,
             getVersion: () => getVersion(index, clock.now() - startedAt),
             confirm: () => {
               currents.add(port);
--- /dev/null
+++ b/test/silentConnections.test.ts
@@ -0,0 +1,355 @@
+/**
+ * All open connections to the object store go silent at once, while new ones work: daemons must notice what
+ * changes in the store within its bounds all the same, and at rest this must cost few calls.
+ */
+import { describe, expect, test } from "vitest";
+import {
+  type DiscoveredServer,
+  ServerPhase,
+  createFreshnessCheck,
+  createPeerStates,
+  createPrefixWatcher,
+  createServerDirectory,
+} from "../src/discovery";
+import { PlatformUnavailableError } from "../src/errors";
+import { createRoutingState } from "../src/gateway";
+import { createDatagramChannel } from "../src/membership";
+import { Freshness, type ObjectChanges, type ObjectStore, type StoredObject } from "../src/objectStore";
+import { createCounters, silentLogger } from "../src/observability";
+import { sleep } from "../src/types";
+import { decodeConfiguration } from "../platform/decoding";
+import { createFakeClock, createProcessClock } from "./support/fakeClock";
+import { createFakeNetwork } from "./support/fakeNetwork";
+import { createTestServer } from "./support/gateway";
+
+const PREFIXES = { servers: "servers/", configuration: "config/", exclusions: "evacuations/" } as const;
+/** The coordinator's watch of the exclusions, whose bound is longer; undefined for the default. */
+const REFERENCE_WAIT_MS = { servers: undefined, configuration: undefined, exclusions: 2000 } as const;
+const BATCH_PAUSE_MS = { servers: 500, configuration: 250, exclusions: 250 } as const;
+const DAEMONS = 4;
+const STORE_LATENCY_MS = 5;
+/** How long the platform's client waits for an answer, beyond the waiting time of a watch. */
+const CALL_TIMEOUT_MS = 900;
+const CLIENT_MARGIN_MS = 1000;
+/** A coordinator that the store does not answer loses its lease after this time. */
+const LEASE_MS = 2000;
+/** Daemons count as in touch again this long after their connections went silent. */
+const SETTLE_MS = 3000;
+
+interface Change {
+  readonly path: string;
+  /** Undefined when the object was removed. */
+  readonly value: unknown;
+}
+
+/** Creates an object store whose connections can go silent; a call on a new connection is answered. */
+function createConnectedStore(clock: ReturnType<typeof createFakeClock>) {
+  const history: (Change & { readonly version: number })[] = [];
+  let latencyMs = STORE_LATENCY_MS;
+  let silences = 0;
+  /** Wakes the watches that wait. */
+  let wake = new AbortController();
+  const wakeAll = () => {
+    wake.abort();
+    wake = new AbortController();
+  };
+  const put = (path: string, value: unknown) => {
+    history.push({ path, value, version: history.length + 1 });
+    wakeAll();
+  };
+  const read = (prefix: string, since: number): ObjectChanges => {
+    const latest = new Map<string, StoredObject>();
+    for (const entry of history.filter(({ path, version }) => path.startsWith(prefix) && version > since)) {
+      latest.set(entry.path, entry);
+    }
+    const changed = [...latest.values()];
+    return {
+      objects: changed.filter(({ value }) => value !== undefined),
+      removed: changed.filter(({ value }) => value === undefined).map(({ path }) => path),
+      version: history.length,
+    };
+  };
+  /** Creates one daemon's access, which is answered only while it is connected. */
+  function createAccess(isConnected: () => boolean) {
+    const counts = { newest: 0, stale: 0 };
+    const count = (freshness: Freshness = Freshness.Newest) => {
+      counts[freshness] += 1;
+    };
+    const fail = () => new PlatformUnavailableError("no answer", { props: { step: "call" } });
+    const objects: ObjectStore = {
+      read: () => Promise.reject(fail()),
+      write: () => Promise.reject(fail()),
+      list: async (prefix, _priority, freshness) => {
+        count(freshness);
+        await sleep(clock, isConnected() ? latencyMs : CALL_TIMEOUT_MS);
+        if (!isConnected()) {
+          throw fail();
+        }
+        return read(prefix, 0);
+      },
+      watch: async (prefix, since, { waitMs, signal, freshness }) => {
+        count(freshness);
+        const silencesBefore = silences;
+        const endAt = clock.now() + Math.max(waitMs, latencyMs);
+        const lostAt = clock.now() + (waitMs === 0 ? CALL_TIMEOUT_MS : waitMs + CLIENT_MARGIN_MS);
+        await sleep(clock, latencyMs);
+        for (;;) {
+          const isSilent = silences !== silencesBefore || !isConnected();
+          const changes = read(prefix, since);
+          const hasChanges = changes.objects.length + (changes.removed ?? []).length > 0;
+          if (!isSilent && (hasChanges || clock.now() >= endAt)) {
+            return changes;
+          }
+          if (signal.aborted || clock.now() >= lostAt) {
+            throw fail();
+          }
+          await sleep(
+            clock,
+            (isSilent ? lostAt : endAt) - clock.now(),
+            AbortSignal.any([signal, wake.signal]),
+          );
+        }
+      },
+    };
+    return { objects, counts };
+  }
+  return {
+    put,
+    createAccess,
+    silence: () => {
+      silences += 1;
+      wakeAll();
+    },
+    setLatency: (ms: number) => {
+      latencyMs = ms;
+    },
+  };
+}
+
+const serverPath = `${PREFIXES.servers}s1`;
+const configurationPath = `${PREFIXES.configuration}main`;
+const createConfiguration = (version: number) => ({
+  version: version.toString(16).padStart(8, "0"),
+  resources: [],
+});
+
+/** Starts daemons, of which the first one is the coordinator. */
+function startDaemons() {
+  const clock = createFakeClock();
+  const network = createFakeNetwork(clock);
+  const store = createConnectedStore(clock);
+  const stop = new AbortController();
+  const stopCoordinator = new AbortController();
+  let cutAt = Number.POSITIVE_INFINITY;
+  store.put(serverPath, createTestServer("s1", 1));
+  store.put(configurationPath, createConfiguration(1));
+  const daemons = Array.from({ length: DAEMONS }, (_value, index) => {
+    const address = { host: "127.0.0.1", port: index + 1 };
+    const isFirst = index === 0;
+    const isCoordinator = () => isFirst && clock.now() < cutAt + LEASE_MS;
+    const access = store.createAccess(() => !isFirst || clock.now() < cutAt);
+    const directory = createServerDirectory({
+      clock,
+      logger: silentLogger,
+      decode: (_name, value) => value as DiscoveredServer,
+      getColdMs: () => 0,
+    });
+    const routing = createRoutingState({
+      configurationPath,
+      decode: decodeConfiguration,
+      onConfiguration: () => undefined,
+      onExclusions: (dataCentres) => {
+        directory.setExcluded(dataCentres);
+      },
+      logger: silentLogger,
+    });
+    const listeners = {
+      configuration: routing.configurations,
+      exclusions: routing.exclusions,
+      servers: {
+        onList: (listed: readonly StoredObject[]) => {
+          directory.replaceAll(listed);
+        },
+        onChange: (changed: readonly StoredObject[], removed: readonly string[]) => {
+          directory.applyChanges(changed, removed);
+        },
+        onStoreRecovered: () => {
+          directory.recordStoreRecovery();
+        },
+      },
+    };
+    const watchers = (["configuration", "servers", "exclusions"] as const).map((kind) =>
+      createPrefixWatcher({
+        objects: access.objects,
+        prefix: PREFIXES[kind],
+        pauseMs: BATCH_PAUSE_MS[kind],
+        isFreshnessChecked: () => freshness.isFreshnessChecked(),
+        isReference: isCoordinator,
+        referenceWaitMs: REFERENCE_WAIT_MS[kind],
+        clock,
+        logger: silentLogger,
+        random: () => 0.5,
+        ...listeners[kind],
+      }),
+    );
+    const freshness = createFreshnessCheck({
+      daemon: `d${address.port}`,
+      address,
+      processors: 1,
+      channel: createDatagramChannel(
+        network.createTransport(address, createProcessClock(clock)),
+        createCounters("test"),
+      ),
+      watchers,
+      peers: createPeerStates(clock),
+      clock,
+      logger: silentLogger,
+      isCoordinator,
+      findCoordinator: () => ({ host: "127.0.0.1", port: 1 }),
+      findStoredSize: () => undefined,
+      getLeaseVersion: () => 1,
+      confirmLease: () => undefined,
+      rateLimits: { share: () => [], merge: () => undefined },
+      departures: { share: () => [], merge: () => undefined },
+      ownerShares: { share: () => [], replace: () => undefined },
+    });
+    const signal = isFirst ? AbortSignal.any([stop.signal, stopCoordinator.signal]) : stop.signal;
+    // Daemons start at different times, so that their calls and checks do not coincide.
+    clock.schedule(index * 90, () => {
+      watchers.forEach((watcher) => void watcher.run(signal));
+      void freshness.run(signal);
+    });
+    return { directory, routing, counts: access.counts };
+  });
+  return {
+    clock,
+    store,
+    daemons,
+    stop,
+    cutCoordinator: () => {
+      cutAt = clock.now();
+    },
+    killCoordinator: () => {
+      cutAt = clock.now();
+      stopCoordinator.abort();
+      daemons.forEach((_daemon, index) => {
+        network.blockedPairs.add(`127.0.0.1:1>127.0.0.1:${index + 1}`);
+        network.blockedPairs.add(`127.0.0.1:${index + 1}>127.0.0.1:1`);
+      });
+    },
+  };
+}
+
+type Deployment = ReturnType<typeof startDaemons>;
+type Daemon = Deployment["daemons"][number];
+
+interface ChangeCase {
+  readonly name: string;
+  readonly change: Change;
+  /** Time after the store's answer within which each daemon in touch must know the change. */
+  readonly boundMs: number;
+  readonly isKnown: (daemon: Daemon) => boolean;
+}
+
+const isUnusable = ({ directory }: Daemon) => directory.getUsable("desk").length === 0;
+
+const changes: readonly ChangeCase[] = [
+  {
+    name: "a server that reports draining",
+    change: { path: serverPath, value: createTestServer("s1", 1, { phase: ServerPhase.Draining }) },
+    boundMs: 2000,
+    isKnown: isUnusable,
+  },
+  {
+    name: "a server whose entry is removed",
+    change: { path: serverPath, value: undefined },
+    boundMs: 2000,
+    isKnown: isUnusable,
+  },
+  {
+    name: "a configuration",
+    change: { path: configurationPath, value: createConfiguration(2) },
+    boundMs: 2000,
+    isKnown: ({ routing }) => routing.findActive()?.configuration.version === 2,
+  },
+  {
+    name: "an exclusion",
+    change: { path: `${PREFIXES.exclusions}a`, value: {} },
+    boundMs: 5000,
+    isKnown: isUnusable,
+  },
+];
+
+const troubles: readonly { readonly name: string; readonly start: (deployment: Deployment) => void }[] = [
+  { name: "the coordinator works", start: () => undefined },
+  {
+    name: "the coordinator is killed at that moment",
+    start: ({ killCoordinator }) => {
+      killCoordinator();
+    },
+  },
+  {
+    name: "the store does not answer the coordinator from that moment",
+    start: ({ cutCoordinator }) => {
+      cutCoordinator();
+    },
+  },
+];
+
+/** Moments of the silence, which meet the watches and checks in different phases. */
+const SILENT_AFTER_MS = [4000, 4450, 4900, 5400];
+/** Moments of the change after the silence. */
+const CHANGED_AFTER_MS = [10, 950, 1700];
+
+describe("silent connections to the store", () => {
+  // Guards against a departure that is noticed after drainS when all watches have died silently.
+  test.each(troubles.flatMap((trouble) => changes.map((each) => ({ trouble, ...each }))))(
+    "$name is known in time though all watches died without an error while $trouble.name",
+    async ({ trouble, change, boundMs, isKnown }) => {
+      for (const silentAfterMs of SILENT_AFTER_MS) {
+        for (const changedAfterMs of CHANGED_AFTER_MS) {
+          const deployment = startDaemons();
+          const { clock, store, daemons, stop } = deployment;
+          await clock.advance(silentAfterMs);
+          store.silence();
+          trouble.start(deployment);
+          await clock.advance(changedAfterMs);
+          store.put(change.path, change.value);
+          await clock.advance(Math.max(SETTLE_MS - changedAfterMs, boundMs));
+          // A coordinator in trouble is not in touch.
+          const inTouch = trouble === troubles[0] ? daemons : daemons.slice(1);
+          expect(inTouch.map(isKnown), `silent at ${silentAfterMs}, changed after ${changedAfterMs}`).toEqual(
+            inTouch.map(() => true),
+          );
+          stop.abort();
+        }
+      }
+    },
+  );
+
+  // Guards against watches that notice silence soon at the price of many calls of each daemon.
+  test.each([
+    { name: "at rest", latencyMs: STORE_LATENCY_MS, coordinatorCalls: 3.3, staleCalls: 0.2 },
+    { name: "while the store is slow", latencyMs: 500, coordinatorCalls: 4, staleCalls: 0.2 },
+  ])(
+    "$name the coordinator makes at most $coordinatorCalls calls a second, other daemons stale ones only",
+    async ({ latencyMs, coordinatorCalls, staleCalls }) => {
+      const OBSERVED_S = 60;
+      const { clock, store, daemons, stop } = startDaemons();
+      await clock.advance(4000);
+      store.setLatency(latencyMs);
+      const before = daemons.map(({ counts }) => ({ ...counts }));
+      await clock.advance(OBSERVED_S * 1000);
+      const rates = daemons.map(({ counts }, index) => ({
+        newest: (counts.newest - (before[index]?.newest ?? 0)) / OBSERVED_S,
+        stale: (counts.stale - (before[index]?.stale ?? 0)) / OBSERVED_S,
+      }));
+      const [coordinator, ...others] = rates;
+      expect(coordinator?.stale).toBe(0);
+      expect(coordinator?.newest).toBeLessThanOrEqual(coordinatorCalls);
+      expect(Math.max(...others.map(({ newest }) => newest))).toBeLessThanOrEqual(staleCalls);
+      expect(Math.max(...others.map(({ stale }) => stale))).toBeLessThanOrEqual(staleCalls * 2);
+      stop.abort();
+    },
+  );
+});
