--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -472,6 +472,23 @@
     await store.close();
   });
 
+  // Guards against a connection that goes silent while it is idle and is used again a long time later.
+  test("an idle connection is closed soon, though the store would keep it for longer", async () => {
+    const port = await startHttpServer((request, _body, response) => {
+      closed = new Promise((resolve) => request.socket.once("close", resolve));
+      response.end(JSON.stringify(object));
+    });
+    let closed: Promise<unknown> = Promise.reject(new Error("no connection"));
+    closed.catch(() => undefined);
+    if (httpServer !== undefined) {
+      httpServer.keepAliveTimeout = 600_000;
+    }
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    await store.read("kind/x", CallPriority.Ownership);
+    await closed;
+    await store.close();
+  });
+
   /** Outlasts the delays of a busy machine. */
   const WAIT_MS = 20_000;
   const unanswered = [
