Limit what a backend server may send beside the content of an answer

Callers waited until their deadlines, and the daemon read at full speed until then, when a faulty server sent spaces before a field's value, empty lines before a head, or zeros of a chunk's size without end. Node.js limits heads and chunk extensions to 16 KiB, but skips these bytes unlimited; it keeps none of them. Control calls had the same gap, and no limit on interim answers. A grant's kept connection without a call was read without end.

Test test/endlessAnswers.test.ts, 28 cases, at dispatched requests and control calls. On the old code 7 failed: three kinds at requests ('unknown:late' after the whole deadline instead of 'unknown:broken'), the same three at control calls (203 to 271 MB taken, limit of the test 33.6 MB), and the kept connection of grants (never closed). The other 21 were harmless before: reason phrase, field names, fields of interim answers, chunk extensions, trailers, bytes behind whole answers and answers without a body.

Now the bytes on the connection are counted: beyond 512 KiB and 16 for each byte of content the connection is closed. Only framing can exceed that, so no proper answer is cut off. 28 of 28 pass; gateway.test.ts and serverStatements.test.ts pass (82).

--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -1,5 +1,6 @@
 /** Receives the bodies of backend servers' answers. */
 import type { IncomingMessage } from "node:http";
+import { limitFraming } from "../http";
 import type { AnswerBody } from "./attemptTypes";
 
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
@@ -16,10 +17,18 @@
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    const stopLimit = limitFraming(
+      answer.socket,
+      () => bytes,
+      () => {
+        answer.destroy(new Error("too many bytes beside the content of the answer"));
+      },
+    );
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       bytes += chunk.byteLength;
       if (bytes > MAX_BUFFERED_ANSWER_BYTES) {
+        stopLimit();
         answer.pause();
         answer.removeListener("data", onData);
         resolve({ kind: "streamed", head: chunks, rest: answer });
@@ -31,6 +40,7 @@
     });
     answer.once("error", reject);
     answer.once("close", () => {
+      stopLimit();
       reject(new Error("connection closed before the end of the answer"));
     });
   });
--- a/src/gateway/keptConnections.ts
+++ b/src/gateway/keptConnections.ts
@@ -1,6 +1,7 @@
 /** Connections to backend servers that are kept between requests, and which of them a request may be sent on. */
 import { Agent, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { destroyOnData } from "../http";
 import type { Clock } from "../types";
 
 /** Maximum idle time of a connection that is reused, unless its server states a timeout. */
@@ -78,7 +79,6 @@
     const agent = new Agent({ keepAlive: true, scheduling: "lifo", noDelay: true });
     agent.on("free", (socket: Socket) => {
       idleSince.set(socket, clock.now());
-      // Data without a pending request means that answers no longer match requests on this connection.
       socket.on("data", destroyOnData);
     });
     return agent;
@@ -104,10 +104,6 @@
   return Object.values(agent.freeSockets).flatMap((sockets) => sockets ?? []);
 }
 
-function destroyOnData(this: Socket): void {
-  this.destroy();
-}
-
 /** Returns for how long a connection may be idle, from the timeout that its server states. */
 function readMaxIdleMs({ headers }: IncomingMessage): number {
   const [, seconds] = /timeout=(\d{1,6})/.exec(String(headers["keep-alive"] ?? "")) ?? [];
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -10,7 +10,7 @@
 import { finished } from "node:stream";
 import type { DiscoveredServer } from "../discovery";
 import { describeError } from "../errors";
-import { type CallerWatch, discardBody } from "../http";
+import { type CallerWatch, discardBody, limitHead } from "../http";
 import { type Clock, formatAddress } from "../types";
 import { readBody } from "./answerBody";
 import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
@@ -27,8 +27,6 @@
 const TURNED_AWAY_PAUSE_MS = 250;
 /** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
 const TURNED_AWAY_MEMORY_MS = 3000;
-/** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
-const MAX_INTERIM_ANSWERS = 16;
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
@@ -190,13 +188,9 @@
       clientRequest.on("error", (error) => {
         fail(describeError(error));
       });
-      let interimAnswers = 0;
-      clientRequest.on("information", () => {
-        interimAnswers += 1;
-        if (interimAnswers > MAX_INTERIM_ANSWERS) {
-          fail("too many interim answers");
-          resetConnection();
-        }
+      limitHead(clientRequest, (detail) => {
+        fail(detail);
+        resetConnection();
       });
       clientRequest.on("response", (answer) => {
         isAnswering = true;
--- a/src/http/discardBody.ts
+++ b/src/http/discardBody.ts
@@ -1,6 +1,7 @@
 /** Discards the body of an answer, so that its connection can be reused. */
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../types";
+import { limitFraming } from "./answerFraming";
 
 /** Bodies of refusals are far shorter; a longer one costs more than a new connection. */
 const MAX_DISCARDED_BYTES = 65_536;
@@ -18,6 +19,13 @@
   const cancelTimeout = clock.schedule(DISCARD_TIMEOUT_MS, () => {
     answer.destroy();
   });
+  const stopLimit = limitFraming(
+    answer.socket,
+    () => bytes,
+    () => {
+      answer.destroy();
+    },
+  );
   answer.on("data", (chunk: Buffer) => {
     bytes += chunk.byteLength;
     if (bytes > MAX_DISCARDED_BYTES) {
@@ -26,5 +34,8 @@
   });
   // The result of the call does not depend on the body, so neither does it on a connection that breaks now.
   answer.on("error", cancelTimeout);
-  answer.once("close", cancelTimeout);
+  answer.once("close", () => {
+    cancelTimeout();
+    stopLimit();
+  });
 }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import type { Address } from "../types";
 
+export * from "./answerFraming";
 export * from "./callerWatch";
 export * from "./discardBody";
 export * from "./hopByHopHeaders";
--- a/test/support/rawServer.ts
+++ b/test/support/rawServer.ts
@@ -110,6 +110,8 @@
   readonly behaviour: RawBehaviour;
   /** Resolves when the connection was closed by the other side. */
   readonly closed: Promise<void>;
+  /** Returns the number of bytes that the other side, or the buffers on the way to it, have taken. */
+  countTaken(): number;
 }
 
 /**
@@ -127,7 +129,9 @@
   const closed = new Promise<void>((resolve) => {
     finish = resolve;
   });
+  let countTaken = () => 0;
   const behaviour: RawBehaviour = (socket, request) => {
+    countTaken = () => socket.bytesWritten - socket.writableLength;
     const writePieces = () => {
       while (!socket.destroyed && socket.write(piece));
     };
@@ -138,7 +142,7 @@
     socket.write(createHead(request));
     writePieces();
   };
-  return { behaviour, closed };
+  return { behaviour, closed, countTaken: () => countTaken() };
 }
 
 /**
