Limit the answers in memory over all requests

A daemon kept each answer up to 1 MiB until its caller had read it, without a limit over all requests: a few hundred slow callers, or answers behind a slow one, fill a VM of 256 MB.

Tests in test/endlessAnswers.test.ts. On the old code: 36 of 36 answers of 1 MiB held ('to have a length of 32 but got 36'), and 'expected 1048577 to be less than 10000' buffers.

Now 32 MiB in all are held, as for request bodies; beyond, answers are streamed and back-pressure holds their servers. They count until the caller has the answer or is gone (CallerWatch.onEnd), those that break off until then, streamed beginnings until they are written. Small chunks are joined, each byte copied once. Without the release two further tests fail ('do not count once their callers'). endlessAnswers, gateway, serverStatements, callerListener and callerConnections tests: 128 of 128 pass.

--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -1,49 +1,152 @@
 /** Receives the bodies of backend servers' answers. */
 import type { IncomingMessage } from "node:http";
-import { limitFraming } from "../http";
+import { type CallerWatch, limitFraming } from "../http";
 import type { AnswerBody } from "./attemptTypes";
 
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
 const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
+/**
+ * Limit on received answers in memory, over all requests: an eighth of the smallest VM's memory. Beyond it answers
+ * are streamed, so that their servers wait for the callers.
+ */
+const MAX_HELD_ANSWER_BYTES = 33_554_432;
+/** Chunks that are joined to one: each costs a few hundred bytes beside its content, which may be a single byte. */
+const JOINED_CHUNKS = 256;
+
+/** Bodies of answers, which are counted as in memory until they have been written to their callers. */
+export interface AnswerBodies {
+  /**
+   * Reads an answer until its end, or until it exceeds the size up to which answers are buffered.
+   *
+   * @param answer - The answer, of which nothing has been read.
+   * @param caller - The caller of the request.
+   * @returns The body, or its beginning and the rest as a stream.
+   * @throws Error when the connection fails before the end of the answer.
+   */
+  read(answer: IncomingMessage, caller: Pick<CallerWatch, "onEnd">): Promise<AnswerBody>;
+}
 
 /**
- * Reads an answer until its end, or until it exceeds the size up to which answers are buffered.
+ * Creates a count of bodies in memory.
  *
- * @param answer - The answer, of which nothing has been read.
- * @returns The body, or its beginning and the rest as a stream.
- * @throws Error when the connection fails before the end of the answer.
+ * @returns The count, without any body.
  */
-export function readBody(answer: IncomingMessage): Promise<AnswerBody> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+export function createAnswerBodies(): AnswerBodies {
+  let heldBytes = 0;
+
+  return {
+    read: (answer, caller) =>
+      new Promise((resolve, reject) => {
+        const chunks = createChunks();
+        const hold = createHold();
+        let bytes = 0;
+        const stopLimit = limitFraming(
+          answer.socket,
+          () => bytes,
+          () => {
+            answer.destroy(new Error("too many bytes beside the content of the answer"));
+          },
+        );
+        const fail = (error: Error) => {
+          hold.end();
+          reject(error);
+        };
+        const streamRest = () => {
+          stopLimit();
+          answer.pause();
+          answer.removeListener("data", onData);
+          answer.removeListener("close", onClose);
+          resolve({ kind: "streamed", head: takeAll(chunks.list(), hold), rest: answer });
+        };
+        const onData = (chunk: Buffer) => {
+          chunks.add(chunk);
+          bytes += chunk.byteLength;
+          hold.add(chunk.byteLength);
+          if (bytes > MAX_BUFFERED_ANSWER_BYTES || heldBytes > MAX_HELD_ANSWER_BYTES) {
+            streamRest();
+          }
+        };
+        const onClose = () => {
+          stopLimit();
+          if (!answer.readableEnded) {
+            fail(new Error("connection closed before the end of the answer"));
+          }
+        };
+        caller.onEnd(hold.end);
+        answer.once("error", fail);
+        answer.once("close", onClose);
+        if (heldBytes >= MAX_HELD_ANSWER_BYTES) {
+          streamRest();
+          return;
+        }
+        answer.on("data", onData);
+        answer.once("end", () => {
+          const content = Buffer.concat(chunks.list(), bytes);
+          resolve({ kind: isFramed(answer) ? "whole" : "unframed", content });
+        });
+      }),
+  };
+
+  function createHold(): Hold {
     let bytes = 0;
-    const stopLimit = limitFraming(
-      answer.socket,
-      () => bytes,
-      () => {
-        answer.destroy(new Error("too many bytes beside the content of the answer"));
-      },
-    );
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.byteLength;
-      if (bytes > MAX_BUFFERED_ANSWER_BYTES) {
-        stopLimit();
-        answer.pause();
-        answer.removeListener("data", onData);
-        resolve({ kind: "streamed", head: chunks, rest: answer });
+    let isEnded = false;
+    const add = (change: number) => {
+      if (!isEnded) {
+        bytes += change;
+        heldBytes += change;
       }
     };
-    answer.on("data", onData);
-    answer.once("end", () => {
-      resolve({ kind: isFramed(answer) ? "whole" : "unframed", content: Buffer.concat(chunks, bytes) });
-    });
-    answer.once("error", reject);
-    answer.once("close", () => {
-      stopLimit();
-      reject(new Error("connection closed before the end of the answer"));
-    });
-  });
+    return {
+      add,
+      end: () => {
+        add(-bytes);
+        isEnded = true;
+      },
+    };
+  }
+}
+
+/** Closes the connection of an answer that is no longer wanted, if its body has not been received in full. */
+export function dropBody(body: AnswerBody): void {
+  if (body.kind === "streamed" && !body.rest.readableEnded) {
+    body.rest.destroy();
+  }
+}
+
+/** The part of one answer that counts as in memory. */
+interface Hold {
+  /** Changes the number of bytes; has no effect after the end. */
+  readonly add: (change: number) => void;
+  readonly end: () => void;
+}
+
+interface Chunks {
+  add(chunk: Buffer): void;
+  list(): Buffer[];
+}
+
+/** Creates a list that joins small chunks, copying each byte once. */
+function createChunks(): Chunks {
+  const joined: Buffer[] = [];
+  let latest: Buffer[] = [];
+  return {
+    add: (chunk) => {
+      latest.push(chunk);
+      if (latest.length === JOINED_CHUNKS) {
+        joined.push(Buffer.concat(latest));
+        latest = [];
+      }
+    },
+    list: () => [...joined, ...latest],
+  };
+}
+
+/** Returns the chunks one by one, and keeps none that was returned. */
+function* takeAll(chunks: Buffer[], hold: Hold): Generator<Buffer> {
+  for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
+    hold.add(-chunk.byteLength);
+    yield chunk;
+  }
 }
 
 const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -37,4 +37,4 @@
   | { readonly kind: "whole"; readonly content: Buffer }
   /** The body had no length and ended with its connection, so it is not certain to be complete. */
   | { readonly kind: "unframed"; readonly content: Buffer }
-  | { readonly kind: "streamed"; readonly head: readonly Buffer[]; readonly rest: IncomingMessage };
+  | { readonly kind: "streamed"; readonly head: Iterable<Buffer>; readonly rest: IncomingMessage };
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -12,7 +12,7 @@
 import { describeError } from "../errors";
 import { type CallerWatch, discardBody, limitHead } from "../http";
 import { type Clock, formatAddress } from "../types";
-import { readBody } from "./answerBody";
+import { createAnswerBodies } from "./answerBody";
 import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
 import { createKeptConnections } from "./keptConnections";
 
@@ -107,6 +107,7 @@
 ): ServerConnections {
   const pools = new Map<string, ServerPool>();
   const kept = createKeptConnections(clock);
+  const bodies = createAnswerBodies();
   const failedSockets = new WeakSet<Socket>();
   let openedCount = 0;
 
@@ -285,7 +286,7 @@
       async function receive(answer: IncomingMessage): Promise<void> {
         const { socket } = answer;
         try {
-          const body = await readBody(answer);
+          const body = await bodies.read(answer, caller);
           // Without a length the body ends with its connection; after a reset it is not known to be complete.
           if (body.kind !== "streamed" && (failedSockets.has(socket) || !answer.complete)) {
             fail("connection closed before the end of the answer");
--- a/src/http/callerWatch.ts
+++ b/src/http/callerWatch.ts
@@ -10,6 +10,8 @@
    * signal alone lags while the process is short of processor time: a request is read before the close behind it.
    */
   confirmPresence(): Promise<boolean>;
+  /** Calls back once nothing more is to be written to the caller; at once if that is the case already. */
+  onEnd(callback: () => void): void;
 }
 
 /**
@@ -22,15 +24,26 @@
 export function watchCaller(message: IncomingMessage, response: ServerResponse): CallerWatch {
   const { socket } = message;
   const departure = new AbortController();
+  const callbacks: (() => void)[] = [];
+  let isEnded = false;
+  const end = () => {
+    isEnded = true;
+    callbacks.splice(0).forEach((callback) => {
+      callback();
+    });
+  };
   const recordDeparture = () => {
     departure.abort();
   };
   socket.once("end", recordDeparture);
   // A response behind another one on the connection gets no event when that is closed.
   socket.once("close", recordDeparture);
+  socket.once("close", end);
   response.once("close", () => {
     socket.removeListener("end", recordDeparture);
     socket.removeListener("close", recordDeparture);
+    socket.removeListener("close", end);
+    end();
     if (!response.writableFinished) {
       recordDeparture();
     }
@@ -46,6 +59,13 @@
       }
       return !departure.signal.aborted;
     },
+    onEnd: (callback) => {
+      if (isEnded) {
+        callback();
+      } else {
+        callbacks.push(callback);
+      }
+    },
   };
 }
 
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -1,8 +1,11 @@
 /** Backend servers that send bytes without end: what they send must not pile up in the daemon. */
+import { type IncomingMessage, get } from "node:http";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
-import { RouteKind } from "../src/gateway";
+import { type AnswerBody, RouteKind, createServerConnections } from "../src/gateway";
+import { systemClock } from "../src/types";
 import { createWireKeyControl } from "../platform/keyControl";
 import {
+  DEADLINE_MS,
   SIGNATURE_FIELD,
   addRequestId,
   createFramedAnswer,
@@ -10,6 +13,8 @@
   createTestDispatcher,
   createTestServer,
   formatAnswer,
+  presentCaller,
+  startTestListener,
 } from "./support/gateway";
 import { type RawRequest, type RawServer, createEndlessAnswer, startRawServer } from "./support/rawServer";
 
@@ -131,3 +136,110 @@
     control.close();
   });
 });
+
+describe("answers in memory", () => {
+  const ANSWER_BYTES = 1024 * 1024;
+  const MAX_WHOLE_ANSWERS = 32;
+  const whole = createFramedAnswer("200 OK", "x".repeat(ANSWER_BYTES));
+  const cut = createFramedAnswer("200 OK", "x".repeat(ANSWER_BYTES - 1));
+
+  const createSender = () => {
+    const connections = createServerConnections(systemClock, () => 100);
+    const endings: (() => void)[] = [];
+    const send = (id: string) =>
+      connections.send({
+        id,
+        server: createTestServer("s1", server.port),
+        method: "GET",
+        path: "/",
+        headers: { "request-id": id },
+        body: Buffer.alloc(0),
+        isIdempotent: true,
+        deadlineAt: systemClock.now() + DEADLINE_MS,
+        caller: { ...presentCaller, onEnd: (callback) => endings.push(callback) },
+        findRejection: () => undefined,
+      });
+    return { connections, endings, send };
+  };
+
+  // Guards against a daemon that runs out of memory with the answers that its callers have not read yet.
+  test("are limited together: those beyond the limit are streamed until callers have theirs", async () => {
+    const { connections, endings, send } = createSender();
+    server.setBehaviour((socket, request) => socket.end(cut(request).replace("1048575", "1048576")));
+    for (let count = 0; count < MAX_WHOLE_ANSWERS + 1; count += 1) {
+      expect((await send("cut")).kind).toBe("broken");
+    }
+    server.setBehaviour((socket, request) => socket.write(whole(request)));
+    const kinds: string[] = [];
+    for (let count = 0; count < MAX_WHOLE_ANSWERS + 4; count += 1) {
+      const result = await send(`q${count}`);
+      expect(result.kind).toBe("answered");
+      if (result.kind === "answered") {
+        kinds.push(result.body.kind);
+        expect(await countBytes(result.body)).toBe(ANSWER_BYTES);
+      }
+    }
+    expect(kinds.filter((kind) => kind === "whole")).toHaveLength(MAX_WHOLE_ANSWERS);
+    expect(kinds.slice(MAX_WHOLE_ANSWERS)).toEqual(Array.from({ length: 4 }, () => "streamed"));
+    endings.splice(0).forEach((end) => {
+      end();
+    });
+    expect(await send("last")).toMatchObject({ body: { kind: "whole" } });
+    connections.close();
+  });
+
+  // Guards against a limit that fills up with answers that nobody waits for any more.
+  test.each(["have read them", "have left"])("do not count once their callers %s", async (ending) => {
+    const { listener, port } = await startTestListener(
+      createTestDispatcher([createTestServer("s1", server.port)]),
+    );
+    const body = "x".repeat(ANSWER_BYTES);
+    server.setBehaviour((socket, request) => {
+      socket.write(
+        `${createHead("200 OK", chunked)(request)}${ANSWER_BYTES.toString(16)}\r\n${body}\r\n0\r\n\r\n`,
+      );
+    });
+    for (let count = 0; count < MAX_WHOLE_ANSWERS + 2; count += 1) {
+      const answer = await new Promise<IncomingMessage>((resolve) =>
+        get({ port, path: "/", headers: { host: "a.example", "request-id": `q${count}` } }, resolve),
+      );
+      // Only an answer that was held as a whole has a length.
+      expect(answer.headers["content-length"]).toBe(String(ANSWER_BYTES));
+      if (ending === "have left") {
+        answer.destroy();
+      } else {
+        answer.resume();
+        await new Promise((resolve) => answer.once("end", resolve));
+      }
+    }
+    listener.close();
+  });
+
+  // Guards against an answer in tiny chunks that takes hundreds of times the memory of its content.
+  test("are not kept chunk by chunk", async () => {
+    const { connections, send } = createSender();
+    const endless = createEndlessAnswer(createHead("200 OK", chunked), "1\r\nx\r\n".repeat(5000));
+    server.setBehaviour(endless.behaviour);
+    const result = await send("q1");
+    if (result.kind !== "answered" || result.body.kind !== "streamed") {
+      throw new Error(`the answer was not streamed but ${result.kind}`);
+    }
+    const head = [...result.body.head];
+    expect(head.reduce((total, piece) => total + piece.byteLength, 0)).toBe(ANSWER_BYTES + 1);
+    expect(head.length).toBeLessThan(10_000);
+    result.body.rest.destroy();
+    await endless.closed;
+    connections.close();
+  });
+});
+
+async function countBytes(body: AnswerBody): Promise<number> {
+  if (body.kind !== "streamed") {
+    return body.content.byteLength;
+  }
+  let bytes = [...body.head].reduce((total, piece) => total + piece.byteLength, 0);
+  for await (const piece of body.rest as AsyncIterable<Buffer>) {
+    bytes += piece.byteLength;
+  }
+  return bytes;
+}
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -339,7 +339,7 @@
       body: Buffer.alloc(0),
       isIdempotent: true,
       deadlineAt: clock.now() + 1000,
-      caller: { signal: caller.signal, confirmPresence: () => Promise.resolve(true) },
+      caller: { ...presentCaller, signal: caller.signal },
       findRejection: () => undefined,
     });
     if (result.kind !== "answered" || result.body.kind !== "streamed") {
@@ -630,7 +630,11 @@
   test("a caller that leaves before its request is sent does not make its server unreachable", async () => {
     server.setBehaviour((socket, request) => socket.write(createFramedAnswer("200 OK", "x")(request)));
     const dispatch = createTestDispatcher([createServer("s1")]);
-    const caller = { signal: AbortSignal.abort(), confirmPresence: () => Promise.resolve(false) };
+    const caller = {
+      ...presentCaller,
+      signal: AbortSignal.abort(),
+      confirmPresence: () => Promise.resolve(false),
+    };
     await dispatch(createRequest(RouteKind.Safe, { caller }));
     expect(await dispatch(createRequest(RouteKind.Safe))).toMatchObject({ kind: "answered" });
   });
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -6,16 +6,19 @@
   createServerDirectory,
 } from "../../src/discovery";
 import {
+  type CallerListener,
   type Dispatcher,
   type Route,
   RouteKind,
   type RoutedRequest,
   type ServicePolicy,
+  createCallerListener,
   createColdAdmission,
   createDispatcher,
   createPermitExchange,
   createRetryBudgetShare,
   createRouteCosts,
+  createRouteMatcher,
   createServerAdmission,
   createServerBackOff,
   createServerConnections,
@@ -24,10 +27,11 @@
   createServerSubsets,
 } from "../../src/gateway";
 import { createDatagramChannel } from "../../src/membership";
-import { createCounters, silentLogger } from "../../src/observability";
+import { type EventKind, createCounters, createMetrics, silentLogger } from "../../src/observability";
 import { type Clock, systemClock } from "../../src/types";
-import { wireServerProtocol } from "../../platform/protocols";
+import { wireCallerProtocol, wireServerProtocol } from "../../platform/protocols";
 import { createRandom } from "../../standins/scenarios/callers";
+import { findFreePort } from "../../standins/scenarios/ports";
 import type { RawRequest } from "./rawServer";
 
 /** Seed of random decisions. */
@@ -42,6 +46,7 @@
 export const presentCaller = {
   signal: new AbortController().signal,
   confirmPresence: () => Promise.resolve(true),
+  onEnd: () => undefined,
 };
 /** A service without keys. */
 export const policy: ServicePolicy = {
@@ -199,3 +204,32 @@
     distance: { shortMs: 0, largeMs: 0 },
   });
 }
+
+/** A listener for callers in front of a dispatcher. */
+export interface TestListener {
+  readonly listener: CallerListener;
+  readonly port: number;
+  readonly loggedEvents: readonly EventKind[];
+}
+
+/** Starts a listener whose only route is {@link createRoute}. */
+export async function startTestListener(
+  dispatch: Dispatcher,
+  clock: Clock = systemClock,
+): Promise<TestListener> {
+  const port = await findFreePort();
+  const loggedEvents: EventKind[] = [];
+  const limits = { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
+  const configuration = { version: 1, routes: [createRoute()], services: new Map(), limits };
+  const listener = await createCallerListener({
+    address: { host: "127.0.0.1", port },
+    findActive: () => ({ configuration, matcher: createRouteMatcher(configuration) }),
+    dispatch,
+    callerProtocol: wireCallerProtocol,
+    serverProtocol: wireServerProtocol,
+    clock,
+    logger: { ...silentLogger, log: (kind) => loggedEvents.push(kind) },
+    metrics: createMetrics(createCounters("test")),
+  });
+  return { listener, port, loggedEvents };
+}
