Drop a streamed answer at once when nobody waits for it any more

One at its deadline: the server's connection was reset, but the answer waited for its caller to read on, so that a caller that does not read kept it and its own connection for as long as it liked. And a server's error answer that was replaced by the answer to a retry kept its connection, and its room at the server, until the deadline.

Tests in test/endlessAnswers.test.ts, 'a streamed answer'. On the old code both failed: the caller's connection stayed open ('Timed out in waitUntil!'), and the replaced answer was never closed (clock of the test standing still). That the server of an answer has to wait for the caller (back-pressure) is part of the first test and held before.

--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -5,6 +5,7 @@
 import { describeError } from "../errors";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock } from "../types";
+import { dropBody } from "./answerBody";
 import { type AnswerBody, RejectionReason } from "./attemptTypes";
 import type { RequestPlace } from "./callerConnections";
 import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
@@ -121,10 +122,23 @@
     request: RoutedRequest,
     body: Extract<AnswerBody, { kind: "streamed" }>,
   ): Promise<void> {
+    const abort = new AbortController();
+    const breakOff = () => {
+      if (!body.rest.readableEnded) {
+        // Closing before the announced end of the body shows the caller that the answer is incomplete.
+        response.destroy();
+        abort.abort();
+      }
+    };
+    // A caller that does not read does not keep an answer that has broken off.
+    body.rest.once("close", breakOff);
+    if (body.rest.destroyed) {
+      breakOff();
+    }
     try {
-      await pipeline(joinBody(body), response);
+      await pipeline(joinBody(body), response, { signal: abort.signal });
     } catch (error) {
-      // Closing before the announced end of the body shows the caller that the answer is incomplete.
+      dropBody(body);
       logger.log(Event.AnswerBrokenOff, {
         requestId: request.id,
         service: request.service.name,
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,6 +3,7 @@
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
 import { RejectionReason } from "./attemptTypes";
+import { dropBody } from "./answerBody";
 import type { DecisionInputs, DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
 import type { PermitExchange } from "./permitExchange";
 import type { ServerProtocol } from "./protocols";
@@ -121,6 +122,9 @@
       if (sent > 0) {
         logRetry(request, selection.server, lastResult);
       }
+      if (lastResult.kind === "failed") {
+        dropBody(lastResult.body);
+      }
       tried.add(selection.server.name);
       lastResult = await attempt(request, selection.server);
       if (!canRetry(request, lastResult)) {
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -1,9 +1,12 @@
 /** Backend servers that send bytes without end: what they send must not pile up in the daemon. */
 import { type IncomingMessage, get } from "node:http";
-import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { connect } from "node:net";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import { type AnswerBody, RouteKind, createServerConnections } from "../src/gateway";
 import { systemClock } from "../src/types";
+import { Event } from "../src/observability";
 import { createWireKeyControl } from "../platform/keyControl";
+import { createFakeClock } from "./support/fakeClock";
 import {
   DEADLINE_MS,
   SIGNATURE_FIELD,
@@ -21,6 +24,8 @@
 /** More than the buffers of two sockets hold, and less than an endless answer brings until a deadline. */
 const MAX_TAKEN_BYTES = 32 * 1024 * 1024;
 
+/** Polls, which end in time also on a busy machine. */
+const WAIT = { timeout: 20_000, interval: 50 };
 const grant = { from: 0, to: 9, token: 3, durationMs: 4000, handover: null };
 
 let server: RawServer;
@@ -233,6 +238,55 @@
   });
 });
 
+describe("a streamed answer", () => {
+  const endlessBody = { head: createHead("200 OK", chunked), piece: `2710\r\n${text}\r\n` };
+
+  // Guards against keeping what a caller does not read, for as long as it does not read.
+  test("waits for its caller, and is gone at its deadline though the caller never reads", async () => {
+    const clock = createFakeClock();
+    const endless = createEndlessAnswer(endlessBody.head, endlessBody.piece);
+    server.setBehaviour(endless.behaviour);
+    const dispatch = createTestDispatcher([createTestServer("s1", server.port)], clock);
+    const { listener, port, loggedEvents } = await startTestListener(dispatch, clock);
+    const caller = connect(port, "127.0.0.1");
+    caller.on("error", () => undefined);
+    caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n");
+    await waitUntilSteady(endless.countTaken);
+    expect(endless.countTaken()).toBeLessThan(MAX_TAKEN_BYTES);
+    await clock.advance(DEADLINE_MS);
+    await endless.closed;
+    await vi.waitUntil(async () => (await listener.countConnections()) === 0, WAIT);
+    expect(loggedEvents).toContain(Event.AnswerBrokenOff);
+    caller.destroy();
+    listener.close();
+  });
+
+  test("that is replaced by the answer to a retry is broken off at once", async () => {
+    const clock = createFakeClock();
+    const endless = createEndlessAnswer(createHead("500 Internal Server Error", chunked), endlessBody.piece);
+    server.setBehaviour((socket, request) => {
+      server.setBehaviour((other, retried) => other.write(createFramedAnswer("200 OK", "x")(retried)));
+      endless.behaviour(socket, request);
+    });
+    const servers = ["s1", "s2"].map((name) => createTestServer(name, server.port));
+    const deadlineAt = clock.now() + DEADLINE_MS;
+    const result = await createTestDispatcher(servers, clock)(createRequest(RouteKind.Safe, { deadlineAt }));
+    expect(result).toMatchObject({ kind: "answered", message: { statusCode: 200 } });
+    await endless.closed;
+  });
+});
+
+/** Waits until a number that is positive has been the same for some polls. */
+async function waitUntilSteady(count: () => number): Promise<void> {
+  let last = 0;
+  let equalPolls = 0;
+  await vi.waitUntil(() => {
+    equalPolls = count() === last && last > 0 ? equalPolls + 1 : 0;
+    last = count();
+    return equalPolls === 10 || last > MAX_TAKEN_BYTES;
+  }, WAIT);
+}
+
 async function countBytes(body: AnswerBody): Promise<number> {
   if (body.kind !== "streamed") {
     return body.content.byteLength;
--- a/test/support/rawServer.ts
+++ b/test/support/rawServer.ts
@@ -111,7 +111,7 @@
   /** Resolves when the connection was closed by the other side. */
   readonly closed: Promise<void>;
   /** Returns the number of bytes that the other side, or the buffers on the way to it, have taken. */
-  countTaken(): number;
+  readonly countTaken: () => number;
 }
 
 /**
