--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -281,6 +281,20 @@
     await store.close();
   });
 
+  // Guards against a list whose pages never end, and which is kept until the memory is full.
+  test("a list whose pages together are far too long is given up", async () => {
+    const page = { ...object, spec: "x".repeat(8_000_000) };
+    let pages = 0;
+    const port = await startHttpServer((_request, _body, response) => {
+      pages += 1;
+      response.end(JSON.stringify({ items: [page], more: pages < 12, currentRev: 7 }));
+    });
+    const store = createWireObjectStore({ host: "127.0.0.1", port });
+    await expect(store.list("kind/", CallPriority.Configuration)).rejects.toThrow("the pages have more");
+    expect(pages).toBeLessThan(12);
+    await store.close();
+  });
+
   test("a watch returns the latest state of each object", async () => {
     const events = [
       { object, deleted: false },
