Join small chunks of request bodies and of the store's answers, too

The limits of 32 MiB for request bodies and 16 MiB for the store's answers count content alone, so they did not bound the memory.

--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -1,6 +1,6 @@
 /** Receives the bodies of backend servers' answers. */
 import type { IncomingMessage } from "node:http";
-import { type CallerWatch, limitFraming } from "../http";
+import { type CallerWatch, createJoinedChunks, limitFraming } from "../http";
 import type { AnswerBody } from "./attemptTypes";
 
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
@@ -10,8 +10,6 @@
  * are streamed, so that their servers wait for the callers.
  */
 const MAX_HELD_ANSWER_BYTES = 33_554_432;
-/** Chunks that are joined to one: each costs a few hundred bytes beside its content, which may be a single byte. */
-const JOINED_CHUNKS = 256;
 
 /** Bodies of answers, which are counted as in memory until they have been written to their callers. */
 export interface AnswerBodies {
@@ -37,7 +35,7 @@
   return {
     read: (answer, caller) =>
       new Promise((resolve, reject) => {
-        const chunks = createChunks();
+        const chunks = createJoinedChunks();
         const hold = createHold();
         let bytes = 0;
         const stopLimit = limitFraming(
@@ -120,27 +118,6 @@
   readonly end: () => void;
 }
 
-interface Chunks {
-  add(chunk: Buffer): void;
-  list(): Buffer[];
-}
-
-/** Creates a list that joins small chunks, copying each byte once. */
-function createChunks(): Chunks {
-  const joined: Buffer[] = [];
-  let latest: Buffer[] = [];
-  return {
-    add: (chunk) => {
-      latest.push(chunk);
-      if (latest.length === JOINED_CHUNKS) {
-        joined.push(Buffer.concat(latest));
-        latest = [];
-      }
-    },
-    list: () => [...joined, ...latest],
-  };
-}
-
 /** Returns the chunks one by one, and keeps none that was returned. */
 function* takeAll(chunks: Buffer[], hold: Hold): Generator<Buffer> {
   for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
--- a/src/gateway/requestBody.ts
+++ b/src/gateway/requestBody.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of callers' requests within limits. */
 import type { IncomingMessage } from "node:http";
+import { createJoinedChunks } from "../http";
 
 /** Limit on request bodies in memory, over all requests: an eighth of the smallest VM's memory. */
 const MAX_HELD_BODY_BYTES = 33_554_432;
@@ -40,7 +41,7 @@
   };
 
   async function read(message: IncomingMessage, maxBytes: number): Promise<BodyReadResult> {
-    const chunks: Buffer[] = [];
+    const chunks = createJoinedChunks();
     let bytes = 0;
     try {
       for await (const chunk of message as AsyncIterable<Buffer>) {
@@ -51,11 +52,11 @@
         if (heldBytes + bytes > MAX_HELD_BODY_BYTES) {
           return { kind: "noRoom" };
         }
-        chunks.push(chunk);
+        chunks.add(chunk);
       }
     } catch {
       return { kind: "brokenOff" };
     }
-    return { kind: "whole", content: Buffer.concat(chunks, bytes) };
+    return { kind: "whole", content: Buffer.concat(chunks.list(), bytes) };
   }
 }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -6,6 +6,7 @@
 export * from "./callerWatch";
 export * from "./discardBody";
 export * from "./hopByHopHeaders";
+export * from "./joinedChunks";
 export * from "./readHeader";
 
 /**
--- a/src/objectStore/httpCall.ts
+++ b/src/objectStore/httpCall.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { type Dispatcher, request } from "undici";
 import { AnswerTooLargeError, describeError } from "../errors";
+import { createJoinedChunks } from "../http";
 import type { CancelTimer, Clock } from "../types";
 import type { Transfer } from "./types";
 
@@ -86,7 +87,7 @@
   maxBytes: number,
 ): Promise<Pick<HttpAnswer, "text" | "transfer">> {
   const startedAt = clock.now();
-  const chunks: Buffer[] = [];
+  const chunks = createJoinedChunks();
   let bytes = 0;
   checkSize(Number(response.headers["content-length"] ?? 0), maxBytes);
   const cancelTransferTimeout = abortAfter(clock, abort, MAX_TRANSFER_MS, "the answer did not end");
@@ -95,7 +96,7 @@
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       cancelStallTimeout();
       cancelStallTimeout = abortOnStall();
-      chunks.push(chunk);
+      chunks.add(chunk);
       bytes += chunk.byteLength;
       checkSize(bytes, maxBytes);
     }
@@ -108,7 +109,7 @@
     cancelTransferTimeout();
   }
   const transfer = { bytes, durationMs: clock.now() - startedAt };
-  return { text: Buffer.concat(chunks, bytes).toString(), transfer };
+  return { text: Buffer.concat(chunks.list(), bytes).toString(), transfer };
 
   function abortOnStall(): CancelTimer {
     return abortAfter(clock, abort, STALL_TIMEOUT_MS, "nothing of the answer came");
