Reject answers in a transfer coding other than chunks

Callers got a 200 with a length and with the server's raw chunks as its body, cut where the server had closed: an answer whose field 'Transfer-Encoding' was cut ('chun', no value, or ending in another coding) was passed on as whole. Cause: any Transfer-Encoding counted as framing, but Node.js reads the body in all codings except chunks up to the end of the connection, and the field is not passed on.

Test test/cutAnswers.test.ts: 26 cuts of an answer, closed or reset, on a new and on a kept connection and behind an interim answer (156 cases). On the old code 9 failed: these three codings, each at a plain close, in all three places. The other 147 were harmless before and stay as a regression test: Node.js treats the end of a connection inside a status line, a field, a chunk or a trailer as an error.

Such an answer is now rejected by its head as broken, so that a safe request is tried once more and another one gets 502.

--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -127,9 +127,21 @@
 }
 
 const STATUS_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+const CHUNKED = "chunked";
 
-function isFramed(answer: IncomingMessage): boolean {
-  const { headers, statusCode = 0 } = answer;
-  const hasLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  return hasLength || STATUS_WITHOUT_BODY.has(statusCode);
+/**
+ * Returns whether the body of an answer is in no transfer coding but chunks. The body in another one, for example in
+ * one whose name was cut, ends with the connection, and Node.js returns it as it was sent.
+ *
+ * @param answer - The answer, of which the head has been read.
+ * @returns Whether the content of the body is known.
+ */
+export function hasKnownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding === undefined || coding.toLowerCase() === CHUNKED;
+}
+
+function isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  const isChunked = headers["transfer-encoding"]?.toLowerCase() === CHUNKED;
+  return isChunked || headers["content-length"] !== undefined || STATUS_WITHOUT_BODY.has(statusCode);
 }
--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/attemptClassifier.ts
@@ -1,6 +1,7 @@
 /** Classifies how an attempt at a backend server ended, and records what it shows about the server. */
 import type { IncomingMessage } from "node:http";
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
+import { hasKnownCoding } from "./answerBody";
 import { type AnswerBody, RejectionReason, type UnansweredAttempt } from "./attemptTypes";
 import type { ServerFields, ServerProtocol } from "./protocols";
 import type { SendResult } from "./serverConnections";
@@ -82,6 +83,10 @@
         reason: status === HTTP_MISDIRECTED ? RejectionReason.OwnerUnusable : RejectionReason.Shed,
       };
     }
+    if (!hasKnownCoding(head)) {
+      loads.recordFailure(server.name);
+      return { kind: "unknown", reason: RejectionReason.Broken };
+    }
     if (!fields.isSigned || head.headers["content-encoding"] !== undefined || NOT_RUN_STATUSES.has(status)) {
       loads.recordFailure(server.name);
       return { kind: "unknown", reason: RejectionReason.Unsigned };
