Break off an answer without a length when its server's connection is reset

Causes: the check for a reset covered buffered answers only. It also relied on an error of the socket, but Node.js (libuv) reports a reset that arrives with data as a plain end. And the break-off towards the caller was always a plain close.

A plain close at the end of a long answer without a length, and requests behind one, held before.

Now the end of a streamed body without a length waits for a check of the connection (a write of no bytes, which fails after a reset), and so does that of a buffered one. A break-off closes the connection before the last chunk, or resets it where the caller has nothing else to go by.

--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -54,7 +54,8 @@
           answer.pause();
           answer.removeListener("data", onData);
           answer.removeListener("close", onClose);
-          resolve({ kind: "streamed", head: takeAll(chunks.list(), hold), rest: answer });
+          const head = takeAll(chunks.list(), hold);
+          resolve({ kind: "streamed", head, rest: answer });
         };
         const onData = (chunk: Buffer) => {
           chunks.add(chunk);
@@ -141,7 +142,13 @@
   return coding === undefined || coding.toLowerCase() === CHUNKED;
 }
 
-function isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+/**
+ * Returns whether an answer states where its body ends; otherwise the body ends with the connection.
+ *
+ * @param answer - The answer, of which the head has been read.
+ * @returns Whether the body has a length, is in chunks or is empty.
+ */
+export function isFramed({ headers, statusCode = 0 }: IncomingMessage): boolean {
   const isChunked = headers["transfer-encoding"]?.toLowerCase() === CHUNKED;
   return isChunked || headers["content-length"] !== undefined || STATUS_WITHOUT_BODY.has(statusCode);
 }
--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -37,4 +37,13 @@
   | { readonly kind: "whole"; readonly content: Buffer }
   /** The body had no length and ended with its connection, so it is not certain to be complete. */
   | { readonly kind: "unframed"; readonly content: Buffer }
-  | { readonly kind: "streamed"; readonly head: Iterable<Buffer>; readonly rest: IncomingMessage };
+  | StreamedBody;
+
+/** Body of an answer of which only the beginning was received. */
+export interface StreamedBody {
+  readonly kind: "streamed";
+  readonly head: Iterable<Buffer>;
+  readonly rest: IncomingMessage;
+  /** Rejects if the connection was reset, which may have cut off the end; only for a body without a length. */
+  readonly confirmEnd?: () => Promise<void>;
+}
--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -6,7 +6,7 @@
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock } from "../types";
 import { dropBody } from "./answerBody";
-import { type AnswerBody, RejectionReason } from "./attemptTypes";
+import { RejectionReason, type StreamedBody } from "./attemptTypes";
 import type { RequestPlace } from "./callerConnections";
 import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
@@ -108,8 +108,9 @@
     }
     const connection = createConnectionField(place);
     if (body.kind === "streamed") {
+      // Without a length it is sent in chunks: some callers take a reset connection for a plain end.
       response.writeHead(status, { ...headers, ...connection });
-      await stream(pending, request, body);
+      await stream(pending, request, body, response.chunkedEncoding || "content-length" in headers);
       return;
     }
     const length = request.method === "HEAD" ? {} : { "content-length": String(body.content.byteLength) };
@@ -117,26 +118,35 @@
     sendBody(pending, body.content);
   }
 
+  /** Streams a body, whose announced end shows the caller that it is complete if `isFramed`. */
   async function stream(
-    { response }: PendingAnswer,
+    { response, socket }: PendingAnswer,
     request: RoutedRequest,
-    body: Extract<AnswerBody, { kind: "streamed" }>,
+    body: StreamedBody,
+    isFramed: boolean,
   ): Promise<void> {
     const abort = new AbortController();
     const breakOff = () => {
-      if (!body.rest.readableEnded) {
+      if (isFramed || response.socket === null) {
         // Closing before the announced end of the body shows the caller that the answer is incomplete.
         response.destroy();
-        abort.abort();
+      } else {
+        // A caller of HTTP/1.0 would take a plain close for the end of the body.
+        socket.resetAndDestroy();
       }
+      abort.abort();
     };
     // A caller that does not read does not keep an answer that has broken off.
-    body.rest.once("close", breakOff);
+    body.rest.once("close", () => {
+      if (!body.rest.readableEnded) {
+        breakOff();
+      }
+    });
     if (body.rest.destroyed) {
       breakOff();
     }
     try {
-      await pipeline(joinBody(body), response, { signal: abort.signal });
+      await pipeline(joinBody(body, breakOff), response, { signal: abort.signal });
     } catch (error) {
       dropBody(body);
       logger.log(Event.AnswerBrokenOff, {
@@ -186,7 +196,17 @@
   }
 }
 
-async function* joinBody(body: Extract<AnswerBody, { kind: "streamed" }>): AsyncGenerator<Buffer> {
-  yield* body.head;
-  yield* body.rest as AsyncIterable<Buffer>;
+async function* joinBody(
+  { head, rest, confirmEnd }: StreamedBody,
+  onFailure: () => void,
+): AsyncGenerator<Buffer> {
+  try {
+    yield* head;
+    yield* rest as AsyncIterable<Buffer>;
+    await confirmEnd?.();
+  } catch (error) {
+    // Before the pipeline closes the connection to the caller.
+    onFailure();
+    throw error;
+  }
 }
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -12,8 +12,9 @@
 import { describeError } from "../errors";
 import { type CallerWatch, discardBody, limitHead } from "../http";
 import { type Clock, formatAddress } from "../types";
-import { createAnswerBodies } from "./answerBody";
-import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
+import { createAnswerBodies, isFramed } from "./answerBody";
+import type { AnswerBody, StreamedBody, UnansweredAttempt } from "./attemptTypes";
+import { createConnectionEnds } from "./connectionEnds";
 import { createKeptConnections } from "./keptConnections";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
@@ -27,6 +28,7 @@
 const TURNED_AWAY_PAUSE_MS = 250;
 /** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
 const TURNED_AWAY_MEMORY_MS = 3000;
+const CUT_DETAIL = "connection closed before the end of the answer";
 
 /** A request for one backend server. */
 export interface OutgoingRequest {
@@ -108,7 +110,7 @@
   const pools = new Map<string, ServerPool>();
   const kept = createKeptConnections(clock);
   const bodies = createAnswerBodies();
-  const failedSockets = new WeakSet<Socket>();
+  const ends = createConnectionEnds();
   let openedCount = 0;
 
   return {
@@ -234,7 +236,7 @@
           return;
         }
         openedCount += 1;
-        socket.once("error", () => failedSockets.add(socket));
+        ends.follow(socket);
         cancelConnectTimeout = clock.schedule(CONNECT_TIMEOUT_MS, () => {
           fail("connection attempt timed out");
           clientRequest.destroy();
@@ -287,12 +289,17 @@
         const { socket } = answer;
         try {
           const body = await bodies.read(answer, caller);
-          // Without a length the body ends with its connection; after a reset it is not known to be complete.
-          if (body.kind !== "streamed" && (failedSockets.has(socket) || !answer.complete)) {
-            fail("connection closed before the end of the answer");
+          if (body.kind === "streamed") {
+            settle({ kind: "answered", message: answer, body: followEnd(body, socket) });
             return;
           }
-          settle({ kind: "answered", message: answer, body });
+          // Without a length the body ends with its connection; after a reset it is not known to be complete.
+          const isClosed = body.kind === "whole" ? !ends.hasFailed(socket) : await ends.wasClosed(socket);
+          if (isClosed && answer.complete) {
+            settle({ kind: "answered", message: answer, body });
+          } else {
+            fail(CUT_DETAIL);
+          }
         } catch (error) {
           fail(describeError(error));
         }
@@ -349,6 +356,25 @@
     });
   }
 
+  /** Lets a streamed body without a length fail when its connection is reset. */
+  function followEnd(body: StreamedBody, socket: Socket): StreamedBody {
+    const { rest } = body;
+    if (isFramed(rest)) {
+      return body;
+    }
+    const breakOff = () => rest.destroy(new Error(CUT_DETAIL));
+    socket.once("error", breakOff);
+    if (ends.hasFailed(socket)) {
+      breakOff();
+    }
+    const confirmEnd = async () => {
+      if (!(await ends.wasClosed(socket))) {
+        throw new Error(CUT_DETAIL);
+      }
+    };
+    return { ...body, confirmEnd };
+  }
+
   function getPool(server: DiscoveredServer): ServerPool {
     const address = formatAddress(server.address);
     let pool = pools.get(address);
