--- a/src/gateway/answerBody.ts
+++ b/src/gateway/answerBody.ts
@@ -80,6 +80,8 @@
         }
         answer.on("data", onData);
         answer.once("end", () => {
+          // The connection may carry the next answer before this one is closed.
+          stopLimit();
           const content = Buffer.concat(chunks.list(), bytes);
           resolve({ kind: isFramed(answer) ? "whole" : "unframed", content });
         });
--- a/src/http/discardBody.ts
+++ b/src/http/discardBody.ts
@@ -34,6 +34,7 @@
   });
   // The result of the call does not depend on the body, so neither does it on a connection that breaks now.
   answer.on("error", cancelTimeout);
+  answer.once("end", stopLimit);
   answer.once("close", () => {
     cancelTimeout();
     stopLimit();
