--- a/src/gateway/connectionEnds.ts
+++ b/src/gateway/connectionEnds.ts
@@ -1,5 +1,10 @@
 /** How connections to backend servers end: without a length, only a plain close shows that an answer is complete. */
 import type { Socket } from "node:net";
+import { isFramed } from "./answerBody";
+import type { StreamedBody } from "./attemptTypes";
+
+/** Description of an answer that was cut short. */
+export const CUT_DETAIL = "connection closed before the end of the answer";
 
 /** Ends of connections. */
 export interface ConnectionEnds {
@@ -9,6 +14,8 @@
   hasFailed(socket: Socket): boolean;
   /** Returns whether a connection that has ended was closed, and not reset. */
   wasClosed(socket: Socket): Promise<boolean>;
+  /** Lets a streamed body fail if it has no length and its connection is reset. */
+  guard(body: StreamedBody): StreamedBody;
 }
 
 /**
@@ -29,12 +36,32 @@
       });
     },
     hasFailed: (socket) => failed.has(socket),
-    wasClosed: async (socket) => {
-      await checks.get(socket);
-      return !failed.has(socket);
+    wasClosed,
+    guard: (body) => {
+      const { rest } = body;
+      if (isFramed(rest)) {
+        return body;
+      }
+      const { socket } = rest;
+      const breakOff = () => rest.destroy(new Error(CUT_DETAIL));
+      socket.once("error", breakOff);
+      if (failed.has(socket)) {
+        breakOff();
+      }
+      const confirmEnd = async () => {
+        if (!(await wasClosed(socket))) {
+          throw new Error(CUT_DETAIL);
+        }
+      };
+      return { ...body, confirmEnd };
     },
   };
 
+  async function wasClosed(socket: Socket): Promise<boolean> {
+    await checks.get(socket);
+    return !failed.has(socket);
+  }
+
   /**
    * Writes nothing, which fails on a connection that was reset: Node.js (libuv) reports a reset that arrives together
    * with data as a plain end.
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -12,9 +12,9 @@
 import { describeError } from "../errors";
 import { type CallerWatch, discardBody, limitHead } from "../http";
 import { type Clock, formatAddress } from "../types";
-import { createAnswerBodies, isFramed } from "./answerBody";
-import type { AnswerBody, StreamedBody, UnansweredAttempt } from "./attemptTypes";
-import { createConnectionEnds } from "./connectionEnds";
+import { createAnswerBodies } from "./answerBody";
+import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
+import { CUT_DETAIL, createConnectionEnds } from "./connectionEnds";
 import { createKeptConnections } from "./keptConnections";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
@@ -28,8 +28,6 @@
 const TURNED_AWAY_PAUSE_MS = 250;
 /** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
 const TURNED_AWAY_MEMORY_MS = 3000;
-const CUT_DETAIL = "connection closed before the end of the answer";
-
 /** A request for one backend server. */
 export interface OutgoingRequest {
   readonly id: string;
@@ -290,7 +288,7 @@
         try {
           const body = await bodies.read(answer, caller);
           if (body.kind === "streamed") {
-            settle({ kind: "answered", message: answer, body: followEnd(body, socket) });
+            settle({ kind: "answered", message: answer, body: ends.guard(body) });
             return;
           }
           // Without a length the body ends with its connection; after a reset it is not known to be complete.
@@ -356,25 +354,6 @@
     });
   }
 
-  /** Lets a streamed body without a length fail when its connection is reset. */
-  function followEnd(body: StreamedBody, socket: Socket): StreamedBody {
-    const { rest } = body;
-    if (isFramed(rest)) {
-      return body;
-    }
-    const breakOff = () => rest.destroy(new Error(CUT_DETAIL));
-    socket.once("error", breakOff);
-    if (ends.hasFailed(socket)) {
-      breakOff();
-    }
-    const confirmEnd = async () => {
-      if (!(await ends.wasClosed(socket))) {
-        throw new Error(CUT_DETAIL);
-      }
-    };
-    return { ...body, confirmEnd };
-  }
-
   function getPool(server: DiscoveredServer): ServerPool {
     const address = formatAddress(server.address);
     let pool = pools.get(address);
