--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/serverConnections.ts
@@ -10,10 +10,11 @@
 import { finished } from "node:stream";
 import type { DiscoveredServer } from "../discovery";
 import { describeError } from "../errors";
-import { type CallerWatch, discardBody } from "../http";
+import { type CallerWatch, discardBody, limitHead } from "../http";
 import { type Clock, formatAddress } from "../types";
-import { readBody } from "./answerBody";
+import { createAnswerBodies } from "./answerBody";
 import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
+import { CUT_DETAIL, createConnectionEnds } from "./connectionEnds";
 import { createKeptConnections } from "./keptConnections";
 
 /** Connecting takes a round trip of a few milliseconds; no reply for this long means a lost path. */
@@ -27,9 +28,6 @@
 const TURNED_AWAY_PAUSE_MS = 250;
 /** For this time after such a reset, also one after the request was sent, requests on new connections wait for {@link ACCEPTANCE_DELAY_MS}. */
 const TURNED_AWAY_MEMORY_MS = 3000;
-/** Maximum interim (1xx) answers to one request; each costs processor time and none is forwarded. */
-const MAX_INTERIM_ANSWERS = 16;
-
 /** A request for one backend server. */
 export interface OutgoingRequest {
   readonly id: string;
@@ -109,7 +107,8 @@
 ): ServerConnections {
   const pools = new Map<string, ServerPool>();
   const kept = createKeptConnections(clock);
-  const failedSockets = new WeakSet<Socket>();
+  const bodies = createAnswerBodies();
+  const ends = createConnectionEnds();
   let openedCount = 0;
 
   return {
@@ -190,13 +189,9 @@
       clientRequest.on("error", (error) => {
         fail(describeError(error));
       });
-      let interimAnswers = 0;
-      clientRequest.on("information", () => {
-        interimAnswers += 1;
-        if (interimAnswers > MAX_INTERIM_ANSWERS) {
-          fail("too many interim answers");
-          resetConnection();
-        }
+      limitHead(clientRequest, (detail) => {
+        fail(detail);
+        resetConnection();
       });
       clientRequest.on("response", (answer) => {
         isAnswering = true;
@@ -239,7 +234,7 @@
           return;
         }
         openedCount += 1;
-        socket.once("error", () => failedSockets.add(socket));
+        ends.follow(socket);
         cancelConnectTimeout = clock.schedule(CONNECT_TIMEOUT_MS, () => {
           fail("connection attempt timed out");
           clientRequest.destroy();
@@ -291,13 +286,18 @@
       async function receive(answer: IncomingMessage): Promise<void> {
         const { socket } = answer;
         try {
-          const body = await readBody(answer);
-          // Without a length the body ends with its connection; after a reset it is not known to be complete.
-          if (body.kind !== "streamed" && (failedSockets.has(socket) || !answer.complete)) {
-            fail("connection closed before the end of the answer");
+          const body = await bodies.read(answer, caller);
+          if (body.kind === "streamed") {
+            settle({ kind: "answered", message: answer, body: ends.guard(body) });
             return;
           }
-          settle({ kind: "answered", message: answer, body });
+          // Without a length the body ends with its connection; after a reset it is not known to be complete.
+          const isClosed = body.kind === "whole" ? !ends.hasFailed(socket) : await ends.wasClosed(socket);
+          if (isClosed && answer.complete) {
+            settle({ kind: "answered", message: answer, body });
+          } else {
+            fail(CUT_DETAIL);
+          }
         } catch (error) {
           fail(describeError(error));
         }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,9 +2,11 @@
 import type { Server } from "node:http";
 import type { Address } from "../types";
 
+export * from "./answerFraming";
 export * from "./callerWatch";
 export * from "./discardBody";
 export * from "./hopByHopHeaders";
+export * from "./joinedChunks";
 export * from "./readArrived";
 export * from "./readHeader";
 
