Accept all connections that wait before a stopping listener closes

Callers would see: a reset of connections, with their requests, that the kernel had accepted for a daemon short of processor time. None of these requests was read, so callers may send them again.

Cause: Node.js accepts one connection in each turn of the event loop (libuv 1.46 has no loop around accept). Two turns before the close took in one or two of those that waited; the kernel reset the rest.

Evidence: "requests on many connections that wait to be accepted are answered although the listener closes" failed: of 20 requests, 19 ended with ECONNRESET.

Change: the listener closes after a poll of the sockets in which no connection was accepted, or after as many as can wait.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -3,7 +3,7 @@
 import { Server as NetServer, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { describeError } from "../errors";
-import { type CallerWatch, listen, readArrived, watchCaller } from "../http";
+import { type CallerWatch, acceptArrived, listen, readArrived, watchCaller } from "../http";
 import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
 import { RejectionReason } from "./attemptTypes";
@@ -119,7 +119,7 @@
       return connections.closeIdle();
     },
     close: async () => {
-      await readArrived();
+      await acceptArrived(server);
       // The method of the HTTP server would also close connections whose answers are not written in full.
       NetServer.prototype.close.call(server);
       stopAdmission.restrictToDeadlines();
--- /dev/null
+++ b/test/stopReview.test.ts
@@ -0,0 +1,73 @@
+/** Planned stop of a daemon: connections and requests on which a stopping listener decides with others waiting. */
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
+import { expect, test } from "vitest";
+import { systemClock } from "../src/types";
+import { createAnswer, formatRequest, startListener } from "./support/plannedStop";
+
+const DEADLINE_MS = 8000;
+/** More than the turns of the event loop in which the listener reads what has arrived. */
+const WAITING_CONNECTIONS = 20;
+
+/** Callers in a thread of their own, which connect and send while the thread of the listener stands still. */
+const CALLERS_THREAD = `
+const { parentPort, workerData } = require("node:worker_threads");
+const { connect } = require("node:net");
+const state = new Int32Array(workerData.state);
+const outcomes = [];
+let sent = 0;
+for (let index = 0; index < workerData.count; index += 1) {
+  const socket = connect(workerData.port, workerData.host);
+  let received = "";
+  socket.on("data", (chunk) => {
+    received += chunk;
+  });
+  socket.on("error", (error) => {
+    received += error.code;
+  });
+  socket.once("end", () => socket.end());
+  socket.once("close", () => {
+    outcomes.push(received.slice(0, 12));
+    if (outcomes.length === workerData.count) {
+      parentPort.postMessage(outcomes);
+    }
+  });
+  socket.write(workerData.request, () => {
+    sent += 1;
+    if (sent === workerData.count) {
+      Atomics.store(state, 0, 1);
+      Atomics.notify(state, 0);
+    }
+  });
+}
+`;
+
+// Guards against the reset of connections that wait to be accepted when the listener closes: Node.js accepts one in
+// each turn of the event loop.
+test("requests on many connections that wait to be accepted are answered although the listener closes", async () => {
+  const { listener, port } = await startListener(systemClock, () => Promise.resolve(createAnswer(1)));
+  const state = new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT);
+  listener.drain(Number.POSITIVE_INFINITY);
+  const callers = new Worker(CALLERS_THREAD, {
+    eval: true,
+    workerData: {
+      port,
+      host: "127.0.0.1",
+      request: formatRequest("/short/1", DEADLINE_MS),
+      count: WAITING_CONNECTIONS,
+      state,
+    },
+  });
+  try {
+    const outcome = once(callers, "message");
+    await once(callers, "online");
+    Atomics.wait(new Int32Array(state), 0, 0);
+    await listener.close();
+    const timer = setInterval(() => void listener.closeIdle(), 1);
+    const [statuses] = (await outcome) as [string[]];
+    clearInterval(timer);
+    expect(statuses).toEqual(Array.from({ length: WAITING_CONNECTIONS }, () => "HTTP/1.1 200"));
+  } finally {
+    await callers.terminate();
+  }
+});
