Answer requests that a stopping daemon has read behind others

Callers would see: of two requests that must not run twice, sent one behind the other on one connection, the second one got no answer when its daemon was stopped during the first; its connection was closed as long after it had been sent as the first one took.

Cause: the first answer of a stopping daemon closed the connection unless a request behind it was at a backend server; those that had been read and waited for their turn were dropped. Requests that must not run twice always wait.

Evidence: "an unsafe request that waits behind another one on its connection when the stop begins is answered" failed: one answer of two.

Change: requests that had been read in full when the connection was first to be closed count as those at backend servers do, so the last of them closes it. Those read later are dropped as before. Behind an answer without a length all are dropped, since the close marks its end.

--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -92,7 +92,7 @@
       return;
     }
     if (body.kind === "unframed") {
-      place.closeAfter();
+      place.endConnection();
       // The backend server sent no length, so the end of the connection marks the end of the body here too.
       response.useChunkedEncodingByDefault = false;
       response.writeHead(status, { ...headers, connection: "close" });
--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -32,9 +32,12 @@
   waitForTurn(isIdempotent: boolean, deadlineAt: number): Promise<Turn>;
   /**
    * Asks for the connection to be closed after the answer, whose head must be written next. Returns false while
-   * requests behind it are at backend servers; then the last of them closes the connection.
+   * requests behind it are at backend servers, or had been read when this was first asked; then the last of them
+   * closes the connection.
    */
   closeAfter(): boolean;
+  /** Closes the connection after the answer, whose end this marks; drops requests behind it that are not sent yet. */
+  endConnection(): void;
   /** Returns whether requests behind this one are at backend servers. */
   hasWorkBehind(): boolean;
   /** Returns whether an answer must ask again to close the connection, since an earlier one could not. */
@@ -80,6 +83,8 @@
   readonly requestId: string | undefined;
   readonly arrivedAt: number;
   isDispatched: boolean;
+  /** Whether it had been read when the connection was first to be closed: its caller knows nothing of that yet. */
+  isOwed: boolean;
   /** Checks whether the request may be sent to a backend server now; undefined when it does not wait. */
   check: (() => void) | undefined;
 }
@@ -147,7 +152,15 @@
     const { socket } = message;
     const connection = getConnection(socket);
     const arrivedAt = clock.now();
-    const place: Place = { message, response, requestId, arrivedAt, isDispatched: false, check: undefined };
+    const place: Place = {
+      message,
+      response,
+      requestId,
+      arrivedAt,
+      isDispatched: false,
+      isOwed: false,
+      check: undefined,
+    };
     connection.places.push(place);
     pendingCount += 1;
     if (connection.places.length >= MAX_READ_AHEAD) {
@@ -168,6 +181,9 @@
     return {
       waitForTurn: (isIdempotent, deadlineAt) => waitForTurn(connection, place, isIdempotent, deadlineAt),
       closeAfter: () => closeAfter(connection, place),
+      endConnection: () => {
+        endConnection(connection, place);
+      },
       hasWorkBehind: () => hasWorkBehind(connection, place),
       mustClose: () => connection.isCloseWanted,
     };
@@ -261,13 +277,24 @@
   }
 
   function closeAfter(connection: Connection, place: Place): boolean {
-    connection.isCloseWanted = true;
-    if (hasWorkBehind(connection, place)) {
+    const behind = listBehind(connection, place);
+    if (!connection.isCloseWanted) {
+      connection.isCloseWanted = true;
+      behind.forEach((each) => {
+        each.isOwed = each.message.complete;
+      });
+    }
+    if (behind.some((each) => each.isDispatched || each.isOwed)) {
       return false;
     }
+    endConnection(connection, place);
+    return true;
+  }
+
+  function endConnection(connection: Connection, place: Place): void {
+    connection.isCloseWanted = true;
     connection.isClosing = true;
     listBehind(connection, place).forEach((waiting) => waiting.check?.());
-    return true;
   }
 }
 
--- a/test/stopReview.test.ts
+++ b/test/stopReview.test.ts
@@ -3,7 +3,7 @@
 import { Worker } from "node:worker_threads";
 import { expect, test } from "vitest";
 import { systemClock } from "../src/types";
-import { createAnswer, formatRequest, startListener } from "./support/plannedStop";
+import { comesTrue, connectCaller, createAnswer, formatRequest, startListener } from "./support/plannedStop";
 
 const DEADLINE_MS = 8000;
 /** More than the turns of the event loop in which the listener reads what has arrived. */
@@ -71,3 +71,25 @@
     await callers.terminate();
   }
 });
+
+// Guards against the loss of a request that was read whole behind one that is answered during a stop: its
+// connection was closed without an answer, long after it had been sent.
+test("an unsafe request that waits behind another one on its connection when the stop begins is answered", async () => {
+  let answer: () => void = () => undefined;
+  const { listener, port } = await startListener(systemClock, async ({ path }) => {
+    if (path === "/short/1") {
+      await new Promise<void>((resolve) => (answer = resolve));
+    }
+    return createAnswer(1);
+  });
+  const caller = connectCaller(port);
+  let received = "";
+  caller.socket.on("data", (chunk: Buffer) => (received += chunk.toString("latin1")));
+  caller.socket.write(formatRequest("/short/1", DEADLINE_MS) + formatRequest("/short/2", DEADLINE_MS));
+  expect(await comesTrue(() => listener.countPending() === 2)).toBe(true);
+  listener.drain(Number.POSITIVE_INFINITY);
+  answer();
+  await comesTrue(() => caller.isClosed());
+  await listener.close();
+  expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(["HTTP/1.1 200", "HTTP/1.1 200"]);
+});
