Close connections some time after a malformed request was refused

Operators would see: a stop that lasts until the end of its grace period though nothing is pending, and connections that stay open for as long as the process runs.

Cause: after the answer to a malformed request only this side of the connection was closed. A caller that did not close its own kept it open; no timeout of Node.js applies to it.

Evidence: "a caller that does not close its connection after a malformed request does not hold up the stop" failed: not ended 4.1 s after the signal, with this connection alone.

Change: the connection is closed a second after the answer. A close at once could reset it before the answer is read.

--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -32,6 +32,9 @@
 /** Retry-after time of requests refused before dispatch, for example before the first configuration. */
 const EARLY_REFUSAL_RETRY_AFTER_MS = 300;
 
+/** Time for which the answer to a malformed request may be read before its connection is closed, in milliseconds. */
+const MALFORMED_LINGER_MS = 1000;
+
 /** A configuration in force, with its route matcher. */
 export interface ActiveConfiguration {
   readonly configuration: RoutingConfiguration;
@@ -304,6 +307,10 @@
         socket.end(
           `HTTP/1.1 ${formatParserErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
         );
+        // A close at once would reset the connection if bytes are unread, and the answer could be lost.
+        clock.schedule(MALFORMED_LINGER_MS, () => {
+          socket.destroy();
+        });
       }
     });
   }
--- a/test/stopReview.test.ts
+++ b/test/stopReview.test.ts
@@ -1,5 +1,6 @@
 /** Planned stop of a daemon: connections and requests on which a stopping listener decides with others waiting. */
 import { once } from "node:events";
+import { connect } from "node:net";
 import { PassThrough } from "node:stream";
 import { Worker } from "node:worker_threads";
 import { expect, test } from "vitest";
@@ -137,3 +138,33 @@
   await stopped;
   expect({ status: head.slice(9, 12), sent: streams.length }).toEqual({ status: "503", sent: 5 });
 });
+
+// Guards against callers that neither read the refusal of a malformed request nor close: their connections stayed open
+// for as long as the process ran, and a stop waited for them until the end of its grace period.
+test("a caller that does not close its connection after a malformed request does not hold up the stop", async () => {
+  const clock = createFakeClock();
+  const { listener, port } = await startListener(clock, () => Promise.resolve(createAnswer(1)));
+  const caller = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+  let received = "";
+  caller.on("error", () => undefined);
+  caller.on("data", (chunk: Buffer) => (received += chunk.toString("latin1")));
+  caller.write("NONSENSE\r\n\r\n");
+  expect(await comesTrue(() => received !== "")).toBe(true);
+  let isStopped = false;
+  const stopped = shutDownGracefully({
+    callerListener: listener,
+    clock,
+    logger: silentLogger,
+    gracePeriodMs: 6000,
+    resign: () => Promise.resolve(),
+  }).then(() => (isStopped = true));
+  await clock.advance(4000);
+  await comesTrue(() => listener.countConnections() === 0);
+  await clock.advance(100);
+  await comesTrue(() => isStopped);
+  const outcome = { isStopped, status: received.slice(0, "HTTP/1.1 400".length) };
+  caller.destroy();
+  await clock.advance(6000);
+  await stopped;
+  expect(outcome).toEqual({ isStopped: true, status: "HTTP/1.1 400" });
+});
