Close a connection after its last answer, not after the first to ask for it

Callers would see: requests without an answer on a connection of a stopping daemon, if one behind them was refused at once (404, 400, 413).

Cause: the refusal, though it waits for the answers ahead of it, marked the whole connection as closing. A request ahead that waited for its turn was dropped, and the first answer closed the connection, since the refused request had not been at a backend server.

Evidence: "an unsafe request that waits behind another one on its connection when the stop begins, with one behind it that is refused at once, is answered" failed: one answer of three.

Change: the close belongs to one request. Only those behind it are dropped, and answers ahead of it leave the connection open.

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -95,7 +95,8 @@
   /** Bytes that had been read from the connection at the end of the last request; more are a part of the next one. */
   bytesAtRest: number;
   isCloseWanted: boolean;
-  isClosing: boolean;
+  /** The request whose answer closes the connection; those behind it are dropped. */
+  closingPlace: Place | undefined;
   onAnswered: (() => void) | undefined;
 }
 
@@ -199,7 +200,7 @@
       places: [],
       bytesAtRest: 0,
       isCloseWanted: false,
-      isClosing: false,
+      closingPlace: undefined,
       onAnswered: undefined,
     };
     connections.set(socket, connection);
@@ -254,7 +255,7 @@
         settle(Turn.Late);
       });
       place.check = () => {
-        if (connection.isClosing) {
+        if (isBehindClose(connection, place)) {
           settle(Turn.Dropped);
         } else if (mayDispatch(connection, place, isIdempotent)) {
           place.isDispatched = true;
@@ -280,11 +281,12 @@
     const behind = listBehind(connection, place);
     if (!connection.isCloseWanted) {
       connection.isCloseWanted = true;
-      behind.forEach((each) => {
+      connection.places.forEach((each) => {
         each.isOwed = each.message.complete;
       });
     }
-    if (behind.some((each) => each.isDispatched || each.isOwed)) {
+    const { closingPlace } = connection;
+    if (behind.some((each) => each.isDispatched || each.isOwed || each === closingPlace)) {
       return false;
     }
     endConnection(connection, place);
@@ -293,7 +295,7 @@
 
   function endConnection(connection: Connection, place: Place): void {
     connection.isCloseWanted = true;
-    connection.isClosing = true;
+    connection.closingPlace = place;
     listBehind(connection, place).forEach((waiting) => waiting.check?.());
   }
 }
@@ -302,6 +304,10 @@
   return connection.places.slice(connection.places.indexOf(place) + 1);
 }
 
+function isBehindClose({ places, closingPlace }: Connection, place: Place): boolean {
+  return closingPlace !== undefined && places.indexOf(closingPlace) < places.indexOf(place);
+}
+
 function hasWorkBehind(connection: Connection, place: Place): boolean {
   return listBehind(connection, place).some((each) => each.isDispatched);
 }
--- a/test/stopReview.test.ts
+++ b/test/stopReview.test.ts
@@ -77,27 +77,41 @@
   }
 });
 
+const sentBehind = [
+  { name: "as the last one", behind: "", expected: ["200", "200"] },
+  {
+    name: "with one behind it that is refused at once",
+    behind: formatRequest("/none/3", DEADLINE_MS),
+    expected: ["200", "200", "404"],
+  },
+];
+
 // Guards against the loss of a request that was read whole behind one that is answered during a stop: its
 // connection was closed without an answer, long after it had been sent.
-test("an unsafe request that waits behind another one on its connection when the stop begins is answered", async () => {
-  let answer: () => void = () => undefined;
-  const { listener, port } = await startListener(systemClock, async ({ path }) => {
-    if (path === "/short/1") {
-      await new Promise<void>((resolve) => (answer = resolve));
-    }
-    return createAnswer(1);
-  });
-  const caller = connectCaller(port);
-  let received = "";
-  caller.socket.on("data", (chunk: Buffer) => (received += chunk.toString("latin1")));
-  caller.socket.write(formatRequest("/short/1", DEADLINE_MS) + formatRequest("/short/2", DEADLINE_MS));
-  expect(await comesTrue(() => listener.countPending() === 2)).toBe(true);
-  listener.drain(Number.POSITIVE_INFINITY);
-  answer();
-  await comesTrue(() => caller.isClosed());
-  await listener.close();
-  expect(received.match(/HTTP\/1\.1 \d+/g)).toEqual(["HTTP/1.1 200", "HTTP/1.1 200"]);
-});
+test.each(sentBehind.map((each) => [each.name, each] as const))(
+  "an unsafe request that waits behind another one on its connection when the stop begins, %s, is answered",
+  async (_name, { behind, expected }) => {
+    let answer: () => void = () => undefined;
+    const { listener, port } = await startListener(systemClock, async ({ path }) => {
+      if (path === "/short/1") {
+        await new Promise<void>((resolve) => (answer = resolve));
+      }
+      return createAnswer(1);
+    });
+    const caller = connectCaller(port);
+    let received = "";
+    caller.socket.on("data", (chunk: Buffer) => (received += chunk.toString("latin1")));
+    caller.socket.write(formatRequest("/short/1", DEADLINE_MS) + formatRequest("/short/2", DEADLINE_MS));
+    expect(await comesTrue(() => listener.countPending() === 2)).toBe(true);
+    listener.drain(Number.POSITIVE_INFINITY);
+    caller.socket.write(behind);
+    expect(await comesTrue(() => listener.countPending() === expected.length)).toBe(true);
+    answer();
+    await comesTrue(() => caller.isClosed());
+    await listener.close();
+    expect(received.match(/(?<=HTTP\/1\.1 )\d+/g)).toEqual(expected);
+  },
+);
 
 // Guards against answers that a stop cuts since only the time to their beginnings was taken for the usual one.
 test("a request after the stop signal whose streamed answer usually takes longer than the time left is refused", async () => {
