Keep a connection open while the body of a refused request arrives

Callers would see: no answer to requests that a stopping daemon refuses before their bodies have arrived (404, 413, 503 before the first configuration).

Cause: the refusal of a stopping daemon closed the connection while bytes were unread, which resets it.

Evidence: "a request to /none/1 that is refused before its body has arrived gets the answer 404 during a stop" and the same for 413 failed: the connection was closed in the middle of the body.

Change: such an answer does not close its connection; the rest of the body is discarded, as at other times, and the next answer closes it.

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -33,7 +33,7 @@
   /**
    * Asks for the connection to be closed after the answer, whose head must be written next. Returns false while
    * requests behind it are at backend servers, or had been read when this was first asked; then the last of them
-   * closes the connection.
+   * closes the connection. Returns false, too, while the body of the request arrives.
    */
   closeAfter(): boolean;
   /** Closes the connection after the answer, whose end this marks; drops requests behind it that are not sent yet. */
@@ -282,9 +282,13 @@
     if (!connection.isCloseWanted) {
       connection.isCloseWanted = true;
       connection.places.forEach((each) => {
-        each.isOwed = each.message.complete;
+        each.isOwed = !isBodyArriving(each.message);
       });
     }
+    if (isBodyArriving(place.message)) {
+      // A close while its body arrives would reset the connection, and the answer could be lost.
+      return false;
+    }
     const { closingPlace } = connection;
     if (behind.some((each) => each.isDispatched || each.isOwed || each === closingPlace)) {
       return false;
@@ -300,6 +304,12 @@
   }
 }
 
+/** Returns whether a part of a body is missing. A request without a body is complete only after its head was handled. */
+function isBodyArriving({ complete, headers }: IncomingMessage): boolean {
+  const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+  return hasBody && !complete;
+}
+
 function listBehind(connection: Connection, place: Place): readonly Place[] {
   return connection.places.slice(connection.places.indexOf(place) + 1);
 }
--- a/test/stopReview.test.ts
+++ b/test/stopReview.test.ts
@@ -182,3 +182,33 @@
   await stopped;
   expect(outcome).toEqual({ isStopped: true, status: "HTTP/1.1 400" });
 });
+
+// Guards against refusals that their callers cannot read: a close while a body arrives resets the connection.
+test.each([
+  ["/none/1", "404"],
+  ["/short/1", "413"],
+])(
+  "a request to %s that is refused before its body has arrived gets the answer %s during a stop",
+  async (path, status) => {
+    const { listener, port } = await startListener(systemClock, () => Promise.resolve(createAnswer(1)));
+    listener.drain(Number.POSITIVE_INFINITY);
+    const caller = connectCaller(port);
+    const bodyBytes = 4096;
+    const request = formatRequest(path, DEADLINE_MS).replace("Length: 0", `Length: ${bodyBytes}`);
+    caller.socket.write(request + "x".repeat(bodyBytes / 2));
+    await comesTrue(() => caller.getHead() !== "" || caller.isClosed());
+    const outcome = {
+      status: caller.getHead().slice("HTTP/1.1 ".length).slice(0, 3),
+      isClosed: caller.isClosed(),
+    };
+    const answerBytes = caller.countBodyBytes();
+    caller.socket.write("x".repeat(bodyBytes / 2) + formatRequest("/short/2", DEADLINE_MS));
+    await comesTrue(() => caller.isClosed());
+    await listener.close();
+    expect({ ...outcome, hasNextAnswer: caller.countBodyBytes() > answerBytes }).toEqual({
+      status,
+      isClosed: false,
+      hasNextAnswer: true,
+    });
+  },
+);
