--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -32,9 +32,12 @@
   waitForTurn(isIdempotent: boolean, deadlineAt: number): Promise<Turn>;
   /**
    * Asks for the connection to be closed after the answer, whose head must be written next. Returns false while
-   * requests behind it are at backend servers; then the last of them closes the connection.
+   * requests behind it are at backend servers, or had been read when this was first asked; then the last of them
+   * closes the connection. Returns false, too, while the body of the request arrives.
    */
   closeAfter(): boolean;
+  /** Closes the connection after the answer, whose end this marks; drops requests behind it that are not sent yet. */
+  endConnection(): void;
   /** Returns whether requests behind this one are at backend servers. */
   hasWorkBehind(): boolean;
   /** Returns whether an answer must ask again to close the connection, since an earlier one could not. */
@@ -80,6 +83,8 @@
   readonly requestId: string | undefined;
   readonly arrivedAt: number;
   isDispatched: boolean;
+  /** Whether it had been read when the connection was first to be closed: its caller knows nothing of that yet. */
+  isOwed: boolean;
   /** Checks whether the request may be sent to a backend server now; undefined when it does not wait. */
   check: (() => void) | undefined;
 }
@@ -90,7 +95,8 @@
   /** Bytes that had been read from the connection at the end of the last request; more are a part of the next one. */
   bytesAtRest: number;
   isCloseWanted: boolean;
-  isClosing: boolean;
+  /** The request whose answer closes the connection; those behind it are dropped. */
+  closingPlace: Place | undefined;
   onAnswered: (() => void) | undefined;
 }
 
@@ -147,7 +153,15 @@
     const { socket } = message;
     const connection = getConnection(socket);
     const arrivedAt = clock.now();
-    const place: Place = { message, response, requestId, arrivedAt, isDispatched: false, check: undefined };
+    const place: Place = {
+      message,
+      response,
+      requestId,
+      arrivedAt,
+      isDispatched: false,
+      isOwed: false,
+      check: undefined,
+    };
     connection.places.push(place);
     pendingCount += 1;
     if (connection.places.length >= MAX_READ_AHEAD) {
@@ -168,6 +182,9 @@
     return {
       waitForTurn: (isIdempotent, deadlineAt) => waitForTurn(connection, place, isIdempotent, deadlineAt),
       closeAfter: () => closeAfter(connection, place),
+      endConnection: () => {
+        endConnection(connection, place);
+      },
       hasWorkBehind: () => hasWorkBehind(connection, place),
       mustClose: () => connection.isCloseWanted,
     };
@@ -183,7 +200,7 @@
       places: [],
       bytesAtRest: 0,
       isCloseWanted: false,
-      isClosing: false,
+      closingPlace: undefined,
       onAnswered: undefined,
     };
     connections.set(socket, connection);
@@ -238,7 +255,7 @@
         settle(Turn.Late);
       });
       place.check = () => {
-        if (connection.isClosing) {
+        if (isBehindClose(connection, place)) {
           settle(Turn.Dropped);
         } else if (mayDispatch(connection, place, isIdempotent)) {
           place.isDispatched = true;
@@ -261,20 +278,46 @@
   }
 
   function closeAfter(connection: Connection, place: Place): boolean {
-    connection.isCloseWanted = true;
-    if (hasWorkBehind(connection, place)) {
+    const behind = listBehind(connection, place);
+    if (!connection.isCloseWanted) {
+      connection.isCloseWanted = true;
+      connection.places.forEach((each) => {
+        each.isOwed = !isBodyArriving(each.message);
+      });
+    }
+    if (isBodyArriving(place.message)) {
+      // A close while its body arrives would reset the connection, and the answer could be lost.
       return false;
     }
-    connection.isClosing = true;
-    listBehind(connection, place).forEach((waiting) => waiting.check?.());
+    const { closingPlace } = connection;
+    if (behind.some((each) => each.isDispatched || each.isOwed || each === closingPlace)) {
+      return false;
+    }
+    endConnection(connection, place);
     return true;
   }
+
+  function endConnection(connection: Connection, place: Place): void {
+    connection.isCloseWanted = true;
+    connection.closingPlace = place;
+    listBehind(connection, place).forEach((waiting) => waiting.check?.());
+  }
+}
+
+/** Returns whether a part of a body is missing. A request without a body is complete only after its head was handled. */
+function isBodyArriving({ complete, headers }: IncomingMessage): boolean {
+  const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+  return hasBody && !complete;
 }
 
 function listBehind(connection: Connection, place: Place): readonly Place[] {
   return connection.places.slice(connection.places.indexOf(place) + 1);
 }
 
+function isBehindClose({ places, closingPlace }: Connection, place: Place): boolean {
+  return closingPlace !== undefined && places.indexOf(closingPlace) < places.indexOf(place);
+}
+
 function hasWorkBehind(connection: Connection, place: Place): boolean {
   return listBehind(connection, place).some((each) => each.isDispatched);
 }
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callerListener.ts
@@ -3,7 +3,7 @@
 import { Server as NetServer, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { describeError } from "../errors";
-import { type CallerWatch, listen, readArrived, watchCaller } from "../http";
+import { type CallerWatch, acceptArrived, listen, readArrived, watchCaller } from "../http";
 import { Event, type Logger, type Metrics } from "../observability";
 import type { Address, Clock } from "../types";
 import { RejectionReason } from "./attemptTypes";
@@ -13,7 +13,6 @@
 import { selectForwardedHeaders } from "./forwardedHeaders";
 import type { CallerFields, CallerProtocol, ServerProtocol } from "./protocols";
 import { type BodyReadResult, createRequestBodies } from "./requestBody";
-import type { RouteCosts } from "./routeCosts";
 import type { RouteMatcher } from "./routeMatcher";
 import { createStopAdmission } from "./stopAdmission";
 import {
@@ -33,6 +32,9 @@
 /** Retry-after time of requests refused before dispatch, for example before the first configuration. */
 const EARLY_REFUSAL_RETRY_AFTER_MS = 300;
 
+/** Time for which the answer to a malformed request may be read before its connection is closed, in milliseconds. */
+const MALFORMED_LINGER_MS = 1000;
+
 /** A configuration in force, with its route matcher. */
 export interface ActiveConfiguration {
   readonly configuration: RoutingConfiguration;
@@ -45,8 +47,6 @@
   /** Returns the configuration in force; undefined until one has arrived. */
   readonly findActive: () => ActiveConfiguration | undefined;
   readonly dispatch: Dispatcher;
-  /** Returns the time within which nearly all requests of a route are answered, in milliseconds. */
-  readonly findUsualMs: RouteCosts["findUsualMs"];
   readonly callerProtocol: CallerProtocol;
   readonly serverProtocol: ServerProtocol;
   readonly clock: Clock;
@@ -90,7 +90,7 @@
   const { counters } = metrics;
   const connections = createCallerConnections(clock);
   const bodies = createRequestBodies();
-  const stopAdmission = createStopAdmission(clock, options.findUsualMs);
+  const stopAdmission = createStopAdmission(clock);
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
     void serve(message, response);
@@ -119,7 +119,7 @@
       return connections.closeIdle();
     },
     close: async () => {
-      await readArrived();
+      await acceptArrived(server);
       // The method of the HTTP server would also close connections whose answers are not written in full.
       NetServer.prototype.close.call(server);
       stopAdmission.restrictToDeadlines();
@@ -188,11 +188,15 @@
       default:
         turn satisfies never;
     }
+    const dispatchedAt = clock.now();
     const result =
       stopAdmission.findRefusal(request) ?? (await bodies.hold(request.body, options.dispatch(request)));
     const outcome = result.kind === "answered" ? String(result.message.statusCode) : result.reason;
     metrics.recordLatency(request.service.name, outcome, clock.now() - request.arrivedAt);
     await sendResult(pending, request, result);
+    if (result.kind === "answered") {
+      stopAdmission.recordAnswer(request, clock.now() - dispatchedAt);
+    }
   }
 
   function refuseEarly(pending: PendingAnswer, detail: string): void {
@@ -303,6 +307,10 @@
         socket.end(
           `HTTP/1.1 ${formatParserErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
         );
+        // A close at once would reset the connection if bytes are unread, and the answer could be lost.
+        clock.schedule(MALFORMED_LINGER_MS, () => {
+          socket.destroy();
+        });
       }
     });
   }
