--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callerAnswers.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
 import { describeError } from "../errors";
+import { resetConnection } from "../http";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock } from "../types";
 import { dropBody } from "./answerBody";
@@ -114,19 +115,20 @@
 
   /** Streams a body, whose announced end shows the caller that it is complete if `isFramed`. */
   async function stream(
-    { response, socket }: PendingAnswer,
+    { response }: PendingAnswer,
     request: RoutedRequest,
     body: StreamedBody,
     isFramed: boolean,
   ): Promise<void> {
     const abort = new AbortController();
     const breakOff = () => {
-      if (isFramed || response.socket === null) {
+      const { socket } = response;
+      if (isFramed || socket === null) {
         // Closing before the announced end of the body shows the caller that the answer is incomplete.
         response.destroy();
       } else {
         // A caller of HTTP/1.0 would take a plain close for the end of the body.
-        socket.resetAndDestroy();
+        resetConnection(socket);
       }
       abort.abort();
     };
--- a/src/http/arrivals.ts
+++ b/src/http/arrivals.ts
@@ -1,13 +1,23 @@
 /** Lets the event loop read what has arrived before connections are closed. */
+import type { Server } from "node:net";
 
-/** The first turn may end a poll that has passed a socket already; the second one polls it again. */
+/** The first turn of the event loop may end a poll that has passed a socket already; the second one polls it again. */
 const QUIET_TURNS = 2;
 /** More than the 511 connections that a listener of Node.js queues, of which each turn accepts one. */
 const MAX_TURNS = 1024;
 
 /**
- * Runs turns of the event loop until nothing new arrives. A timer runs before the sockets are polled, so after a
- * stall of the process it would close connections whose requests have arrived, but are not read.
+ * Waits until the bytes that had arrived on open connections have been read. A timer runs before the sockets are
+ * polled, so after a pause of the process it knows nothing of what has come in the meantime.
+ *
+ * @returns A promise that resolves right after the event loop has polled its sockets.
+ */
+export async function readArrived(): Promise<void> {
+  await readArrivals(() => 0);
+}
+
+/**
+ * Runs turns of the event loop until nothing new arrives.
  *
  * @param countArrivals - Counts what has arrived so far, for example accepted connections.
  * @returns A promise that resolves after two turns without an arrival, or after {@link MAX_TURNS} turns.
@@ -20,3 +30,19 @@
     quietTurns = countArrivals() === before ? quietTurns + 1 : 0;
   }
 }
+
+/**
+ * Accepts the connections that wait for it.
+ *
+ * @param server - The listener.
+ * @returns A promise that resolves once none waits, or as many as can wait have been accepted.
+ */
+export async function acceptArrived(server: Server): Promise<void> {
+  let acceptedCount = 0;
+  const count = () => {
+    acceptedCount += 1;
+  };
+  server.on("connection", count);
+  await readArrivals(() => acceptedCount);
+  server.removeListener("connection", count);
+}
--- a/src/http/callerWatch.ts
+++ b/src/http/callerWatch.ts
@@ -1,6 +1,6 @@
 /** Follows whether the caller of a request still waits for its answer. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { readArrived } from "./readArrived";
+import { readArrived } from "./arrivals";
 
 /** View of the caller of one request. */
 export interface CallerWatch {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -3,12 +3,13 @@
 import type { Address } from "../types";
 
 export * from "./answerFraming";
+export * from "./arrivals";
 export * from "./callerWatch";
 export * from "./discardBody";
 export * from "./hopByHopHeaders";
 export * from "./joinedChunks";
-export * from "./readArrived";
 export * from "./readHeader";
+export * from "./resetConnection";
 
 /**
  * Binds an HTTP server to an address.
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -4,7 +4,7 @@
 import type { Membership } from "../membership";
 import { type Counters, Event, type Logger } from "../observability";
 import type { Handover, PeerIdentity, ServerStatus, SlotLoads } from "../ownership";
-import { readArrivals } from "../http/arrivals";
+import { readArrivals } from "../http";
 import type { ObjectAnswer, ObjectCall, ObjectCallHandler } from "../objectStore";
 import type { RawSnapshot, SnapshotVersions } from "../snapshots";
 import {
--- a/src/routing/callerSockets.ts
+++ b/src/routing/callerSockets.ts
@@ -1,7 +1,7 @@
 /** Connections of callers: which of them carry a request that is not answered in full, and when they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
-import { readArrivals } from "../http/arrivals";
+import { readArrivals } from "../http";
 
 /** Connections of callers. */
 export interface CallerSockets {
--- a/test/cutAnswers.test.ts
+++ b/test/cutAnswers.test.ts
@@ -94,7 +94,7 @@
       expect(used).toHaveLength(1);
       expect(looksWhole(received.text)).toBe(false);
       expect(isComplete(received)).toBe(endsWithConnection && ending === "closes");
-      listener.close();
+      void listener.close();
     },
   );
 });
@@ -126,7 +126,7 @@
       const received = await exchange(port, formatRequest("q1", version));
       expect(isComplete(received)).toBe(whole === ending);
       expect(whole !== ending || received.text.split("x").length > LONG_BYTES).toBe(true);
-      listener.close();
+      void listener.close();
     },
   );
 
@@ -148,7 +148,7 @@
     expect(text).toMatch(/^HTTP\/1.1 200 OK\r\n[^]*\r\n\r\nfirst/);
     expect(isComplete({ text: text.slice(text.indexOf("first") + 5), isEnded })).toBe(false);
     expect(loggedEvents).toContain(Event.AnswerBrokenOff);
-    listener.close();
+    void listener.close();
   });
 
   // Guards against a close that loses the answers behind an answer without a length.
@@ -162,7 +162,7 @@
     const requests = [formatRequest("q1", "1.1", "keep-alive"), formatRequest("q2", "1.1")];
     const { text } = await exchange(port, ...requests);
     expect(text).toMatch(/^HTTP\/1.1 200[^]*\r\n0\r\n\r\nHTTP\/1.1 200[^]*second$/);
-    listener.close();
+    void listener.close();
   });
 
   const second = createFramedAnswer("200 OK", "second");
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -217,7 +217,7 @@
         await new Promise((resolve) => answer.once("end", resolve));
       }
     }
-    listener.close();
+    void listener.close();
   });
 
   // Guards against an answer in tiny chunks that takes hundreds of times the memory of its content.
@@ -255,10 +255,10 @@
     expect(endless.countTaken()).toBeLessThan(MAX_TAKEN_BYTES);
     await clock.advance(DEADLINE_MS);
     await endless.closed;
-    await vi.waitUntil(async () => (await listener.countConnections()) === 0, WAIT);
+    await vi.waitUntil(() => listener.countConnections() === 0, WAIT);
     expect(loggedEvents).toContain(Event.AnswerBrokenOff);
     caller.destroy();
-    listener.close();
+    void listener.close();
   });
 
   test("that is replaced by the answer to a retry is broken off at once", async () => {
