Tell daemons that the store refuses which data centres are out and which servers are cold

Cause: exclusions and coldness were known only from this daemon's own reads of the store.

Daemons now pass both on with the exchange of digests every 0.4 s. Exclusions carry the version of the store that they come from; the newer state counts, so a daemon that hears the store follows it. Coldness is given as remaining time, the return of a data centre as the time since; daemons send the coordinator only what servers told them, never what other daemons did, since its delays would add up.

The schemas of the messages moved to freshnessMessages.ts, unchanged but for the new fields.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -3,12 +3,18 @@
  * their object versions with the coordinator's, and one that differs for too long polls the object store for
  * its newest state.
  */
-import { z } from "zod";
-import { type DatagramChannel, addressSchema } from "../membership";
+import type { DatagramChannel } from "../membership";
 import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
+import { type DaemonState, type Digests, MessageKind, replySchema, stateSchema } from "./freshnessMessages";
 import type { PrefixWatcher } from "./prefixWatcher";
-import type { StatedDeparture, StatedOwnerShare, StatedRateLimit } from "./types";
+import type {
+  StatedColdness,
+  StatedDeparture,
+  StatedExclusions,
+  StatedOwnerShare,
+  StatedRateLimit,
+} from "./types";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
@@ -31,49 +37,6 @@
 /** Assumed until the first count of a deployment that has never been counted; shares are too small, not too large. */
 const ASSUMED_CLUSTER_SIZE = 1000;
 
-const MessageKind = { State: "state", Reply: "stateReply" } as const;
-
-const digestsSchema = z.record(z.string(), z.number());
-const rateLimitsSchema = z.array(
-  z.object({
-    server: z.string(),
-    bornAt: z.int(),
-    requestsPerSecond: z.number().nonnegative().nullable(),
-    ageMs: z.number().nonnegative(),
-  }),
-);
-const departuresSchema = z.array(
-  z.object({ server: z.string(), bornAt: z.int(), ageMs: z.number().nonnegative() }),
-);
-const ownerSharesSchema = z.array(z.object({ server: z.string(), share: z.number().min(0).max(1) }));
-const stateSchema = z.object({
-  daemon: z.string(),
-  address: addressSchema,
-  /** Processor capacity of the daemon's VM, in cores. */
-  processors: z.number().positive(),
-  digests: digestsSchema,
-  /** Rate limits of backend servers; daemons of earlier versions send none. */
-  rateLimits: rateLimitsSchema.default([]),
-  /** Backend servers that are leaving; daemons of earlier versions send none. */
-  departures: departuresSchema.default([]),
-});
-const replySchema = z.object({
-  digests: digestsSchema,
-  /** Versions up to which the coordinator knows the changes; daemons of earlier versions send none. */
-  versions: z.record(z.string(), z.number()).default({}),
-  /** Version of the coordinator's lease, which the coordinator holds when it sends the reply. */
-  leaseVersion: z.int(),
-  /** Number of daemons; null until the coordinator has heard from all of them. */
-  daemons: z.int().positive().nullable(),
-  /** Processor capacity of the cluster's largest VM, in cores. */
-  largestProcessors: z.number().positive(),
-  rateLimits: rateLimitsSchema.default([]),
-  departures: departuresSchema.default([]),
-  /** Share of the requests that overloaded owners of keys can take. */
-  ownerShares: ownerSharesSchema.default([]),
-});
-type Digests = z.output<typeof digestsSchema>;
-
 /** Options for {@link createFreshnessCheck}. */
 export interface FreshnessCheckOptions {
   readonly daemon: DaemonName;
@@ -96,6 +59,17 @@
   readonly confirmLease: (version: Version) => void;
   readonly rateLimits: SharedStatements<StatedRateLimit>;
   readonly departures: SharedStatements<StatedDeparture>;
+  /** The data centres that operators have taken out of service, by the newest state that any daemon has read. */
+  readonly exclusions: {
+    share(): StatedExclusions | null;
+    merge(stated: StatedExclusions | null): void;
+  };
+  /** Cold servers: what servers told this daemon goes to the coordinator, and all that it knows to the others. */
+  readonly coldness: {
+    shareAnswers(): StatedColdness;
+    shareAll(): StatedColdness;
+    merge(stated: StatedColdness): void;
+  };
   /** What the coordinator finds out about overloaded owners of keys. */
   readonly ownerShares: {
     share(): readonly StatedOwnerShare[];
@@ -112,7 +86,7 @@
 }
 
 /** State that another daemon sent. */
-interface PeerState extends z.output<typeof stateSchema> {
+interface PeerState extends DaemonState {
   readonly receivedAt: number;
 }
 
@@ -127,7 +101,7 @@
 /** States that other daemons sent to this one. */
 export interface PeerStates {
   /** Records a daemon's state in place of its previous one. */
-  record(state: z.output<typeof stateSchema>): void;
+  record(state: DaemonState): void;
   /** Returns the digests of the daemons that were heard from within the contact timeout. */
   getDigests(): readonly Digests[];
   /** Returns the addresses of the daemons that were heard from within the contact timeout. */
@@ -201,6 +175,8 @@
     peers.record(state);
     options.rateLimits.merge(state.rateLimits);
     options.departures.merge(state.departures);
+    options.exclusions.merge(state.exclusions);
+    options.coldness.merge(state.coldness);
     // Only the coordinator's watchers always read the newest state, so only its digests serve as a reference.
     if (options.isCoordinator()) {
       const daemons = countDaemons();
@@ -212,6 +188,8 @@
         largestProcessors: computeLargestProcessors(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
+        exclusions: options.exclusions.share(),
+        coldness: options.coldness.shareAll(),
         ownerShares: options.ownerShares.share(),
       });
     }
@@ -223,6 +201,8 @@
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
     options.departures.merge(reply.departures);
+    options.exclusions.merge(reply.exclusions);
+    options.coldness.merge(reply.coldness);
     options.ownerShares.replace(reply.ownerShares);
     options.confirmLease(reply.leaseVersion);
     compareDigests(
@@ -265,6 +245,8 @@
         digests: computeDigests(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
+        exclusions: options.exclusions.share(),
+        coldness: options.coldness.shareAnswers(),
       });
     }
     refreshWithoutContact();
--- a/src/discovery/index.ts
+++ b/src/discovery/index.ts
@@ -1,5 +1,7 @@
 /** Discovery of backend servers and data centres through the object store. */
 export * from "./prefixWatcher";
+export * from "./coldServers";
+export * from "./exclusionExchange";
 export * from "./freshnessCheck";
 export * from "./leavingServers";
 export * from "./serverDirectory";
--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -4,8 +4,15 @@
 import { type Logger, Event } from "../observability";
 import { type StoredObject, getObjectName, getTimeline } from "../objectStore";
 import type { CancelTimer, Clock, DataCentreName, ServerName, ServiceName, Version } from "../types";
+import { createColdServers } from "./coldServers";
 import { type ServerProcess, createLeavingServers } from "./leavingServers";
-import { type DiscoveredServer, type ServerDecoder, ServerPhase, type StatedDeparture } from "./types";
+import {
+  type DiscoveredServer,
+  type ServerDecoder,
+  ServerPhase,
+  type StatedColdness,
+  type StatedDeparture,
+} from "./types";
 
 /** Delays removals after an outage of the store: entries that expired during it return within this time. */
 const OUTAGE_GRACE_MS = 2000;
@@ -52,6 +59,12 @@
   isCold(server: DiscoveredServer): boolean;
   /** Records how long a server stays cold according to its own answer; never shortens the known time. */
   recordCold(name: ServerName, coldForMs: number): void;
+  /** Returns what servers have told this daemon of being cold, for the coordinator. */
+  shareColdAnswers(): StatedColdness;
+  /** Returns all that this daemon knows of cold servers, for other daemons. */
+  shareCold(): StatedColdness;
+  /** Applies what another daemon knows of cold servers. */
+  mergeCold(stated: StatedColdness): void;
   /** Records that a process has said in an answer that it is leaving. It gets no new work from now on. */
   recordLeaving(server: ServerProcess): void;
   /** Returns how long ago a process first said that it is leaving, in milliseconds; undefined when it has not. */
@@ -67,7 +80,6 @@
 interface Entry {
   readonly server: DiscoveredServer;
   readonly version: Version;
-  readonly coldUntil: number;
 }
 
 interface RemovedEntry {
@@ -88,7 +100,7 @@
   const removedEntries = new Map<ServerName, RemovedEntry>();
   /** Cancels the acceptance of an entry that may be older than the server's removal. */
   const pendingEntries = new Map<ServerName, CancelTimer>();
-  const returnedAtByDataCentre = new Map<DataCentreName, number>();
+  const cold = createColdServers(clock);
   const leaving = createLeavingServers(clock);
   let byService = new Map<ServiceName, readonly DiscoveredServer[]>();
   let usableByService = new Map<ServiceName, readonly DiscoveredServer[]>();
@@ -117,7 +129,7 @@
     setExcluded: (dataCentres) => {
       for (const dataCentre of excluded) {
         if (!dataCentres.has(dataCentre)) {
-          returnedAtByDataCentre.set(dataCentre, clock.now());
+          cold.recordReturn(dataCentre, 0);
         }
       }
       excluded = dataCentres;
@@ -130,9 +142,20 @@
     isListedUsable,
     isCold: (server) => clock.now() < getColdUntil(server),
     recordCold: (name, coldForMs) => {
-      const entry = entries.get(name);
-      if (entry !== undefined && clock.now() + coldForMs > entry.coldUntil) {
-        entries.set(name, { ...entry, coldUntil: clock.now() + coldForMs });
+      if (entries.has(name)) {
+        cold.extend(name, coldForMs, "answer");
+      }
+    },
+    shareColdAnswers: () => cold.shareAnswers(),
+    shareCold: () => cold.shareAll(),
+    mergeCold: ({ servers, returned }) => {
+      for (const [name, coldForMs] of Object.entries(servers)) {
+        if (entries.has(name)) {
+          cold.extend(name, coldForMs, "daemon");
+        }
+      }
+      for (const [dataCentre, agoMs] of Object.entries(returned)) {
+        cold.recordReturn(dataCentre, agoMs);
       }
     },
     recordLeaving: (server) => {
@@ -175,9 +198,8 @@
    * count as cold when it returns.
    */
   function getColdUntil(server: DiscoveredServer): number {
-    const returnedAt = returnedAtByDataCentre.get(server.dataCentre) ?? Number.NEGATIVE_INFINITY;
-    const ownColdUntil = entries.get(server.name)?.coldUntil ?? 0;
-    return Math.max(ownColdUntil, returnedAt + options.getColdMs(server.service));
+    const warmAfterReturnAt = cold.getReturnedAt(server.dataCentre) + options.getColdMs(server.service);
+    return Math.max(cold.getUntil(server.name), warmAfterReturnAt);
   }
 
   function applyEntry(object: StoredObject): void {
@@ -239,13 +261,13 @@
     const { name } = server;
     const known = entries.get(name);
     const isSameProcess = known?.server.bornAt === server.bornAt;
-    const coldUntil = server.coldForMs > 0 ? clock.now() + server.coldForMs : 0;
     removedEntries.delete(name);
-    entries.set(name, {
-      server,
-      version,
-      coldUntil: isSameProcess ? Math.max(coldUntil, known.coldUntil) : coldUntil,
-    });
+    entries.set(name, { server, version });
+    if (isSameProcess) {
+      cold.extend(name, server.coldForMs, "entry");
+    } else {
+      cold.replace(name, server.coldForMs);
+    }
     if (!isSameProcess || known.server.phase !== server.phase) {
       logger.log(Event.ServerEntryChanged, {
         server: name,
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -1,5 +1,5 @@
 /** Types of discovered backend servers. */
-import type { Address, DataCentreName, ServerName, ServiceName } from "../types";
+import type { Address, DataCentreName, ServerName, ServiceName, Version } from "../types";
 
 /** Whether a backend server accepts new work. */
 export const ServerPhase = { Ready: "ready", Draining: "draining" } as const;
@@ -40,6 +40,21 @@
   readonly ageMs: number;
 }
 
+/** What a daemon knows of backend servers that are cold. */
+export interface StatedColdness {
+  /** Remaining time of each cold server, in milliseconds. */
+  readonly servers: Readonly<Record<ServerName, number>>;
+  /** Time since data centres returned to service, whose servers count as cold then, in milliseconds. */
+  readonly returned: Readonly<Record<DataCentreName, number>>;
+}
+
+/** What a daemon knows of the data centres that operators have taken out of service. */
+export interface StatedExclusions {
+  /** Version of the object store that the exclusions come from. */
+  readonly version: Version;
+  readonly dataCentres: readonly DataCentreName[];
+}
+
 /** Share of the requests for its keys that an overloaded owner can take. */
 export interface StatedOwnerShare {
   readonly server: ServerName;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
   type DiscoveredServer,
   type ServerDecoder,
   createPrefixWatcher,
+  createExclusionExchange,
   createFreshnessCheck,
   createPeerStates,
   createServerDirectory,
@@ -160,7 +161,7 @@
       coordination.addServices();
     },
     onExclusions: (dataCentres) => {
-      directory.setExcluded(dataCentres);
+      exclusions.setListed(dataCentres);
     },
     logger,
   });
@@ -298,6 +299,14 @@
     clock,
     logger,
   });
+  const exclusionWatcher = createWatcher(paths.exclusions, CONFIGURATION_BATCH_PAUSE_MS, routing.exclusions);
+  const exclusions = createExclusionExchange({
+    getListedVersion: () => exclusionWatcher.getVersion(),
+    apply: (dataCentres) => {
+      directory.setExcluded(dataCentres);
+    },
+    logger,
+  });
   const watchers = [
     createWatcher(paths.configuration, CONFIGURATION_BATCH_PAUSE_MS, routing.configurations),
     createWatcher(paths.servers, SERVER_BATCH_PAUSE_MS, {
@@ -311,7 +320,7 @@
         directory.recordStoreRecovery();
       },
     }),
-    createWatcher(paths.exclusions, CONFIGURATION_BATCH_PAUSE_MS, routing.exclusions),
+    exclusionWatcher,
     feed,
   ];
   const coordination = createKeyCoordination({
@@ -360,6 +369,14 @@
         directory.mergeLeaving(shared);
       },
     },
+    exclusions,
+    coldness: {
+      shareAnswers: () => directory.shareColdAnswers(),
+      shareAll: () => directory.shareCold(),
+      merge: (stated) => {
+        directory.mergeCold(stated);
+      },
+    },
     ownerShares,
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
@@ -447,6 +464,7 @@
     rateLimits.evict();
     backOff.evict();
     permits.evict();
+    exclusions.update();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
       return server !== undefined && directory.isCold(server);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -109,6 +109,11 @@
     "routing configuration cannot be parsed; the previous one stays in force",
   ),
   ExclusionsChanged: defineEvent(1813, Severity.Info, "data centre exclusions changed"),
+  ExclusionsInForce: defineEvent(
+    1814,
+    Severity.Info,
+    "exclusions that the object store lists, or another daemon knows, are in force",
+  ),
   CoordinatorElected: defineEvent(1821, Severity.Info, "this daemon became coordinator of key ownership"),
   CoordinatorResigned: defineEvent(
     1822,
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -22,7 +22,7 @@
 import { type Address, sleep } from "../src/types";
 import { decodeServer } from "../platform/decoding";
 import { type FakeClock, createFakeClock } from "./support/fakeClock";
-import { createTestServer } from "./support/gateway";
+import { createTestServer, unsharedState } from "./support/gateway";
 
 const counters = createCounters("test");
 /** Versions after a restore of the object store are higher than those before it. */
@@ -591,6 +591,7 @@
           },
         },
         ownerShares: { share: () => [], replace: () => undefined },
+        ...unsharedState,
         departures: {
           share: () => departed[index] ?? [],
           merge: (shared) => {
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -12,7 +12,7 @@
 import { createWireKeyControl } from "../platform/keyControl";
 import { createWireObjectStore } from "../platform/objectStore";
 import { createFakeClock } from "./support/fakeClock";
-import { createTestServer } from "./support/gateway";
+import { createTestServer, unsharedState } from "./support/gateway";
 
 const HOST = "127.0.0.1";
 
@@ -144,6 +144,7 @@
       confirmLease: () => undefined,
       rateLimits: { share: () => [], merge: () => undefined },
       departures: { share: () => [], merge: () => undefined },
+      ...unsharedState,
       ownerShares: { share: () => [], replace: () => undefined },
     });
     const state = { daemon: "d2", processors: 1, digests: {} };
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -199,3 +199,13 @@
     distance: { shortMs: 0, largeMs: 0 },
   });
 }
+
+/** What daemons tell each other of exclusions and cold servers, for a daemon that shares nothing. */
+export const unsharedState = {
+  exclusions: { share: () => null, merge: () => undefined },
+  coldness: {
+    shareAnswers: () => ({ servers: {}, returned: {} }),
+    shareAll: () => ({ servers: {}, returned: {} }),
+    merge: () => undefined,
+  },
+};
