Let a daemon that the store refuses find a new coordinator

Replies now name two daemons, others each time; a daemon remembers eight. One that has had no reply for 1.3 s asks one of them every 0.4 s who the coordinator is, and sends its state there until the lease that it knows names another one. It does not confirm its lease by these replies, or it would stop reading the lease and keep the former coordinator's address. Cost: two addresses in a reply, and two small datagrams for each question; nothing while the coordinator replies.

Evidence: test/storeRefusal.test.ts, "finds a new coordinator by way of other daemons, also if it was the coordinator itself" (without questions: expected [[s1, s2], [s1, s2]] to equal [[s1], [s1]]) and "still reads the lease while it knows the coordinator from another daemon only" (with confirmations: expected 16 to be 4).

PeerStates moved to a file of its own, unchanged.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -6,7 +6,16 @@
 import type { DatagramChannel } from "../membership";
 import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
-import { type DaemonState, type Digests, MessageKind, replySchema, stateSchema } from "./freshnessMessages";
+import { createCoordinatorSearch } from "./coordinatorSearch";
+import {
+  type Digests,
+  MessageKind,
+  coordinatorAnswerSchema,
+  coordinatorQuestionSchema,
+  replySchema,
+  stateSchema,
+} from "./freshnessMessages";
+import { CONTACT_TIMEOUT_MS, type PeerStates } from "./peerStates";
 import type { PrefixWatcher } from "./prefixWatcher";
 import type {
   StatedColdness,
@@ -19,16 +28,9 @@
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
 const MAX_DIFFERENCE_MS = 700;
-/** A daemon that has not heard from the coordinator for this long polls the object store on its own. */
-const CONTACT_TIMEOUT_MS = 1300;
 /** Minimum time between refreshes of a prefix; bounds the calls of a daemon that differs or is isolated. */
 const REFRESH_INTERVAL_MS = 1300;
 
-/**
- * Daemons heard from within this time are counted, so that one that restarts or is cut off keeps its share of
- * the cluster-wide limits.
- */
-const COUNT_WINDOW_MS = 10_000;
 /**
  * A new coordinator has heard from all daemons after this time, in which they notice the loss of the old one
  * and find the new lease.
@@ -85,11 +87,6 @@
   merge(shared: readonly Statement[]): void;
 }
 
-/** State that another daemon sent. */
-interface PeerState extends DaemonState {
-  readonly receivedAt: number;
-}
-
 /** A difference between this daemon's state and the expected one. */
 interface Difference {
   /** Local time since which this daemon has not reached the version. */
@@ -98,42 +95,6 @@
   readonly version: Version;
 }
 
-/** States that other daemons sent to this one. */
-export interface PeerStates {
-  /** Records a daemon's state in place of its previous one. */
-  record(state: DaemonState): void;
-  /** Returns the digests of the daemons that were heard from within the contact timeout. */
-  getDigests(): readonly Digests[];
-  /** Returns the addresses of the daemons that were heard from within the contact timeout. */
-  getAddresses(): readonly Address[];
-  /** Returns the number of daemons that were heard from within the count window. */
-  count(): number;
-  /** Returns the largest processor capacity received within the contact timeout, in cores; 0 without any. */
-  getLargestProcessors(): number;
-}
-
-/**
- * Creates an empty record of peer states.
- *
- * @param clock - Clock that measures the age of the states.
- * @returns The record.
- */
-export function createPeerStates(clock: Clock): PeerStates {
-  const states = new Map<DaemonName, PeerState>();
-  const getReceivedWithin = (maxAgeMs: number) =>
-    [...states.values()].filter((state) => clock.now() - state.receivedAt < maxAgeMs);
-  const getRecent = () => getReceivedWithin(CONTACT_TIMEOUT_MS);
-  return {
-    record: (state) => {
-      states.set(state.daemon, { ...state, receivedAt: clock.now() });
-    },
-    getDigests: () => getRecent().map((state) => state.digests),
-    getAddresses: () => getRecent().map((state) => state.address),
-    count: () => getReceivedWithin(COUNT_WINDOW_MS).length,
-    getLargestProcessors: () => Math.max(0, ...getRecent().map((state) => state.processors)),
-  };
-}
-
 /** The freshness check of one daemon. */
 export interface FreshnessCheck {
   /**
@@ -170,6 +131,7 @@
   let coordinatingSince: number | undefined;
   let countedSize: number | undefined;
   let largestProcessors = options.processors;
+  const search = createCoordinatorSearch(options.address, options.findCoordinator);
 
   channel.receive(MessageKind.State, stateSchema, (state) => {
     peers.record(state);
@@ -190,6 +152,7 @@
         departures: options.departures.share(),
         exclusions: options.exclusions.share(),
         coldness: options.coldness.shareAll(),
+        helpers: search.chooseHelpers(),
         ownerShares: options.ownerShares.share(),
       });
     }
@@ -204,19 +167,35 @@
     options.exclusions.merge(reply.exclusions);
     options.coldness.merge(reply.coldness);
     options.ownerShares.replace(reply.ownerShares);
-    options.confirmLease(reply.leaseVersion);
+    search.remember(reply.helpers);
+    // A lease whose holder another daemon has named is not the known one, and must still be read.
+    if (search.findNamed() === undefined) {
+      options.confirmLease(reply.leaseVersion);
+    }
     compareDigests(
       (prefix) => reply.digests[prefix],
       (prefix) => reply.versions[prefix] ?? 0,
     );
   });
+  channel.receive(MessageKind.CoordinatorQuestion, coordinatorQuestionSchema, ({ address }) => {
+    const coordinator = options.isCoordinator() ? options.address : findAnsweringCoordinator();
+    if (coordinator !== undefined) {
+      channel.send(address, MessageKind.CoordinatorAnswer, { coordinator });
+    }
+  });
+  channel.receive(MessageKind.CoordinatorAnswer, coordinatorAnswerSchema, ({ coordinator }) => {
+    if (!options.isCoordinator() && !isAnswered()) {
+      search.recordNamed(coordinator);
+      sendState(search.findNamed());
+    }
+  });
 
   return {
     getClusterSize: () => countedSize ?? options.findStoredSize() ?? ASSUMED_CLUSTER_SIZE,
     findCountedSize: () => countedSize,
     wasCurrent: () => watchers.every((watcher) => watcher.getCurrentAt() > Number.NEGATIVE_INFINITY),
     getLargestProcessors: () => (options.isCoordinator() ? computeLargestProcessors() : largestProcessors),
-    isFreshnessChecked: () => !options.isCoordinator() && clock.now() - repliedAt < CONTACT_TIMEOUT_MS,
+    isFreshnessChecked: () => !options.isCoordinator() && isAnswered(),
     run: (signal) =>
       repeat(clock, CHECK_INTERVAL_MS, signal, check, createErrorReport(options.logger, "compare state")),
   };
@@ -231,11 +210,38 @@
         });
       }
       countedSize = countDaemons() ?? countedSize;
+      search.setPeers(peers.getAddresses());
       compareWithMajority();
       return;
     }
     coordinatingSince = undefined;
-    const coordinator = options.findCoordinator();
+    const named = search.findNamed();
+    sendState(named ?? options.findCoordinator());
+    if (!isAnswered()) {
+      // The coordinator that another daemon has named may have lost its lease to the known one again.
+      sendState(named === undefined ? undefined : options.findCoordinator());
+      askForCoordinator();
+    }
+    refreshWithoutContact();
+  }
+
+  /** Returns whether the coordinator has replied within the contact timeout. */
+  function isAnswered(): boolean {
+    return clock.now() - repliedAt < CONTACT_TIMEOUT_MS;
+  }
+
+  function findAnsweringCoordinator(): Address | undefined {
+    return isAnswered() ? (search.findNamed() ?? options.findCoordinator()) : undefined;
+  }
+
+  function askForCoordinator(): void {
+    const helper = search.findHelper();
+    if (helper !== undefined) {
+      channel.send(helper, MessageKind.CoordinatorQuestion, { address: options.address });
+    }
+  }
+
+  function sendState(coordinator: Address | undefined): void {
     if (coordinator !== undefined) {
       const { daemon, address, processors } = options;
       channel.send(coordinator, MessageKind.State, {
@@ -249,7 +255,6 @@
         coldness: options.coldness.shareAnswers(),
       });
     }
-    refreshWithoutContact();
   }
 
   function computeLargestProcessors(): number {
--- a/src/discovery/freshnessMessages.ts
+++ b/src/discovery/freshnessMessages.ts
@@ -3,7 +3,12 @@
 import { addressSchema } from "../membership";
 
 /** Kinds of the messages. */
-export const MessageKind = { State: "state", Reply: "stateReply" } as const;
+export const MessageKind = {
+  State: "state",
+  Reply: "stateReply",
+  CoordinatorQuestion: "coordinatorQuestion",
+  CoordinatorAnswer: "coordinatorAnswer",
+} as const;
 
 /** Digest of the state of each prefix. */
 const digestsSchema = z.record(z.string(), z.number());
@@ -61,8 +66,14 @@
   departures: departuresSchema.default([]),
   exclusions: exclusionsSchema,
   coldness: coldnessSchema,
+  /** Daemons that can name the next coordinator; daemons of earlier versions send none. */
+  helpers: z.array(addressSchema).default([]),
   /** Share of the requests that overloaded owners of keys can take. */
   ownerShares: ownerSharesSchema.default([]),
 });
+/** Question of a daemon that gets no replies; names the address to which the answer goes. */
+export const coordinatorQuestionSchema = z.object({ address: addressSchema });
+/** The coordinator as another daemon knows it. */
+export const coordinatorAnswerSchema = z.object({ coordinator: addressSchema });
 export type Digests = z.output<typeof digestsSchema>;
 export type DaemonState = z.output<typeof stateSchema>;
--- a/test/storeRefusal.test.ts
+++ b/test/storeRefusal.test.ts
@@ -5,6 +5,7 @@
 import { pack } from "msgpackr";
 import { describe, expect, test } from "vitest";
 import {
+  createCoordinatorSearch,
   createExclusionExchange,
   createFreshnessCheck,
   createPeerStates,
@@ -21,6 +22,10 @@
 const COLD_MS = 3000;
 /** The interval at which daemons exchange their state, and the delay of a datagram each way. */
 const EXCHANGE_MS = 420;
+/** A daemon that has had no reply for this long takes the coordinator for lost. */
+const CONTACT_TIMEOUT_MS = 1300;
+/** Daemons that are asked in turn until one knows the coordinator. */
+const MAX_QUESTIONS = 8;
 const near = createTestServer("s1", 1);
 const far = createTestServer("s2", 2, { dataCentre: "b" });
 
@@ -38,6 +43,7 @@
     const address = getAddress(number);
     let listedVersion = 0;
     let knownCoordinator = 1;
+    let confirmations = 0;
     const directory = createServerDirectory({
       clock,
       logger: silentLogger,
@@ -67,7 +73,9 @@
       findCoordinator: () => getAddress(knownCoordinator),
       findStoredSize: () => undefined,
       getLeaseVersion: () => 1,
-      confirmLease: () => undefined,
+      confirmLease: () => {
+        confirmations += 1;
+      },
       rateLimits: { share: () => [], merge: () => undefined },
       departures: { share: () => [], merge: () => undefined },
       ownerShares: { share: () => [], replace: () => undefined },
@@ -90,9 +98,11 @@
         listedVersion = version;
         exclusions.setListed(new Set(dataCentres));
       },
-      findLease: () => {
+      /** Reads the coordinator's lease from the store. */
+      readLease: () => {
         knownCoordinator = coordinator;
       },
+      countConfirmations: () => confirmations,
       listUsable: () => directory.getUsable("desk").map((server) => server.name),
     };
   });
@@ -207,6 +217,42 @@
     stop.abort();
   });
 
+  // Guards against daemons that learn nothing any more once the store refuses the coordinator as well.
+  test("finds a new coordinator by way of other daemons, also if it was the coordinator itself", async () => {
+    const { clock, daemons, elect, first, second, third, stop } = startDaemons(5);
+    await clock.advance(CONTACT_TIMEOUT_MS);
+    elect(2);
+    daemons.slice(1, 2).forEach(({ readLease }) => {
+      readLease();
+    });
+    second.list(11, "b");
+    await clock.advance(CONTACT_TIMEOUT_MS + MAX_QUESTIONS * EXCHANGE_MS);
+    expect([first, third].map(({ listUsable }) => listUsable())).toEqual([["s1"], ["s1"]]);
+    second.list(12);
+    await clock.advance(EXCHANGE_MS);
+    expect([first, third].map(({ listUsable }) => listUsable())).toEqual([
+      ["s1", "s2"],
+      ["s1", "s2"],
+    ]);
+    stop.abort();
+  });
+
+  // Guards against a known lease that never ends, since a daemon other than its holder confirms it.
+  test("still reads the lease while it knows the coordinator from another daemon only", async () => {
+    const { clock, elect, second, third, stop } = startDaemons(3);
+    await clock.advance(CONTACT_TIMEOUT_MS);
+    elect(2);
+    second.readLease();
+    const before = third.countConfirmations();
+    await clock.advance(2 * CONTACT_TIMEOUT_MS + MAX_QUESTIONS * EXCHANGE_MS);
+    expect(third.check.isFreshnessChecked()).toBe(true);
+    expect(third.countConfirmations()).toBe(before);
+    third.readLease();
+    await clock.advance(EXCHANGE_MS);
+    expect(third.countConfirmations()).toBeGreaterThan(before);
+    stop.abort();
+  });
+
   // Guards against messages that grow with the number of servers or data centres.
   test("one message names a bounded number of servers, those that stay cold the longest", () => {
     const { first, stop } = startDaemons(3);
@@ -225,6 +271,9 @@
     expect(Object.keys(servers)).toHaveLength(20);
     expect(Math.min(...Object.values(servers))).toBe(281);
     expect(Object.keys(returned)).toHaveLength(8);
+    const search = createCoordinatorSearch(getAddress(1), () => undefined);
+    search.setPeers(names.map((_, index) => getAddress(2 + index)));
+    expect(search.chooseHelpers()).toHaveLength(2);
     stop.abort();
   });
 
