--- a/src/discovery/coldServers.ts
+++ b/src/discovery/coldServers.ts
@@ -6,7 +6,7 @@
 import { MAX_COLDNESS_MS } from "./freshnessMessages";
 import type { StatedColdness } from "./types";
 
-/** Maximum servers in one message, those that stay cold the longest; with the data centres about 0.6 KB. */
+/** Maximum servers in one message, those that stay cold the longest; with the data centres about 0.5 KB. */
 const MAX_SHARED_SERVERS = 20;
 /** Maximum data centres in one message, those that returned last. */
 const MAX_SHARED_DATA_CENTRES = 8;
