Count a server's coldness from its entry's last change, not from each list that repeats it

Seen: by reading; the test shows it. After a list was read again (a lost history, failed reads), each server whose entry still gave a warm-up time counted as cold once more. This stayed with one daemon before; since daemons pass coldness on, a coordinator that lists again would hold back all of them.

The time of an entry whose version is known is not counted anew.

Evidence: test/storeRefusal.test.ts, "an entry that is only listed again does not make its server cold again" (before: expected [true, true] to equal [false, false]).

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -263,10 +263,11 @@
     const isSameProcess = known?.server.bornAt === server.bornAt;
     removedEntries.delete(name);
     entries.set(name, { server, version });
-    if (isSameProcess) {
-      cold.extend(name, server.coldForMs, "entry");
-    } else {
+    if (!isSameProcess) {
       cold.replace(name, server.coldForMs);
+    } else if (known.version !== version) {
+      // The time counts from the entry's last change, not from another list that repeats it.
+      cold.extend(name, server.coldForMs, "entry");
     }
     if (!isSameProcess || known.server.phase !== server.phase) {
       logger.log(Event.ServerEntryChanged, {
--- a/test/storeRefusal.test.ts
+++ b/test/storeRefusal.test.ts
@@ -196,6 +196,21 @@
     stop.abort();
   });
 
+  // Guards against warm servers that the whole cluster takes for cold since one daemon has read its list again.
+  test("an entry that is only listed again does not make its server cold again", async () => {
+    const { clock, first, third, stop } = startDaemons(3);
+    const started = { path: "servers/s1", version: 2, value: { ...near, bornAt: 2, coldForMs: 2000 } };
+    first.directory.replaceAll([started]);
+    await clock.advance(1900);
+    first.directory.replaceAll([started]);
+    expect(first.directory.isCold(near)).toBe(true);
+    await clock.advance(EXCHANGE_MS);
+    expect([first, third].map(({ directory }) => directory.isCold(near))).toEqual([false, false]);
+    first.directory.replaceAll([{ ...started, version: 3 }]);
+    expect(first.directory.isCold(near)).toBe(true);
+    stop.abort();
+  });
+
   // Guards against daemons of two builds that do not understand each other during an upgrade.
   test("messages of earlier versions, without these fields, change nothing and are answered", async () => {
     const { clock, network, counters, third, stop } = startDaemons(3);
