--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -3,26 +3,34 @@
  * their object versions with the coordinator's, and one that differs for too long polls the object store for
  * its newest state.
  */
-import { z } from "zod";
-import { type DatagramChannel, addressSchema } from "../membership";
+import type { DatagramChannel } from "../membership";
 import { type Logger, createErrorReport } from "../observability";
 import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
+import { createCoordinatorSearch } from "./coordinatorSearch";
+import {
+  type Digests,
+  MessageKind,
+  coordinatorAnswerSchema,
+  coordinatorQuestionSchema,
+  replySchema,
+  stateSchema,
+} from "./freshnessMessages";
+import { CONTACT_TIMEOUT_MS, type PeerStates } from "./peerStates";
 import type { PrefixWatcher } from "./prefixWatcher";
-import type { StatedDeparture, StatedOwnerShare, StatedRateLimit } from "./types";
+import type {
+  StatedColdness,
+  StatedDeparture,
+  StatedExclusions,
+  StatedOwnerShare,
+  StatedRateLimit,
+} from "./types";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
 const MAX_DIFFERENCE_MS = 700;
-/** A daemon that could not compare its state for this long polls the object store on its own. */
-const CONTACT_TIMEOUT_MS = 1300;
 /** Minimum time between refreshes of a prefix; bounds the calls of a daemon that differs or is isolated. */
 const REFRESH_INTERVAL_MS = 1300;
 
-/**
- * Daemons heard from within this time are counted, so that one that restarts or is cut off keeps its share of
- * the cluster-wide limits.
- */
-const COUNT_WINDOW_MS = 10_000;
 /**
  * A new coordinator has heard from all daemons after this time, in which they notice the loss of the old one
  * and find the new lease.
@@ -31,49 +39,6 @@
 /** Assumed until the first count of a deployment that has never been counted; shares are too small, not too large. */
 const ASSUMED_CLUSTER_SIZE = 1000;
 
-const MessageKind = { State: "state", Reply: "stateReply" } as const;
-
-const digestsSchema = z.record(z.string(), z.number());
-const rateLimitsSchema = z.array(
-  z.object({
-    server: z.string(),
-    bornAt: z.int(),
-    requestsPerSecond: z.number().nonnegative().nullable(),
-    ageMs: z.number().nonnegative(),
-  }),
-);
-const departuresSchema = z.array(
-  z.object({ server: z.string(), bornAt: z.int(), ageMs: z.number().nonnegative() }),
-);
-const ownerSharesSchema = z.array(z.object({ server: z.string(), share: z.number().min(0).max(1) }));
-const stateSchema = z.object({
-  daemon: z.string(),
-  address: addressSchema,
-  /** Processor capacity of the daemon's VM, in cores. */
-  processors: z.number().positive(),
-  digests: digestsSchema,
-  /** Rate limits of backend servers; daemons of earlier versions send none. */
-  rateLimits: rateLimitsSchema.default([]),
-  /** Backend servers that are leaving; daemons of earlier versions send none. */
-  departures: departuresSchema.default([]),
-});
-const replySchema = z.object({
-  digests: digestsSchema,
-  /** Versions up to which the coordinator knows the changes; daemons of earlier versions send none. */
-  versions: z.record(z.string(), z.number()).default({}),
-  /** Version of the coordinator's lease, which the coordinator holds when it sends the reply. */
-  leaseVersion: z.int(),
-  /** Number of daemons; null until the coordinator has heard from all of them. */
-  daemons: z.int().positive().nullable(),
-  /** Processor capacity of the cluster's largest VM, in cores. */
-  largestProcessors: z.number().positive(),
-  rateLimits: rateLimitsSchema.default([]),
-  departures: departuresSchema.default([]),
-  /** Share of the requests that overloaded owners of keys can take. */
-  ownerShares: ownerSharesSchema.default([]),
-});
-type Digests = z.output<typeof digestsSchema>;
-
 /** Options for {@link createFreshnessCheck}. */
 export interface FreshnessCheckOptions {
   readonly daemon: DaemonName;
@@ -96,6 +61,17 @@
   readonly confirmLease: (version: Version) => void;
   readonly rateLimits: SharedStatements<StatedRateLimit>;
   readonly departures: SharedStatements<StatedDeparture>;
+  /** The data centres that operators have taken out of service, by the newest state that any daemon has read. */
+  readonly exclusions: {
+    share(): StatedExclusions | null;
+    merge(stated: StatedExclusions | null): void;
+  };
+  /** Cold servers: what servers told this daemon goes to the coordinator, and all that it knows to the others. */
+  readonly coldness: {
+    shareAnswers(): StatedColdness;
+    shareAll(): StatedColdness;
+    merge(stated: StatedColdness): void;
+  };
   /** What the coordinator finds out about overloaded owners of keys. */
   readonly ownerShares: {
     share(): readonly StatedOwnerShare[];
@@ -111,11 +87,6 @@
   merge(shared: readonly Statement[]): void;
 }
 
-/** State that another daemon sent. */
-interface PeerState extends z.output<typeof stateSchema> {
-  readonly receivedAt: number;
-}
-
 /** A difference between this daemon's state and the expected one. */
 interface Difference {
   /** Local time since which this daemon has not reached the version. */
@@ -124,42 +95,6 @@
   readonly version: Version;
 }
 
-/** States that other daemons sent to this one. */
-export interface PeerStates {
-  /** Records a daemon's state in place of its previous one. */
-  record(state: z.output<typeof stateSchema>): void;
-  /** Returns the digests of the daemons that were heard from within the contact timeout. */
-  getDigests(): readonly Digests[];
-  /** Returns the addresses of the daemons that were heard from within the contact timeout. */
-  getAddresses(): readonly Address[];
-  /** Returns the number of daemons that were heard from within the count window. */
-  count(): number;
-  /** Returns the largest processor capacity received within the contact timeout, in cores; 0 without any. */
-  getLargestProcessors(): number;
-}
-
-/**
- * Creates an empty record of peer states.
- *
- * @param clock - Clock that measures the age of the states.
- * @returns The record.
- */
-export function createPeerStates(clock: Clock): PeerStates {
-  const states = new Map<DaemonName, PeerState>();
-  const getReceivedWithin = (maxAgeMs: number) =>
-    [...states.values()].filter((state) => clock.now() - state.receivedAt < maxAgeMs);
-  const getRecent = () => getReceivedWithin(CONTACT_TIMEOUT_MS);
-  return {
-    record: (state) => {
-      states.set(state.daemon, { ...state, receivedAt: clock.now() });
-    },
-    getDigests: () => getRecent().map((state) => state.digests),
-    getAddresses: () => getRecent().map((state) => state.address),
-    count: () => getReceivedWithin(COUNT_WINDOW_MS).length,
-    getLargestProcessors: () => Math.max(0, ...getRecent().map((state) => state.processors)),
-  };
-}
-
 /** The freshness check of one daemon. */
 export interface FreshnessCheck {
   /**
@@ -196,11 +131,14 @@
   let coordinatingSince: number | undefined;
   let countedSize: number | undefined;
   let largestProcessors = options.processors;
+  const search = createCoordinatorSearch(options.address, options.findCoordinator);
 
   channel.receive(MessageKind.State, stateSchema, (state) => {
     peers.record(state);
     options.rateLimits.merge(state.rateLimits);
     options.departures.merge(state.departures);
+    options.exclusions.merge(state.exclusions);
+    options.coldness.merge(state.coldness);
     // Only the coordinator's watchers always read the newest state, so only its digests serve as a reference.
     if (options.isCoordinator()) {
       const daemons = countDaemons();
@@ -212,6 +150,9 @@
         largestProcessors: computeLargestProcessors(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
+        exclusions: options.exclusions.share(),
+        coldness: options.coldness.shareAll(),
+        helpers: search.chooseHelpers(),
         ownerShares: options.ownerShares.share(),
       });
     }
@@ -222,20 +163,38 @@
     ({ largestProcessors } = reply);
     options.rateLimits.merge(reply.rateLimits);
     options.departures.merge(reply.departures);
+    options.exclusions.merge(reply.exclusions);
+    options.coldness.merge(reply.coldness);
     options.ownerShares.replace(reply.ownerShares);
-    options.confirmLease(reply.leaseVersion);
+    search.remember(reply.helpers);
+    // A lease whose holder another daemon has named is not the known one, and must still be read.
+    if (search.findNamed() === undefined) {
+      options.confirmLease(reply.leaseVersion);
+    }
     compareDigests(
       (prefix) => reply.digests[prefix],
       (prefix) => reply.versions[prefix] ?? 0,
     );
   });
+  channel.receive(MessageKind.CoordinatorQuestion, coordinatorQuestionSchema, ({ address }) => {
+    const coordinator = options.isCoordinator() ? options.address : findAnsweringCoordinator();
+    if (coordinator !== undefined) {
+      channel.send(address, MessageKind.CoordinatorAnswer, { coordinator });
+    }
+  });
+  channel.receive(MessageKind.CoordinatorAnswer, coordinatorAnswerSchema, ({ coordinator }) => {
+    if (!options.isCoordinator() && !isAnswered()) {
+      search.recordNamed(coordinator);
+      sendState(search.findNamed());
+    }
+  });
 
   return {
     getClusterSize: () => countedSize ?? options.findStoredSize() ?? ASSUMED_CLUSTER_SIZE,
     findCountedSize: () => countedSize,
     wasCurrent: () => watchers.every((watcher) => watcher.getCurrentAt() > Number.NEGATIVE_INFINITY),
     getLargestProcessors: () => (options.isCoordinator() ? computeLargestProcessors() : largestProcessors),
-    isFreshnessChecked: () => !options.isCoordinator() && clock.now() - repliedAt < CONTACT_TIMEOUT_MS,
+    isFreshnessChecked: () => !options.isCoordinator() && isAnswered(),
     run: (signal) =>
       repeat(clock, CHECK_INTERVAL_MS, signal, check, createErrorReport(options.logger, "compare state")),
   };
@@ -250,11 +209,38 @@
         });
       }
       countedSize = countDaemons() ?? countedSize;
+      search.setPeers(peers.getAddresses());
       compareWithMajority();
       return;
     }
     coordinatingSince = undefined;
-    const coordinator = options.findCoordinator();
+    const named = search.findNamed();
+    sendState(named ?? options.findCoordinator());
+    if (!isAnswered()) {
+      // The coordinator that another daemon has named may have lost its lease to the known one again.
+      sendState(named === undefined ? undefined : options.findCoordinator());
+      askForCoordinator();
+    }
+    refreshUncompared();
+  }
+
+  /** Returns whether the coordinator has replied within the contact timeout. */
+  function isAnswered(): boolean {
+    return clock.now() - repliedAt < CONTACT_TIMEOUT_MS;
+  }
+
+  function findAnsweringCoordinator(): Address | undefined {
+    return isAnswered() ? (search.findNamed() ?? options.findCoordinator()) : undefined;
+  }
+
+  function askForCoordinator(): void {
+    const helper = search.findHelper();
+    if (helper !== undefined) {
+      channel.send(helper, MessageKind.CoordinatorQuestion, { address: options.address });
+    }
+  }
+
+  function sendState(coordinator: Address | undefined): void {
     if (coordinator !== undefined) {
       const { daemon, address, processors } = options;
       channel.send(coordinator, MessageKind.State, {
@@ -264,9 +250,10 @@
         digests: computeDigests(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
+        exclusions: options.exclusions.share(),
+        coldness: options.coldness.shareAnswers(),
       });
     }
-    refreshUncompared();
   }
 
   function computeLargestProcessors(): number {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
   type DiscoveredServer,
   type ServerDecoder,
   createPrefixWatcher,
+  createExclusionExchange,
   createFreshnessCheck,
   createPeerStates,
   createServerDirectory,
@@ -165,7 +166,7 @@
       coordination.addServices();
     },
     onExclusions: (dataCentres) => {
-      directory.setExcluded(dataCentres);
+      exclusions.setListed(dataCentres);
     },
     logger,
   });
@@ -303,6 +304,19 @@
     clock,
     logger,
   });
+  const exclusionWatcher = createWatcher(
+    paths.exclusions,
+    CONFIGURATION_BATCH_PAUSE_MS,
+    routing.exclusions,
+    EXCLUSION_WATCH_WAIT_MS,
+  );
+  const exclusions = createExclusionExchange({
+    getListedVersion: () => exclusionWatcher.getVersion(),
+    apply: (dataCentres) => {
+      directory.setExcluded(dataCentres);
+    },
+    logger,
+  });
   const watchers = [
     createWatcher(paths.configuration, CONFIGURATION_BATCH_PAUSE_MS, routing.configurations),
     createWatcher(paths.servers, SERVER_BATCH_PAUSE_MS, {
@@ -316,12 +330,7 @@
         directory.recordStoreRecovery();
       },
     }),
-    createWatcher(
-      paths.exclusions,
-      CONFIGURATION_BATCH_PAUSE_MS,
-      routing.exclusions,
-      EXCLUSION_WATCH_WAIT_MS,
-    ),
+    exclusionWatcher,
     feed,
   ];
   const coordination = createKeyCoordination({
@@ -370,6 +379,14 @@
         directory.mergeLeaving(shared);
       },
     },
+    exclusions,
+    coldness: {
+      shareAnswers: () => directory.shareColdAnswers(),
+      shareAll: () => directory.shareCold(),
+      merge: (stated) => {
+        directory.mergeCold(stated);
+      },
+    },
     ownerShares,
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
@@ -464,6 +481,7 @@
     rateLimits.evict();
     backOff.evict();
     permits.evict();
+    exclusions.update();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
       return server !== undefined && directory.isCold(server);
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -20,7 +20,7 @@
 import { decodeConfiguration } from "../platform/decoding";
 import { createFakeClock, createProcessClock } from "./support/fakeClock";
 import { createFakeNetwork } from "./support/fakeNetwork";
-import { createTestServer } from "./support/gateway";
+import { createTestServer, unsharedState } from "./support/gateway";
 
 const PREFIXES = { servers: "servers/", configuration: "config/", exclusions: "evacuations/" } as const;
 /** The coordinator's watch of the exclusions, whose bound is longer; undefined for the default. */
@@ -210,6 +210,7 @@
       getLeaseVersion: () => 1,
       confirmLease: () => undefined,
       rateLimits: { share: () => [], merge: () => undefined },
+      ...unsharedState,
       departures: { share: () => [], merge: () => undefined },
       ownerShares: { share: () => [], replace: () => undefined },
     });
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -233,3 +233,13 @@
   });
   return { listener, port, loggedEvents };
 }
+
+/** What daemons tell each other of exclusions and cold servers, for a daemon that shares nothing. */
+export const unsharedState = {
+  exclusions: { share: () => null, merge: () => undefined },
+  coldness: {
+    shareAnswers: () => ({ servers: {}, returned: {} }),
+    shareAll: () => ({ servers: {}, returned: {} }),
+    merge: () => undefined,
+  },
+};
