--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -2,7 +2,12 @@
  * Planned stop of a daemon: requests that it has taken get whole answers, and it takes none that it cannot answer
  * before its process ends.
  */
+import { execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { open } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { Worker } from "node:worker_threads";
 import { expect, test } from "vitest";
 import { type DispatchResult, type Dispatcher, RejectionReason, shutDownGracefully } from "../src/gateway";
@@ -28,6 +33,7 @@
 const DEADLINE_MS = 8000;
 /** Determines the addresses of the daemon process; no soak uses it. */
 const PROCESS_SEED = 199;
+const EXIT_CODE_OF_WRONG_SETTINGS = 2;
 /** Ends a run that hangs. */
 const PROCESS_TIMEOUT_MS = 120_000;
 
@@ -339,3 +345,22 @@
   },
   PROCESS_TIMEOUT_MS,
 );
+
+// Guards against signals whose default effect ends a process that is still starting.
+test.each(["SIGTERM", "SIGHUP"] as const)("%s during the start does not end the process", async (signal) => {
+  const folder = mkdtempSync(join(tmpdir(), "hemlockbank-start-"));
+  const settingsFile = join(folder, "settings");
+  execFileSync("mkfifo", [settingsFile]);
+  const daemon = spawn(process.execPath, ["target/hemlockbank.cjs"], {
+    env: { HEMLOCKBANK_SETTINGS: settingsFile },
+    stdio: "ignore",
+  });
+  const exited = once(daemon, "exit");
+  // Opening the pipe succeeds when the process reads its settings from it.
+  const pipe = await open(settingsFile, "w");
+  daemon.kill(signal);
+  await pipe.writeFile("these are no settings");
+  await pipe.close();
+  expect(await exited).toEqual([EXIT_CODE_OF_WRONG_SETTINGS, null]);
+  rmSync(folder, { recursive: true });
+});
