Give each job of the gateway a folder of its own

src/gateway was one flat folder of 35 files with four jobs: connections of callers, connections to backend servers, decisions on room and limits, and wiring. Each of the first three and the exchanges between daemons get a folder with an index file; the decisions import nothing of the network. No behaviour changes.

--- a/src/gateway/coldAdmission.ts
+++ b/src/gateway/admission/coldAdmission.ts
@@ -1,5 +1,5 @@
 /** Limits the rate at which all daemons together send requests to a cold backend server. */
-import type { Clock, ServerName } from "../types";
+import type { Clock, ServerName } from "../../types";
 
 const MILLISECONDS_PER_SECOND = 1000;
 /**
--- a/src/gateway/permitPool.ts
+++ b/src/gateway/admission/permitPool.ts
@@ -1,5 +1,5 @@
 /** A token bucket for each rate-limited backend server, from which all daemons take the permits of their requests. */
-import type { Clock, ServerName } from "../types";
+import type { Clock, ServerName } from "../../types";
 
 const MILLISECONDS_PER_SECOND = 1000;
 /** Permits that may gather, as a time at the server's rate: bounds the burst after a pause. */
--- a/src/gateway/retryBudgetShare.ts
+++ b/src/gateway/admission/retryBudgetShare.ts
@@ -2,7 +2,7 @@
  * Limits the extra attempts that all daemons together send to a service: each daemon retries
  * in proportion to its own share of the requests.
  */
-import type { Clock, ServiceName } from "../types";
+import type { Clock, ServiceName } from "../../types";
 
 /** Number of buckets of the sliding window. */
 const BUCKETS = 10;
--- a/src/gateway/routeCosts.ts
+++ b/src/gateway/admission/routeCosts.ts
@@ -2,8 +2,8 @@
  * Work of a route's requests relative to the others of the same service. Where one kind of request takes six times as
  * long as another one, plain counts neither spread the keys evenly nor tell how long a queue takes.
  */
-import type { ServiceName } from "../types";
-import type { Route } from "./types";
+import type { ServiceName } from "../../types";
+import type { Route } from "../types";
 
 /** Weight of an answer in the mean times. */
 const TIME_WEIGHT = 0.05;
--- a/src/gateway/serverAdmission.ts
+++ b/src/gateway/admission/serverAdmission.ts
@@ -1,14 +1,12 @@
 /** Decides whether a request may be sent to a backend server now. Every path that sends one asks here. */
-import type { DiscoveredServer, ServerDirectory } from "../discovery";
-import type { OwnerShares } from "../keyRanges";
-import type { Clock } from "../types";
-import { RejectionReason } from "./attemptTypes";
+import type { DiscoveredServer, ServerDirectory } from "../../discovery";
+import type { OwnerShares } from "../../keyRanges";
+import type { Clock, ServerName } from "../../types";
+import { RejectionReason } from "../attemptTypes";
+import type { RoutedRequest } from "../dispatchTypes";
 import type { ColdAdmission } from "./coldAdmission";
-import type { RoutedRequest } from "./dispatchTypes";
-import type { PermitExchange } from "./permitExchange";
 import type { RouteCosts } from "./routeCosts";
 import type { ServerBackOff } from "./serverBackOff";
-import type { ServerConnections } from "./serverConnections";
 import type { ServerLoads } from "./serverLoads";
 
 /**
@@ -43,9 +41,11 @@
 /** Options for {@link createServerAdmission}. */
 export interface ServerAdmissionOptions {
   readonly directory: Pick<ServerDirectory, "isUsable" | "isListedUsable" | "isCold" | "findLeavingMs">;
-  readonly connections: Pick<ServerConnections, "hasRoom">;
+  /** Returns whether a connection to a server is available for a further request, or may be opened. */
+  readonly connections: { hasRoom(server: DiscoveredServer): boolean };
   readonly loads: Pick<ServerLoads, "isReachable" | "estimateWaitMs" | "getProcessingMs">;
-  readonly permits: Pick<PermitExchange, "isExhausted">;
+  /** Returns whether no permit for a rate-limited server is expected now. */
+  readonly permits: { isExhausted(server: ServerName): boolean };
   readonly backOff: Pick<ServerBackOff, "getRemainingMs">;
   readonly coldAdmission: Pick<ColdAdmission, "tryAcquire" | "getWaitMs">;
   readonly ownerShares: Pick<OwnerShares, "find">;
--- a/src/gateway/serverBackOff.ts
+++ b/src/gateway/admission/serverBackOff.ts
@@ -2,9 +2,9 @@
  * Backend servers that refused a request and asked this daemon to send nothing for a time. Later statements can make
  * that time longer but not shorter; it ends early only with the process that asked for it.
  */
-import type { DiscoveredServer } from "../discovery";
-import { Event, type Logger } from "../observability";
-import type { Clock, ServerName } from "../types";
+import type { DiscoveredServer } from "../../discovery";
+import { Event, type Logger } from "../../observability";
+import type { Clock, ServerName } from "../../types";
 
 /** Longer times are cut to this: a server that asks for more is as good as lost, but may have been mistaken. */
 const MAX_BACK_OFF_MS = 3_600_000;
--- a/src/gateway/serverChoice.ts
+++ b/src/gateway/admission/serverChoice.ts
@@ -1,6 +1,6 @@
 /** Chooses the backend server for a request without a key. */
-import type { DiscoveredServer } from "../discovery";
-import type { DataCentreName, ServerName } from "../types";
+import type { DiscoveredServer } from "../../discovery";
+import type { DataCentreName, ServerName } from "../../types";
 import type { ServerLoads } from "./serverLoads";
 
 /** Cost of sending to another data centre, as extra time that a nearer server may take. */
--- a/src/gateway/serverLoads.ts
+++ b/src/gateway/admission/serverLoads.ts
@@ -1,6 +1,6 @@
 /** Estimates the load and failures of backend servers from the answers that pass through this daemon. */
-import type { Clock, ServerName, ServiceName } from "../types";
-import type { ServerLoad } from "./protocols";
+import type { Clock, ServerName, ServiceName } from "../../types";
+import type { ServerLoad } from "../protocols";
 
 /**
  * A full queue stays full for about this time, and a busy server's report must remain in use until the next
--- a/src/gateway/serverRateLimits.ts
+++ b/src/gateway/admission/serverRateLimits.ts
@@ -2,10 +2,10 @@
  * The rate limits that backend servers name in their answers. A limit holds for all daemons together, so each
  * daemon learns of the others' answers too; of two statements about a server the newer one counts.
  */
-import type { DiscoveredServer, ServerDirectory, StatedRateLimit } from "../discovery";
-import { Event, type Logger } from "../observability";
-import type { Clock, ServerName } from "../types";
-import type { RateLimitStatement } from "./protocols";
+import type { DiscoveredServer, ServerDirectory, StatedRateLimit } from "../../discovery";
+import { Event, type Logger } from "../../observability";
+import type { Clock, ServerName } from "../../types";
+import type { RateLimitStatement } from "../protocols";
 
 /** How long the end of a limit is passed on; other daemons hear of it several times within this time. */
 const ENDED_LIMIT_RETENTION_MS = 5000;
--- a/src/gateway/serverSubset.ts
+++ b/src/gateway/admission/serverSubset.ts
@@ -5,8 +5,8 @@
  * every server is in about equally many subsets, and one that comes or goes changes little else.
  */
 import murmurhash from "murmurhash";
-import type { DiscoveredServer } from "../discovery";
-import type { DaemonName, DataCentreName, ServiceName } from "../types";
+import type { DiscoveredServer } from "../../discovery";
+import type { DaemonName, DataCentreName, ServiceName } from "../../types";
 
 /** Size of a subset, half of it in the daemon's own data centre where that has enough servers. */
 const SUBSET_SIZE = 8;
--- a/src/gateway/stopAdmission.ts
+++ b/src/gateway/admission/stopAdmission.ts
@@ -1,7 +1,7 @@
 /** Decides which requests a stopping daemon still sends to backend servers. */
-import type { Clock } from "../types";
-import { RejectionReason } from "./attemptTypes";
-import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
+import type { Clock } from "../../types";
+import { RejectionReason } from "../attemptTypes";
+import type { DispatchResult, RoutedRequest } from "../dispatchTypes";
 import { createRouteCosts } from "./routeCosts";
 
 /** A refused caller may return at once: it reaches another daemon. */
--- a/src/gateway/callerAnswers.ts
+++ b/src/gateway/callers/callerAnswers.ts
@@ -1,16 +1,16 @@
 /** Writes answers and refusals to callers. */
 import type { ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
-import { describeError } from "../errors";
-import { resetConnection } from "../http";
-import { type Counters, Event, type Logger } from "../observability";
-import type { Clock } from "../types";
-import { dropBody } from "./answerBody";
-import { RejectionReason, type StreamedBody } from "./attemptTypes";
+import { describeError } from "../../errors";
+import { resetConnection } from "../../http";
+import { type Counters, Event, type Logger } from "../../observability";
+import type { Clock } from "../../types";
+import { dropBody } from "../servers";
+import { RejectionReason, type StreamedBody } from "../attemptTypes";
+import type { DispatchResult, RoutedRequest } from "../dispatchTypes";
+import type { CallerFields, CallerProtocol } from "../protocols";
 import type { RequestPlace } from "./callerConnections";
-import type { DispatchResult, RoutedRequest } from "./dispatchTypes";
 import { selectForwardedHeaders } from "./forwardedHeaders";
-import type { CallerFields, CallerProtocol } from "./protocols";
 
 const NO_NAMES: ReadonlySet<string> = new Set();
 
--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../types";
+import type { Clock } from "../../types";
 
 /** Maximum requests of one connection that are at backend servers at the same time. */
 const MAX_DISPATCHED_PER_CONNECTION = 8;
--- a/src/gateway/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -2,26 +2,26 @@
 import { type IncomingMessage, type ServerResponse, createServer } from "node:http";
 import { Server as NetServer, Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { describeError } from "../errors";
-import { type CallerWatch, acceptArrived, listen, readArrived, watchCaller } from "../http";
-import { Event, type Logger, type Metrics } from "../observability";
-import type { Address, Clock } from "../types";
-import { RejectionReason } from "./attemptTypes";
-import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
-import { type PendingRequest, Turn, createCallerConnections } from "./callerConnections";
-import type { DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
-import { selectForwardedHeaders } from "./forwardedHeaders";
-import type { CallerFields, CallerProtocol, ServerProtocol } from "./protocols";
-import { type BodyReadResult, createRequestBodies } from "./requestBody";
-import type { RouteMatcher } from "./routeMatcher";
-import { createStopAdmission } from "./stopAdmission";
+import { describeError } from "../../errors";
+import { type CallerWatch, acceptArrived, listen, readArrived, watchCaller } from "../../http";
+import { Event, type Logger, type Metrics } from "../../observability";
+import type { Address, Clock } from "../../types";
+import { RejectionReason } from "../attemptTypes";
+import type { DispatchResult, Dispatcher, RoutedRequest } from "../dispatchTypes";
+import type { CallerFields, CallerProtocol, ServerProtocol } from "../protocols";
+import type { ActiveConfiguration, RouteMatcher } from "../routeMatcher";
+import { createStopAdmission } from "../admission";
 import {
   type CallerLimits,
   type Route,
   RouteKind,
   type RoutingConfiguration,
   type ServicePolicy,
-} from "./types";
+} from "../types";
+import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
+import { type PendingRequest, Turn, createCallerConnections } from "./callerConnections";
+import { selectForwardedHeaders } from "./forwardedHeaders";
+import { type BodyReadResult, createRequestBodies } from "./requestBody";
 
 /** Limit of the HTTP parser; the configured limit is checked on the header that it has read. */
 const PARSER_HEADER_BYTES = 65_536;
@@ -35,12 +35,6 @@
 /** Time for which the answer to a malformed request may be read before its connection is closed, in milliseconds. */
 const MALFORMED_LINGER_MS = 1000;
 
-/** A configuration in force, with its route matcher. */
-export interface ActiveConfiguration {
-  readonly configuration: RoutingConfiguration;
-  readonly matcher: RouteMatcher;
-}
-
 /** Options for {@link createCallerListener}. */
 export interface CallerListenerOptions {
   readonly address: Address;
--- a/src/gateway/forwardedHeaders.ts
+++ b/src/gateway/callers/forwardedHeaders.ts
@@ -1,6 +1,6 @@
 /** Selects the header fields to forward, for requests and for answers. */
 import type { OutgoingHttpHeaders } from "node:http";
-import { hopByHopHeaders } from "../http";
+import { hopByHopHeaders } from "../../http";
 
 /**
  * Selects the header fields to forward, without hop-by-hop fields. Repeated fields stay repeated, in order.
--- a/src/gateway/requestBody.ts
+++ b/src/gateway/callers/requestBody.ts
@@ -1,6 +1,6 @@
 /** Reads the bodies of callers' requests within limits. */
 import type { IncomingMessage } from "node:http";
-import { createJoinedChunks } from "../http";
+import { createJoinedChunks } from "../../http";
 
 /** Limit on request bodies in memory, over all requests: an eighth of the smallest VM's memory. */
 const MAX_HELD_BODY_BYTES = 33_554_432;
--- /dev/null
+++ b/src/gateway/coordination/index.ts
@@ -0,0 +1,3 @@
+/** Exchanges between daemons about limits and keys that hold for all of them. */
+export * from "./keyCoordination";
+export * from "./permitExchange";
--- a/src/gateway/keyCoordination.ts
+++ b/src/gateway/coordination/keyCoordination.ts
@@ -6,9 +6,9 @@
   type OwnerShares,
   computeOwnerShares,
   coordinateKeys,
-} from "../keyRanges";
-import { type ServiceName, repeat } from "../types";
-import { createErrorReport } from "../observability";
+} from "../../keyRanges";
+import { type ServiceName, repeat } from "../../types";
+import { createErrorReport } from "../../observability";
 
 /** Maximum moves of key ranges in progress; more listeners than this on their signal indicate a leak. */
 const MAX_MOVES = 500;
--- a/src/gateway/permitExchange.ts
+++ b/src/gateway/coordination/permitExchange.ts
@@ -4,11 +4,10 @@
  * answer from the coordinator keeps to a part of an equal share.
  */
 import { z } from "zod";
-import { type DatagramChannel, addressSchema } from "../membership";
-import { Event, type Counters, type Logger } from "../observability";
-import type { Address, Clock, ServerName } from "../types";
-import { MIN_PERMITS_PER_SECOND, type Permit, createPermitPool } from "./permitPool";
-import type { ServerRateLimits } from "./serverRateLimits";
+import { type DatagramChannel, addressSchema } from "../../membership";
+import { Event, type Counters, type Logger } from "../../observability";
+import type { Address, Clock, ServerName } from "../../types";
+import { MIN_PERMITS_PER_SECOND, type Permit, createPermitPool, type ServerRateLimits } from "../admission";
 
 const MessageKind = { Request: "permitRequest", Reply: "permitReply" } as const;
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,20 +3,22 @@
 import { type Counters, Event, type Logger } from "../observability";
 import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
 import { RejectionReason } from "./attemptTypes";
-import { dropBody } from "./answerBody";
+import { dropBody, type AttemptResult, createAttemptClassifier, type ServerConnections } from "./servers";
 import type { DecisionInputs, DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
-import type { PermitExchange } from "./permitExchange";
+import type { PermitExchange } from "./coordination";
 import type { ServerProtocol } from "./protocols";
-import type { RetryBudgetShare } from "./retryBudgetShare";
-import type { RouteCosts } from "./routeCosts";
-import { type AttemptResult, createAttemptClassifier } from "./attemptClassifier";
-import type { Obstacle, ServerAdmission } from "./serverAdmission";
-import type { ServerBackOff } from "./serverBackOff";
-import { type DistanceCosts, chooseServer } from "./serverChoice";
-import type { ServerConnections } from "./serverConnections";
-import type { ServerLoads } from "./serverLoads";
-import type { ServerRateLimits } from "./serverRateLimits";
-import type { ServerSubsets } from "./serverSubset";
+import {
+  type RetryBudgetShare,
+  type RouteCosts,
+  type Obstacle,
+  type ServerAdmission,
+  type ServerBackOff,
+  type DistanceCosts,
+  chooseServer,
+  type ServerLoads,
+  type ServerRateLimits,
+  type ServerSubsets,
+} from "./admission";
 import { RouteKind } from "./types";
 
 /** Maximum wait for a key that is being moved; a move takes a release, a write and a grant. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,24 +36,25 @@
   type ServiceName,
   repeat,
 } from "../types";
-import { createColdAdmission } from "./coldAdmission";
+import {
+  createColdAdmission,
+  createRetryBudgetShare,
+  createRouteCosts,
+  createServerAdmission,
+  createServerBackOff,
+  estimateCapacities,
+  createServerLoads,
+  createServerRateLimits,
+  createServerSubsets,
+} from "./admission";
 import { createDispatcher } from "./dispatcher";
-import { createCallerListener } from "./callerListener";
+import { createCallerListener } from "./callers";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import type { CallerProtocol, ServerProtocol } from "./protocols";
-import { createKeyCoordination } from "./keyCoordination";
-import { createPermitExchange } from "./permitExchange";
-import { createRetryBudgetShare } from "./retryBudgetShare";
-import { createRouteCosts } from "./routeCosts";
+import { createKeyCoordination, createPermitExchange } from "./coordination";
 import { createRoutingState } from "./routingState";
-import { createServerAdmission } from "./serverAdmission";
-import { createServerBackOff } from "./serverBackOff";
-import { createServerConnections } from "./serverConnections";
-import { estimateCapacities } from "./serverCapacity";
-import { createServerLoads } from "./serverLoads";
-import { createServerRateLimits } from "./serverRateLimits";
-import { createServerSubsets } from "./serverSubset";
+import { createServerConnections } from "./servers";
 import type { GatewayLimits, RoutingConfiguration, ServicePolicy } from "./types";
 
 /** Share of a server's connections for all daemons; the rest is for control calls and replaced daemons. */
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -3,11 +3,10 @@
 import type { OwnerTable } from "../keyRanges";
 import type { Metrics } from "../observability";
 import type { ServiceName } from "../types";
-import type { CallerListener } from "./callerListener";
+import type { CallerListener } from "./callers";
 import type { RoutingState } from "./routingState";
-import type { ServerBackOff } from "./serverBackOff";
-import type { ServerConnections } from "./serverConnections";
-import type { ServerRateLimits } from "./serverRateLimits";
+import type { ServerBackOff, ServerRateLimits } from "./admission";
+import type { ServerConnections } from "./servers";
 
 /** Options for {@link addGatewayGauges}. */
 export interface GatewayGaugeOptions {
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -1,7 +1,7 @@
 /** Shuts a gateway down without interrupting a request. */
 import { Event, type EventDetail, type Logger } from "../observability";
 import { type Clock, sleep } from "../types";
-import type { CallerListener } from "./callerListener";
+import type { CallerListener } from "./callers";
 
 /**
  * Time for which new connections are still accepted: the load balancer removes a daemon after two failed
--- a/src/gateway/routeMatcher.ts
+++ b/src/gateway/routeMatcher.ts
@@ -10,6 +10,12 @@
   chooseService(route: Route): ServiceName | undefined;
 }
 
+/** A configuration in force, with its route matcher. */
+export interface ActiveConfiguration {
+  readonly configuration: RoutingConfiguration;
+  readonly matcher: RouteMatcher;
+}
+
 interface RotationEntry {
   readonly weightedService: WeightedService;
   credit: number;
--- a/src/gateway/routingState.ts
+++ b/src/gateway/routingState.ts
@@ -4,8 +4,7 @@
 import { type StoredObject, getObjectName } from "../objectStore";
 import { Event, type Logger } from "../observability";
 import type { DataCentreName } from "../types";
-import type { ActiveConfiguration } from "./callerListener";
-import { createRouteMatcher } from "./routeMatcher";
+import { type ActiveConfiguration, createRouteMatcher } from "./routeMatcher";
 import type { RoutingConfiguration } from "./types";
 
 /** Options for {@link createRoutingState}. */
--- a/src/gateway/answerBody.ts
+++ b/src/gateway/servers/answerBody.ts
@@ -1,7 +1,7 @@
 /** Receives the bodies of backend servers' answers. */
 import type { IncomingMessage } from "node:http";
-import { type CallerWatch, createJoinedChunks, limitFraming } from "../http";
-import type { AnswerBody } from "./attemptTypes";
+import { type CallerWatch, createJoinedChunks, limitFraming } from "../../http";
+import type { AnswerBody } from "../attemptTypes";
 
 /** Longer answers are streamed to limit memory; shorter ones are received in full, then forwarded. */
 const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
--- a/src/gateway/attemptClassifier.ts
+++ b/src/gateway/servers/attemptClassifier.ts
@@ -1,13 +1,11 @@
 /** Classifies how an attempt at a backend server ended, and records what it shows about the server. */
 import type { IncomingMessage } from "node:http";
-import type { DiscoveredServer, ServerDirectory } from "../discovery";
+import type { DiscoveredServer, ServerDirectory } from "../../discovery";
+import { type AnswerBody, RejectionReason, type UnansweredAttempt } from "../attemptTypes";
+import type { ServerFields, ServerProtocol } from "../protocols";
+import type { ServerBackOff, ServerLoads, ServerRateLimits } from "../admission";
 import { hasKnownCoding } from "./answerBody";
-import { type AnswerBody, RejectionReason, type UnansweredAttempt } from "./attemptTypes";
-import type { ServerFields, ServerProtocol } from "./protocols";
 import type { SendResult } from "./serverConnections";
-import type { ServerBackOff } from "./serverBackOff";
-import type { ServerLoads } from "./serverLoads";
-import type { ServerRateLimits } from "./serverRateLimits";
 
 /** Result of one attempt. */
 export type AttemptResult =
--- a/src/gateway/connectionEnds.ts
+++ b/src/gateway/servers/connectionEnds.ts
@@ -1,7 +1,7 @@
 /** How connections to backend servers end: without a length, only a plain close shows that an answer is complete. */
 import type { Socket } from "node:net";
+import type { StreamedBody } from "../attemptTypes";
 import { isFramed } from "./answerBody";
-import type { StreamedBody } from "./attemptTypes";
 
 /** Description of an answer that was cut short. */
 export const CUT_DETAIL = "connection closed before the end of the answer";
--- a/src/gateway/keptConnections.ts
+++ b/src/gateway/servers/keptConnections.ts
@@ -1,8 +1,8 @@
 /** Connections to backend servers that are kept between requests, and which of them a request may be sent on. */
 import { Agent, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { destroyOnData } from "../http";
-import type { Clock } from "../types";
+import { destroyOnData } from "../../http";
+import type { Clock } from "../../types";
 
 /** Maximum idle time of a connection that is reused, unless its server states a timeout. */
 const MAX_IDLE_MS = 4000;
--- a/src/gateway/serverConnections.ts
+++ b/src/gateway/servers/serverConnections.ts
@@ -8,12 +8,12 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { finished } from "node:stream";
-import type { DiscoveredServer } from "../discovery";
-import { describeError } from "../errors";
-import { type CallerWatch, discardBody, limitHead } from "../http";
-import { type Clock, formatAddress } from "../types";
+import type { DiscoveredServer } from "../../discovery";
+import { describeError } from "../../errors";
+import { type CallerWatch, discardBody, limitHead } from "../../http";
+import { type Clock, formatAddress } from "../../types";
+import type { AnswerBody, UnansweredAttempt } from "../attemptTypes";
 import { createAnswerBodies } from "./answerBody";
-import type { AnswerBody, UnansweredAttempt } from "./attemptTypes";
 import { CUT_DETAIL, createConnectionEnds } from "./connectionEnds";
 import { createKeptConnections } from "./keptConnections";
 
--- a/src/ownership/assignmentStore.ts
+++ b/src/ownership/assignmentStore.ts
@@ -1,9 +1,8 @@
 /** Updates assignments in the object store and keeps the local snapshots up to date. */
+import { getAssignmentPath, parseAssignment, type Assignment } from "../assignments";
 import { CallPriority, type ObjectStore, updateObject } from "../objectStore";
 import type { SnapshotStore } from "../snapshots";
 import type { ServiceName } from "../types";
-import { getAssignmentPath, parseAssignment } from "./assignment";
-import type { Assignment } from "./types";
 
 /** Conditional updates of assignments. */
 export interface AssignmentStore {
--- a/src/ownership/candidates.ts
+++ b/src/ownership/candidates.ts
@@ -1,11 +1,11 @@
 /** Selects the servers that may receive slots or new work. */
+import { findServer, type Assignment } from "../assignments";
 import type { Configuration, Server } from "../configuration";
 import type { Membership } from "../membership";
 import { RefusalReason, type ServerName } from "../types";
-import { findServer } from "./assignment";
 import type { Candidate } from "./placement";
 import type { StatusView } from "./statusView";
-import { type Assignment, ServerState } from "./types";
+import { ServerState } from "./types";
 
 /** Finds the reason why a server must not receive new work; undefined when it may. */
 export function findLeavingReason(
--- a/src/ownership/index.ts
+++ b/src/ownership/index.ts
@@ -1,5 +1,5 @@
 /** Ownership of keys by backend servers, and the leases that decide which daemon may send to a server. */
-export * from "./assignment";
+export * from "../assignments";
 export * from "./assignmentStore";
 export * from "./candidates";
 export * from "./election";
@@ -16,6 +16,5 @@
 export * from "./statusView";
 export * from "./stopEvidence";
 export * from "./stopFindings";
-export * from "./stopNotice";
 export * from "./types";
 export * from "./workPermit";
--- a/src/ownership/leaseBalancing.ts
+++ b/src/ownership/leaseBalancing.ts
@@ -1,10 +1,10 @@
 /** Evens out the number of leases between the daemons of a data centre, one lease at a time. */
+import type { AssignedServer, Leaseholder } from "../assignments";
 import type { Membership } from "../membership";
 import type { SnapshotStore } from "../snapshots";
 import type { LeaseManager } from "./leaseManager";
 import { chooseMemberWithFewestLeases, countLeases, toLeaseholder } from "./leaseholderPlan";
 import { rankCandidates } from "./slots";
-import type { AssignedServer, Leaseholder } from "./types";
 
 /** A daemon hands over a lease when it holds at least this many more than the daemon with the fewest. */
 const MIN_LEASE_DIFFERENCE = 2;
--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -1,4 +1,13 @@
 /** Holds the leases that assignments give to this daemon, and hands them over to successors. */
+import {
+  clearPredecessors,
+  findServer,
+  holdsLease,
+  setLeaseholder,
+  type AssignedServer,
+  type Assignment,
+  type Leaseholder,
+} from "../assignments";
 import type { RampPosition } from "../balancing";
 import type { Service } from "../configuration";
 import { PlatformUnavailableError, describeError } from "../errors";
@@ -12,9 +21,8 @@
   isSameRun,
   sleep,
 } from "../types";
-import { clearPredecessors, findServer, holdsLease, setLeaseholder } from "./assignment";
 import { type ServerLease, type ServerLeaseOptions, createServerLease } from "./serverLease";
-import type { AssignedServer, Assignment, Leaseholder, ServerControl } from "./types";
+import type { ServerControl } from "./types";
 import { ServerState } from "./types";
 
 /** Interval of the predecessor cleanup, and of the attempts to resolve an in-doubt handover. */
--- a/src/ownership/leaseholderPlan.ts
+++ b/src/ownership/leaseholderPlan.ts
@@ -1,13 +1,12 @@
 /** Plans leaseholders for the servers of one data centre. */
+import { setLeaseholder, type AssignedServer, type Assignment, type Leaseholder } from "../assignments";
 import type { Configuration } from "../configuration";
 import type { Member, Membership } from "../membership";
 import type { SnapshotStore } from "../snapshots";
 import { type DaemonName, type DataCentreName, formatRun } from "../types";
-import { setLeaseholder } from "./assignment";
 import { listEligibleMembers } from "./election";
 import { rankCandidates } from "./slots";
 import type { StopFindings } from "./stopFindings";
-import type { AssignedServer, Assignment, Leaseholder } from "./types";
 
 /** Options for {@link planLeaseholders}. */
 export interface LeaseholderPlanOptions {
--- a/src/ownership/ownerPlanner.ts
+++ b/src/ownership/ownerPlanner.ts
@@ -1,14 +1,21 @@
 /** Plans the owners of slots: first placement, reassignment from lost data centres, and load balancing. */
+import {
+  clearPredecessors,
+  commitMoves,
+  setLeaseholder,
+  getOwnedSlots,
+  syncServers,
+  type AssignedServer,
+  type Assignment,
+} from "../assignments";
 import type { Configuration } from "../configuration";
 import type { Membership } from "../membership";
 import type { Clock, ServiceName } from "../types";
-import { clearPredecessors, commitMoves, setLeaseholder, getOwnedSlots, syncServers } from "./assignment";
 import { listCandidates } from "./candidates";
 import { listEligibleMembers } from "./election";
 import { type SlotLoads, listUnownedSlots, placeSlots, planBalancingMoves } from "./placement";
 import type { StatusView } from "./statusView";
 import type { StopFindings, StopSearch } from "./stopFindings";
-import type { AssignedServer, Assignment } from "./types";
 
 /** Maximum wait for all servers before the slots of a new service are placed. */
 const FIRST_PLACEMENT_DELAY_MS = 2000;
--- a/src/ownership/placement.ts
+++ b/src/ownership/placement.ts
@@ -1,6 +1,6 @@
 /** Chooses owners for slots: moves as few slots as possible, then evens out the load. */
+import { type Assignment, type Move, NO_OWNER } from "../assignments";
 import type { ServerName, Slot } from "../types";
-import { type Assignment, type Move, NO_OWNER } from "./types";
 
 /** A server that may receive slots. */
 export interface Candidate {
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -1,11 +1,11 @@
 /**
  * Plans owners and leaseholders. Every write is conditional, so several daemons that plan at once do no harm.
  */
+import { createAssignment, type Assignment } from "../assignments";
 import type { Configuration, Service } from "../configuration";
 import { PlatformUnavailableError, describeError } from "../errors";
 import { Event, type Logger, createErrorReport } from "../observability";
 import { type ServiceName, repeat, sleep } from "../types";
-import { createAssignment } from "./assignment";
 import type { AssignmentStore } from "./assignmentStore";
 import { isElected, listEligibleMembers } from "./election";
 import { planLeaseholders } from "./leaseholderPlan";
@@ -13,7 +13,6 @@
 import type { SlotLoads } from "./placement";
 import type { StatusView } from "./statusView";
 import { type StopSearchOptions, createStopSearch } from "./stopFindings";
-import type { Assignment } from "./types";
 
 const PLAN_INTERVAL_MS = 200;
 /** Additional pause after a failed round, such as when the platform gave no answer. */
--- a/src/ownership/serverLease.ts
+++ b/src/ownership/serverLease.ts
@@ -1,4 +1,5 @@
 /** Holds one lease on one backend server: renews it, monitors the server, and moves slots away from it. */
+import { findServer, type Assignment } from "../assignments";
 import {
   type AdmissionResult,
   type AdmissionPermit,
@@ -21,7 +22,6 @@
   type Slot,
   sleep,
 } from "../types";
-import { findServer } from "./assignment";
 import type { AssignmentStore } from "./assignmentStore";
 import { findLeavingReason } from "./candidates";
 import type { SlotLoads } from "./placement";
@@ -30,7 +30,7 @@
 import { computeSlot } from "./slots";
 import type { StatusView } from "./statusView";
 import type { StopEvidence } from "./stopEvidence";
-import { type Assignment, type ServerControl, type ServerReport, ServerState } from "./types";
+import { type ServerControl, type ServerReport, ServerState } from "./types";
 import type { WorkAdmission, WorkPermit } from "./workPermit";
 import { createWorkTracker } from "./workTracker";
 
--- a/src/ownership/serverSession.ts
+++ b/src/ownership/serverSession.ts
@@ -2,9 +2,10 @@
  * Control exchanges of a leaseholder with its backend server: one kind for fenced servers, one for unfenced
  * ones.
  */
+import type { SlotEpoch } from "../assignments";
 import { describeError } from "../errors";
 import type { Clock, Epoch, Generation, Slot } from "../types";
-import type { LeaseAnswer, ServerControl, ServerReport, SlotEpoch } from "./types";
+import type { LeaseAnswer, ServerControl, ServerReport } from "./types";
 
 /** Time for which a grant is valid, by the server's clock. */
 export const GRANT_VALIDITY_MS = 800;
--- a/src/ownership/slotMover.ts
+++ b/src/ownership/slotMover.ts
@@ -1,17 +1,24 @@
 /** Moves slots away from one backend server, each after work on it there has provably stopped. */
+import {
+  clearPredecessors,
+  commitMoves,
+  holdsLease,
+  getOwnedSlots,
+  type Assignment,
+  type Move,
+  type SlotEpoch,
+} from "../assignments";
 import type { Configuration } from "../configuration";
 import { PlatformUnavailableError, describeError } from "../errors";
 import type { Membership } from "../membership";
 import { Event, type Logger } from "../observability";
 import type { SnapshotStore } from "../snapshots";
 import type { DaemonRun, Generation, ServerName, ServiceName, Slot } from "../types";
-import { clearPredecessors, commitMoves, holdsLease, getOwnedSlots } from "./assignment";
 import type { AssignmentStore } from "./assignmentStore";
 import { listCandidates } from "./candidates";
 import { placeSlots } from "./placement";
 import type { ServerSession } from "./serverSession";
 import type { StatusView } from "./statusView";
-import type { Assignment, Move, SlotEpoch } from "./types";
 import type { WorkTracker } from "./workTracker";
 
 /** Options for {@link createSlotMover}. */
--- a/src/ownership/stopEvidence.ts
+++ b/src/ownership/stopEvidence.ts
@@ -2,11 +2,11 @@
  * Evidence that a daemon run has stopped. A missing answer is not evidence: the process may be paused and
  * continue later.
  */
+import type { Leaseholder } from "../assignments";
 import type { Membership } from "../membership";
 import type { VmList } from "../objectStore";
 import type { SnapshotStore } from "../snapshots";
 import { type Address, type Clock, type DaemonRun, formatAddress, formatRun, isSameRun } from "../types";
-import type { Leaseholder } from "./types";
 
 const VM_LIST_MAX_AGE_MS = 1000;
 
--- a/src/ownership/stopFindings.ts
+++ b/src/ownership/stopFindings.ts
@@ -1,4 +1,5 @@
 /** Collects the leaseholders and servers that are proved stopped. */
+import type { AssignedServer, Leaseholder } from "../assignments";
 import type { Configuration } from "../configuration";
 import type { Membership } from "../membership";
 import type { SnapshotStore } from "../snapshots";
@@ -13,7 +14,6 @@
 import { listEligibleMembers } from "./election";
 import { GRANT_VALIDITY_MS } from "./serverSession";
 import type { StopEvidence } from "./stopEvidence";
-import type { AssignedServer, Leaseholder } from "./types";
 
 /**
  * Grants expire by the server's clock; this margin covers the maximum difference between its rate and the
--- a/src/ownership/types.ts
+++ b/src/ownership/types.ts
@@ -1,62 +1,6 @@
-/** Types of key ownership: assignments of slots to backend servers, and leases of daemons on servers. */
-import type {
-  Address,
-  DaemonName,
-  DaemonRun,
-  DataCentreName,
-  Epoch,
-  Generation,
-  ServerName,
-  ServiceName,
-  Slot,
-} from "../types";
-
-/** Value in `Assignment.owners` for a slot without an owner. */
-export const NO_OWNER = -1;
-
-/** A daemon run that holds a lease, with the peer address at which its process can be identified. */
-export interface Leaseholder extends DaemonRun {
-  readonly address: Address;
-}
-
-/** A backend server in an assignment, with the one daemon that may send to it. */
-export interface AssignedServer {
-  readonly name: ServerName;
-  readonly dataCentre: DataCentreName;
-  /** Rises with each change of the leaseholder. */
-  readonly generation: Generation;
-  readonly leaseholder: Leaseholder | null;
-  /**
-   * Earlier leaseholders that a fenced server may still accept: no answer to a newer generation is known yet.
-   */
-  readonly predecessors: readonly Leaseholder[];
-}
-
-/** A planned move of a slot, which keeps its owner until work on it there has provably stopped. */
-export interface Move {
-  readonly slot: Slot;
-  readonly target: ServerName;
-}
-
-/**
- * Ownership of one service's slots, and the leaseholders of its servers. Always changed as a whole, as one
- * object.
- */
-export interface Assignment {
-  readonly service: ServiceName;
-  readonly servers: readonly AssignedServer[];
-  /** For each slot, the index of its owner in `servers`, or NO_OWNER. Empty for services without keys. */
-  readonly owners: readonly number[];
-  /** For each slot, the epoch of its current ownership. */
-  readonly epochs: readonly Epoch[];
-  readonly moves: readonly Move[];
-}
-
-/** A slot with the epoch of its ownership. */
-export interface SlotEpoch {
-  readonly slot: Slot;
-  readonly epoch: Epoch;
-}
+/** Types of key ownership: states of backend servers, and control calls to them. */
+import type { SlotEpoch } from "../assignments";
+import type { DaemonName, Generation, ServerName, ServiceName, Slot } from "../types";
 
 /** State of a backend server as its leaseholder sees it. */
 export const ServerState = {
--- a/src/snapshots/snapshotStore.ts
+++ b/src/snapshots/snapshotStore.ts
@@ -12,7 +12,7 @@
   isAssignmentPath,
   parseAssignment,
   parseStopNotice,
-} from "../ownership/documents";
+} from "../assignments";
 import type { ServiceName } from "../types";
 import type { RawSnapshot, Snapshot, SnapshotVersions } from "./types";
 
