--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -233,6 +233,7 @@
       id: fields.requestId ?? "",
       route,
       service,
+      priority: route.priority,
       key: fields.key,
       method: message.method ?? "GET",
       path: message.url ?? "/",
--- a/src/gateway/coordination/index.ts
+++ b/src/gateway/coordination/index.ts
@@ -1,3 +1,4 @@
 /** Exchanges between daemons about limits and keys that hold for all of them. */
 export * from "./keyCoordination";
 export * from "./permitExchange";
+export * from "./stateExchange";
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -10,6 +10,8 @@
   readonly id: string;
   readonly route: Route;
   readonly service: ServicePolicy;
+  /** 0 is the highest. The priority of the caller's organisation goes before that of the route. */
+  readonly priority: number;
   /** Undefined when the caller sent none. */
   readonly key: number | undefined;
   readonly method: string;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,6 @@
   type PrefixWatcher,
   type PrefixListener,
   type DiscoveredServer,
-  type ServerDecoder,
   createPrefixWatcher,
   createExclusionExchange,
   createFreshnessCheck,
@@ -14,7 +13,6 @@
 } from "../discovery";
 import { listen } from "../http";
 import {
-  type KeyControl,
   type KeyLoad,
   getClaimDelayMs,
   createAssignmentFeed,
@@ -26,16 +24,9 @@
   isMuchSmaller,
 } from "../keyRanges";
 import { createDatagramChannel, createUdpTransport } from "../membership";
-import { type ObjectStore, getTimeline } from "../objectStore";
-import { Event, type Logger, type Metrics, createErrorReport, watchLoopDelay } from "../observability";
-import {
-  type Address,
-  type Clock,
-  type DaemonName,
-  type DataCentreName,
-  type ServiceName,
-  repeat,
-} from "../types";
+import { getTimeline } from "../objectStore";
+import { Event, createErrorReport, watchLoopDelay } from "../observability";
+import { type ServiceName, repeat } from "../types";
 import {
   createColdAdmission,
   createRetryBudgetShare,
@@ -51,11 +42,11 @@
 import { createCallerListener } from "./callers";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
-import type { CallerProtocol, ServerProtocol } from "./protocols";
-import { createKeyCoordination, createPermitExchange } from "./coordination";
+import { createKeyCoordination, createPermitExchange, createStateExchange } from "./coordination";
+import type { GatewayOptions } from "./gatewayOptions";
 import { createRoutingState } from "./routingState";
 import { createServerConnections } from "./servers";
-import type { GatewayLimits, RoutingConfiguration, ServicePolicy } from "./types";
+import type { ServicePolicy } from "./types";
 
 /** Share of a server's connections for all daemons; the rest is for control calls and replaced daemons. */
 const CONNECTION_SHARE = 0.7;
@@ -93,45 +84,6 @@
 /** Minimum pause between two resignations in favour of a larger VM. */
 const MIN_RESIGNATION_INTERVAL_MS = 60_000;
 
-/** Paths of the objects that a gateway watches; prefixes unless stated otherwise. */
-export interface GatewayPaths {
-  readonly servers: string;
-  readonly configuration: string;
-  /** Full path of the configuration object. */
-  readonly configurationPath: string;
-  readonly exclusions: string;
-}
-
-/** Options for {@link startGateway}. */
-export interface GatewayOptions {
-  readonly daemon: DaemonName;
-  readonly dataCentre: DataCentreName;
-  /** Whether the whole deployment starts for the first time, so that the object store has no state yet. */
-  readonly isFirstStart: boolean;
-  /** Processor capacity of the VM, in cores. */
-  readonly processors: number;
-  readonly callers: Address;
-  readonly readiness: Address;
-  /** Address to which other daemons send datagrams. */
-  readonly peers: Address;
-  /** Path of readiness probes. */
-  readonly readinessPath: string;
-  readonly limits: GatewayLimits;
-  readonly paths: GatewayPaths;
-  readonly objects: ObjectStore;
-  readonly control: KeyControl;
-  readonly callerProtocol: CallerProtocol;
-  readonly serverProtocol: ServerProtocol;
-  readonly decodeServer: ServerDecoder;
-  /** Decodes a stored configuration; throws when it cannot be read. */
-  readonly decodeConfiguration: (value: unknown) => RoutingConfiguration;
-  readonly clock: Clock;
-  readonly timeOfDay: () => number;
-  readonly random: () => number;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-}
-
 /** A running gateway. */
 export interface Gateway {
   /** Returns whether the daemon accepts callers. */
@@ -390,11 +342,22 @@
     },
     ownerShares,
   });
+  const stateExchange = createStateExchange({
+    daemon: options.daemon,
+    channel,
+    isCoordinator: () => lease.isHeld(),
+    findCoordinator: () => lease.findCoordinator(),
+    getPeers: () => peers.getAddresses(),
+    states: [],
+    clock,
+    logger,
+  });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
   watchers.forEach((watcher) => void watcher.run(stop.signal));
   void freshness.run(stop.signal);
   void lease.run(stop.signal);
   void loadReporter.run(stop.signal);
+  void stateExchange.run(stop.signal);
   void repeat(
     clock,
     CLEANUP_INTERVAL_MS,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -6,6 +6,7 @@
 export * from "./dispatchTypes";
 export * from "./dispatcher";
 export * from "./gateway";
+export * from "./gatewayOptions";
 export * from "./gracefulShutdown";
 export * from "./protocols";
 export * from "./routeMatcher";
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -80,6 +80,7 @@
     id: "q1",
     route: createRoute({ kind }),
     service: policy,
+    priority: 0,
     key: undefined,
     method: "GET",
     path: "/a%2Fb/../c?x=1&x=2",
