Treat an answer with a status that HTTP does not have as a failure of its server

Seen on other systems of this kind: a server in trouble answered with the status 000, and the caller got that as an answer. Here 000 and 099 ended the caller's connection without an answer, since the status cannot be written; 600 and 999 were passed on. All of them now count as a failure of the server: the request may have run, so a caller gets 502 on a connection that goes on, and only a request that may run twice is sent again. A statement that the request has not run is not believed beside such a status.

--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -19,6 +19,8 @@
   Broken: "broken",
   Foreign: "foreign-answer",
   Unsigned: "unsigned-answer",
+  /** The status of the answer is none that HTTP has. */
+  InvalidStatus: "invalid-status",
   /** The answer has no length, and the close that would mark its end would lose requests sent behind it. */
   Unframed: "unframed-answer",
   Abandoned: "abandoned",
--- a/src/gateway/servers/attemptClassifier.ts
+++ b/src/gateway/servers/attemptClassifier.ts
@@ -4,6 +4,7 @@
 import { type AnswerBody, RejectionReason, type UnansweredAttempt } from "../attemptTypes";
 import type { ServerFields, ServerProtocol } from "../protocols";
 import type { ServerBackOff, ServerLoads, ServerRateLimits } from "../admission";
+import { isFinalStatus } from "../../http";
 import { hasKnownCoding } from "./answerBody";
 import type { SendResult } from "./serverConnections";
 
@@ -70,6 +71,11 @@
     if (isForeign) {
       return { kind: "unknown", reason: RejectionReason.Foreign };
     }
+    if (!isFinalStatus(status)) {
+      // A server in this state is not believed when it says that it has not run the request.
+      loads.recordFailure(server.name);
+      return { kind: "unknown", reason: RejectionReason.InvalidStatus };
+    }
     if (fields.answeredBy !== undefined && fields.answeredBy !== server.name) {
       loads.recordReplaced(server.name);
     } else {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -3,6 +3,7 @@
 import type { Address } from "../types";
 
 export * from "./answerFraming";
+export * from "./answerStatus";
 export * from "./arrivals";
 export * from "./callerWatch";
 export * from "./discardBody";
--- a/src/routing/serverClient.ts
+++ b/src/routing/serverClient.ts
@@ -2,6 +2,7 @@
 import { Pool } from "undici";
 import type { Dispatcher } from "undici";
 import { describeError } from "../errors";
+import { isFinalStatus } from "../http";
 import type { WorkEnd, WorkPermit } from "../ownership";
 import {
   type Address,
@@ -134,7 +135,7 @@
       if (readHeader(response.headers, HeaderName.Cold) !== undefined) {
         options.onCold();
       }
-      const refusal = findServerRefusal(response);
+      const refusal = isFinalStatus(response.statusCode) ? findServerRefusal(response) : undefined;
       if (refusal !== undefined) {
         await response.body.dump();
         return finish("notSent", { kind: "failure", failure: createFailure(Outcome.NotRun, refusal, work) });
@@ -245,7 +246,7 @@
 }
 
 /**
- * Finds why an answer cannot be used: it belongs to another request, or it has neither a length nor
+ * Finds why an answer cannot be used: it belongs to another request, its status is none, or it has neither a length nor
  * chunks, so that its end cannot be distinguished from a broken connection.
  */
 function findUnusableReason(response: Dispatcher.ResponseData, work: WorkRequest): RefusalReason | undefined {
@@ -253,6 +254,9 @@
   if (echoedId !== undefined && echoedId !== work.id) {
     return RefusalReason.MismatchedAnswer;
   }
+  if (!isFinalStatus(response.statusCode)) {
+    return RefusalReason.InvalidStatus;
+  }
   const coding = readHeader(response.headers, "transfer-encoding");
   const isFramed =
     coding === undefined ? response.headers["content-length"] !== undefined : isChunked(coding);
--- a/src/types/outcome.ts
+++ b/src/types/outcome.ts
@@ -34,6 +34,7 @@
   ServerConnectionLost: "server-connection-lost",
   MismatchedAnswer: "mismatched-answer",
   UnframedAnswer: "unframed-answer",
+  InvalidStatus: "invalid-status",
   PeerConnectionLost: "peer-connection-lost",
   DuplicateInProgress: "duplicate-in-progress",
   CallerGone: "caller-gone",
--- a/test/serverClient.test.ts
+++ b/test/serverClient.test.ts
@@ -97,6 +97,16 @@
     outcome: "unknown",
     permitEnd: "unresolved",
   },
+  ...["000", "099", "600", "999"].map((status): FailurePoint => ({
+    name: `answer with the status ${status}`,
+    prepare: () => {
+      server.setBehaviour((socket, request) =>
+        socket.write(createAnswer(request, "body").replace("200", status)),
+      );
+    },
+    outcome: "unknown",
+    permitEnd: "unresolved",
+  })),
   {
     name: "bytes that are not an HTTP answer",
     prepare: () => {
