Start the rotation of weighted services at a random place on each daemon

After each version of the configuration every daemon sent the first requests of a weighted route to the service with the largest weight. With 64 to 75 daemons that get one request of a route in a second each, a part of 10% got nothing for seconds, over the whole fleet. Each rotation now starts at a random place; any hundred requests of a daemon are still distributed exactly.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -114,6 +114,7 @@
   const routing = createRoutingState({
     configurationPath: paths.configurationPath,
     decode: options.decodeConfiguration,
+    random,
     onConfiguration: (configuration) => {
       callerListener.applyLimits(configuration.limits);
       coordination.addServices();
--- a/src/gateway/routeMatcher.ts
+++ b/src/gateway/routeMatcher.ts
@@ -21,13 +21,21 @@
   credit: number;
 }
 
+/** Steps by which rotations start apart from each other; weights are mostly percentages. */
+const ROTATION_PHASES = 100;
+
 /**
  * Creates a matcher for the routes of a configuration.
  *
  * @param configuration - The configuration.
+ * @param random - Uniform random numbers in [0, 1), from which each weighted route's rotation starts. Without them all
+ * daemons would send their first requests after a change to the same service, of which each gets only a few.
  * @returns The matcher.
  */
-export function createRouteMatcher(configuration: RoutingConfiguration): RouteMatcher {
+export function createRouteMatcher(
+  configuration: RoutingConfiguration,
+  random: () => number = () => 0,
+): RouteMatcher {
   const byHost = new Map<string, Map<string, Route>>();
   const rotations = new Map<Route, RotationEntry[]>();
   for (const route of configuration.routes) {
@@ -52,6 +60,9 @@
     let known = rotations.get(route);
     if (known === undefined) {
       known = route.services.map((weightedService) => ({ weightedService, credit: 0 }));
+      for (let phase = Math.floor(random() * ROTATION_PHASES); phase > 0; phase -= 1) {
+        chooseByWeight(known);
+      }
       rotations.set(route, known);
     }
     return known;
--- a/src/gateway/routingState.ts
+++ b/src/gateway/routingState.ts
@@ -15,6 +15,8 @@
   readonly decode: (value: unknown) => RoutingConfiguration;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
   readonly onExclusions: (dataCentres: ReadonlySet<DataCentreName>) => void;
+  /** Uniform random numbers in [0, 1). */
+  readonly random: () => number;
   readonly logger: Logger;
 }
 
@@ -60,7 +62,7 @@
     if (active !== undefined && configuration.version <= active.configuration.version) {
       return;
     }
-    active = { configuration, matcher: createRouteMatcher(configuration) };
+    active = { configuration, matcher: createRouteMatcher(configuration, options.random) };
     logger.log(Event.ConfigurationAccepted, {
       version: configuration.version,
       routes: configuration.routes.length,
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -88,6 +88,26 @@
   });
 });
 
+describe("weighted services over many daemons", () => {
+  const route = createRoute({
+    services: [
+      { service: "x", weight: 90 },
+      { service: "y", weight: 10 },
+    ],
+  });
+  const configuration = createConfiguration([route]);
+
+  test.each([1, 3, 8])("get their shares of %i requests at each of 200 daemons", (requests) => {
+    const random = createRandom(SEED);
+    const chosen = Array.from({ length: 200 }, () => createRouteMatcher(configuration, random)).flatMap(
+      (matcher) => Array.from({ length: requests }, () => matcher.chooseService(route)),
+    );
+    const share = chosen.filter((service) => service === "y").length / chosen.length;
+    // Five in a hundred off is half of what operators tolerate.
+    expect(Math.abs(share - 0.1)).toBeLessThan(0.05);
+  });
+});
+
 describe("fleet-wide limits", () => {
   const coldCases = [
     { requestsPerSecond: 13, daemons: 12 },
--- a/test/routingState.test.ts
+++ b/test/routingState.test.ts
@@ -13,6 +13,7 @@
     decode: decodeConfiguration,
     onConfiguration: (configuration) => accepted.push(configuration.version),
     onExclusions: () => undefined,
+    random: () => 0,
     logger: silentLogger,
   });
   const isServed = (path: string) => state.findActive()?.matcher.match("a.example", path) !== undefined;
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -161,6 +161,7 @@
       onExclusions: (dataCentres) => {
         directory.setExcluded(dataCentres);
       },
+      random: () => 0,
       logger: silentLogger,
     });
     const listeners = {
