Send a request again to an owner of keys that has refused it although it has room

An owner whose refusal reports idle slots now gets the request once more, within the attempts of the route and the retry budget of all daemons. Refusals without a report, or by a full owner, end the request as before.

test/gateway.test.ts, four cases: one failed before, none after.

--- a/src/gateway/admission/serverLoads.ts
+++ b/src/gateway/admission/serverLoads.ts
@@ -24,6 +24,8 @@
 const SILENCE_RATIO = 2;
 /** With fewer requests in flight, one that takes long explains the silence. */
 const MIN_SILENT_REQUESTS = 3;
+/** A report of this age came with the latest answer; the rest is processor time of this daemon. */
+const CURRENT_REPORT_MS = 50;
 /** Share of busy slots that is assumed without a recent report. */
 const DEFAULT_UTILISATION = 0.4;
 
@@ -62,6 +64,8 @@
   estimateLatencyMs(server: ServerName, slots: number): number;
   /** Returns the expected time in the server's queue, in milliseconds. */
   estimateWaitMs(server: ServerName, slots: number): number;
+  /** Returns whether the server has just reported that not all of its slots are busy. */
+  hasReportedRoom(server: ServerName): boolean;
   /** Returns the age of the last load report, in whole milliseconds; undefined without one. */
   findLoadAgeMs(server: ServerName): number | undefined;
   /** Returns the mean processing time of a request at the server, without its queue, in milliseconds. */
@@ -147,6 +151,11 @@
       return Math.max(estimateWaitMs(view, slots), getExcessSilenceMs(view)) + estimateProcessingMs(view);
     },
     estimateWaitMs: (server, slots) => estimateWaitMs(getView(server), slots),
+    hasReportedRoom: (server) => {
+      const { load, loadAt } = getView(server);
+      const isCurrent = load !== undefined && clock.now() - loadAt <= CURRENT_REPORT_MS;
+      return isCurrent && load.running + load.waiting < load.slots;
+    },
     findLoadAgeMs: (server) => {
       const view = getView(server);
       return view.load === undefined ? undefined : Math.round(clock.now() - view.loadAt);
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -129,7 +129,10 @@
       }
       tried.add(selection.server.name);
       lastResult = await attempt(request, selection.server);
-      if (!canRetry(request, lastResult)) {
+      if (service.isKeyed && wasShedWithRoom(lastResult, selection.server)) {
+        tried.delete(selection.server.name);
+      }
+      if (!canRetry(request, lastResult, selection.server)) {
         return createResult(request, lastResult, tried);
       }
     }
@@ -273,7 +276,13 @@
     }
   }
 
-  function canRetry(request: RoutedRequest, lastResult: AttemptResult): boolean {
+  /** Returns whether a server has refused a request although it has room: it may take the same request now. */
+  function wasShedWithRoom(lastResult: AttemptResult, server: DiscoveredServer): boolean {
+    const isShed = lastResult.kind === "notRun" && lastResult.reason === RejectionReason.Shed;
+    return isShed && loads.hasReportedRoom(server.name);
+  }
+
+  function canRetry(request: RoutedRequest, lastResult: AttemptResult, server: DiscoveredServer): boolean {
     const remainingMs = request.deadlineAt - clock.now();
     if (request.caller.signal.aborted || remainingMs < MIN_REMAINING_MS) {
       return false;
@@ -282,8 +291,12 @@
       case "answered":
         return false;
       case "notRun":
-        // A key has only one owner, and one that has just shed the request is still overloaded.
-        return !(request.service.isKeyed && lastResult.reason === RejectionReason.Shed);
+        // A key has only one owner, and one that has just shed the request is still overloaded unless it has room.
+        return !(
+          request.service.isKeyed &&
+          lastResult.reason === RejectionReason.Shed &&
+          !wasShedWithRoom(lastResult, server)
+        );
       case "failed":
         return (
           request.route.kind !== RouteKind.Unsafe && lastResult.message.statusCode !== HTTP_GATEWAY_TIMEOUT
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -659,6 +659,28 @@
     expect(await dispatch(createRequest(RouteKind.Safe))).toMatchObject({ kind: "answered" });
   });
 
+  interface ShedCase {
+    readonly name: string;
+    /** Field of the refusal beside the statement that the request has not run. */
+    readonly report: string;
+    readonly expected: string;
+  }
+  const shedCases: readonly ShedCase[] = [
+    { name: "has room", report: "Instance-Load: 1,0,4", expected: "answered" },
+    { name: "is full", report: "Instance-Load: 4,8,4", expected: "notRun" },
+    { name: "reports no load", report: "X: y", expected: "notRun" },
+    { name: "reports nonsense", report: "Instance-Load: -1,x,4", expected: "notRun" },
+  ];
+  // Guards against giving up on a key although its owner refuses at random, and against pressing on a full one.
+  test.each(shedCases)("an owner that refuses a request and $name", async ({ report, expected }) => {
+    const refusal = createFramedAnswer("503 Service Unavailable", "", `Not-Executed: 1\r\n${report}`);
+    const answers = [refusal, createFramedAnswer("200 OK", "x")];
+    server.setBehaviour((socket, request) => socket.write((answers.shift() ?? refusal)(request)));
+    const dispatch = createTestDispatcher([createServer("s1")]);
+    const keyed = { key: 7, service: { ...policy, isKeyed: true } };
+    expect((await dispatch(createRequest(RouteKind.Unsafe, keyed))).kind).toBe(expected);
+  });
+
   test("an owner that does not hold the key gets the request again only under a new assignment", async () => {
     server.setBehaviour((socket, request) => socket.write(createMisdirectedAnswer("s1")(request)));
     const before = server.receivedRequests.length;
