Do not count attempts that reached no server against a request's attempts

An attempt that sent nothing is no attempt at a server and takes nothing from the retry budget. After four unreachable servers the request is refused as before.

test/gateway.test.ts: the case of three unreachable servers failed before, both pass after.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -35,6 +35,8 @@
 const MAX_RETRY_AFTER_SHARE = 0.33;
 /** Share of a request's objective that it may wait in the queue of a server of the subset. */
 const MAX_SUBSET_WAIT_SHARE = 0.15;
+/** Servers of a data centre are often unreachable together; a refused connection costs a round trip, a lost one 300 ms. */
+const MAX_UNREACHABLE_ATTEMPTS = 3;
 /** With less time than this left, no backend server can answer. */
 const MIN_REMAINING_MS = 5;
 
@@ -112,16 +114,20 @@
     }
     const tried = new Set<ServerName>();
     let lastResult: AttemptResult = { kind: "notRun", reason: RejectionReason.NoServer };
-    for (let sent = 0; sent < Math.max(1, route.attempts); sent += 1) {
+    /** Attempts that may have reached a server: only these count as such, and against the retry budget. */
+    let arrivals = 0;
+    let unreachable = 0;
+    while (arrivals < Math.max(1, route.attempts) && unreachable <= MAX_UNREACHABLE_ATTEMPTS) {
+      const isFirst = arrivals + unreachable === 0;
       const selection = await selectServer(request, tried);
       if (selection.kind === "none") {
-        return sent === 0 ? refuse(request, selection, undefined) : createResult(request, lastResult, tried);
+        return isFirst ? refuse(request, selection, undefined) : createResult(request, lastResult, tried);
       }
-      if (sent > 0 && !retryBudget.tryAcquire(service.name)) {
+      if (arrivals > 0 && !retryBudget.tryAcquire(service.name)) {
         counters.increment("requests.retryRefused", service.name);
         return createResult(request, lastResult, tried);
       }
-      if (sent > 0) {
+      if (!isFirst) {
         logRetry(request, selection.server, lastResult);
       }
       if (lastResult.kind === "failed") {
@@ -129,6 +135,11 @@
       }
       tried.add(selection.server.name);
       lastResult = await attempt(request, selection.server);
+      if (isUnreachable(lastResult)) {
+        unreachable += 1;
+      } else {
+        arrivals += 1;
+      }
       if (service.isKeyed && wasShedWithRoom(lastResult, selection.server)) {
         tried.delete(selection.server.name);
       }
@@ -276,6 +287,10 @@
     }
   }
 
+  function isUnreachable(result: AttemptResult): boolean {
+    return result.kind === "notRun" && result.reason === RejectionReason.Unreachable;
+  }
+
   /** Returns whether a server has refused a request although it has room: it may take the same request now. */
   function wasShedWithRoom(lastResult: AttemptResult, server: DiscoveredServer): boolean {
     const isShed = lastResult.kind === "notRun" && lastResult.reason === RejectionReason.Shed;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -659,6 +659,23 @@
     expect(await dispatch(createRequest(RouteKind.Safe))).toMatchObject({ kind: "answered" });
   });
 
+  // Guards against refusing a request because several servers went down together, as those of a data centre do.
+  test.each([
+    { dead: 3, expected: "answered" },
+    { dead: 4, expected: "notRun" },
+  ])(
+    "of $dead unreachable servers and one that answers, with two attempts: $expected",
+    async ({ dead, expected }) => {
+      server.setBehaviour((socket, request) => socket.write(createFramedAnswer("200 OK", "x")(request)));
+      const ports = await Promise.all(Array.from({ length: dead }, () => findFreePort()));
+      const unreachable = ports.map((port, index) => createTestServer(`dead${index}`, port));
+      // Farther than the others, so that it is the last one to be tried.
+      const last = { ...createServer("alive"), dataCentre: "far" };
+      const dispatch = createTestDispatcher([...unreachable, last], systemClock, undefined, 1000);
+      expect((await dispatch(createRequest(RouteKind.Unsafe))).kind).toBe(expected);
+    },
+  );
+
   interface ShedCase {
     readonly name: string;
     /** Field of the refusal beside the statement that the request has not run. */
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -146,6 +146,7 @@
   servers: readonly DiscoveredServer[],
   clock: Clock = systemClock,
   directory: ServerDirectory = createTestDirectory(servers, clock),
+  remoteCostMs = 0,
 ): Dispatcher {
   const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
   const connections = createServerConnections(clock, () => 4);
@@ -202,7 +203,7 @@
     logger: silentLogger,
     counters: createCounters("test"),
     dataCentre: "a",
-    distance: { shortMs: 0, largeMs: 0 },
+    distance: { shortMs: remoteCostMs, largeMs: remoteCostMs },
   });
 }
 
