Distribute changes of stored state through the coordinator

From 24 counted daemons up, and with a drain bound of at least 2.5 s, the coordinator now sends each change of server entries, configuration and exclusions to all daemons by datagram, packed once, and a daemon that it confirms makes no watch. A confirmation states the time at which the store had the state; a daemon reads by itself 1.6 s after the last one, whatever the reason, so that each change is known within 2.5 s. Changes of more than 8 KB are announced and read. Relays are not built: the coordinator sends to any number of daemons directly (docs/CAPACITY.md).

The digest of a prefix is kept until its versions change. The interfaces of the prefix watcher and of the freshness check, and the waits of watches, move to files of their own; the store of silentConnections.test.ts moves to test/support.

--- a/src/discovery/freshnessCheck.ts
+++ b/src/discovery/freshnessCheck.ts
@@ -3,9 +3,8 @@
  * their object versions with the coordinator's, and one that differs for too long polls the object store for
  * its newest state.
  */
-import type { DatagramChannel } from "../membership";
-import { type Logger, createErrorReport } from "../observability";
-import { type Address, type Clock, type DaemonName, type Version, repeat } from "../types";
+import { createErrorReport } from "../observability";
+import { type Address, type Version, repeat } from "../types";
 import { createCoordinatorSearch } from "./coordinatorSearch";
 import {
   type Digests,
@@ -15,15 +14,9 @@
   replySchema,
   stateSchema,
 } from "./freshnessMessages";
-import { CONTACT_TIMEOUT_MS, type PeerStates } from "./peerStates";
-import type { PrefixWatcher } from "./prefixWatcher";
-import type {
-  StatedColdness,
-  StatedDeparture,
-  StatedExclusions,
-  StatedOwnerShare,
-  StatedRateLimit,
-} from "./types";
+import type { FreshnessCheck, FreshnessCheckOptions } from "./freshnessTypes";
+import { CONTACT_TIMEOUT_MS } from "./peerStates";
+import type { PrefixWatcher } from "./prefixWatcherTypes";
 
 const CHECK_INTERVAL_MS = 400;
 /** Changes reach all daemons within the pauses between watches; a longer difference means a faulty watch. */
@@ -39,54 +32,6 @@
 /** Assumed until the first count of a deployment that has never been counted; shares are too small, not too large. */
 const ASSUMED_CLUSTER_SIZE = 1000;
 
-/** Options for {@link createFreshnessCheck}. */
-export interface FreshnessCheckOptions {
-  readonly daemon: DaemonName;
-  readonly address: Address;
-  /** Processor capacity of this daemon's VM, in cores. */
-  readonly processors: number;
-  readonly channel: DatagramChannel;
-  readonly watchers: readonly PrefixWatcher[];
-  readonly peers: PeerStates;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly isCoordinator: () => boolean;
-  /** Returns the coordinator's address; undefined while there is no coordinator. */
-  readonly findCoordinator: () => Address | undefined;
-  /** Returns the version of the coordinator's lease that this daemon knows. */
-  /** Returns the number of daemons that is stored with the coordinator's lease; undefined while none is known. */
-  readonly findStoredSize: () => number | undefined;
-  readonly getLeaseVersion: () => Version;
-  /** Records that the coordinator still holds its lease at this version. */
-  readonly confirmLease: (version: Version) => void;
-  readonly rateLimits: SharedStatements<StatedRateLimit>;
-  readonly departures: SharedStatements<StatedDeparture>;
-  /** The data centres that operators have taken out of service, by the newest state that any daemon has read. */
-  readonly exclusions: {
-    share(): StatedExclusions | null;
-    merge(stated: StatedExclusions | null): void;
-  };
-  /** Cold servers: what servers told this daemon goes to the coordinator, and all that it knows to the others. */
-  readonly coldness: {
-    shareAnswers(): StatedColdness;
-    shareAll(): StatedColdness;
-    merge(stated: StatedColdness): void;
-  };
-  /** What the coordinator finds out about overloaded owners of keys. */
-  readonly ownerShares: {
-    share(): readonly StatedOwnerShare[];
-    replace(shares: readonly StatedOwnerShare[]): void;
-  };
-}
-
-/** Statements of backend servers that daemons tell each other by way of the coordinator. */
-export interface SharedStatements<Statement> {
-  /** Returns what this daemon knows. */
-  share(): readonly Statement[];
-  /** Applies what another daemon knows. */
-  merge(shared: readonly Statement[]): void;
-}
-
 /** A difference between this daemon's state and the expected one. */
 interface Difference {
   /** Local time since which this daemon has not reached the version. */
@@ -95,25 +40,6 @@
   readonly version: Version;
 }
 
-/** The freshness check of one daemon. */
-export interface FreshnessCheck {
-  /**
-   * Returns whether digests were compared with the coordinator's within the contact timeout; always false on
-   * the coordinator.
-   */
-  isFreshnessChecked(): boolean;
-  /** Returns the number of daemons that share the cluster-wide limits. */
-  getClusterSize(): number;
-  /** Returns the number of daemons as this one counted them or was told; undefined before. */
-  findCountedSize(): number | undefined;
-  /** Returns whether every watcher's state was the newest one at some time since the start. */
-  wasCurrent(): boolean;
-  /** Returns the processor capacity of the cluster's largest VM that this daemon knows of, in cores. */
-  getLargestProcessors(): number;
-  /** Runs the check periodically until aborted. */
-  run(signal: AbortSignal): Promise<void>;
-}
-
 /**
  * Creates the freshness check.
  *
@@ -121,7 +47,7 @@
  * @returns The check.
  */
 export function createFreshnessCheck(options: FreshnessCheckOptions): FreshnessCheck {
-  const { channel, clock, watchers, peers } = options;
+  const { channel, clock, watchers, peers, distribution } = options;
   const differences = new Map<string, Difference>();
   const refreshedAt = new Map<string, number>();
   /** When each prefix was last compared with the coordinator's state or, on the coordinator, with other daemons'. */
@@ -154,6 +80,8 @@
         coldness: options.coldness.shareAll(),
         helpers: search.chooseHelpers(),
         ownerShares: options.ownerShares.share(),
+        stateSentAt: state.sentAt,
+        ages: distribution?.getAges() ?? {},
       });
     }
   });
@@ -174,6 +102,16 @@
     compareDigests(
       (prefix) => reply.digests[prefix],
       (prefix) => reply.versions[prefix] ?? 0,
+      (prefix) => {
+        const ageMs = reply.ages[prefix];
+        if (reply.stateSentAt !== null && ageMs !== undefined) {
+          // The coordinator read its state at most this long before it received the message that it replies to.
+          distribution?.confirm(prefix, {
+            at: reply.stateSentAt - ageMs,
+            version: reply.versions[prefix] ?? 0,
+          });
+        }
+      },
     );
   });
   channel.receive(MessageKind.CoordinatorQuestion, coordinatorQuestionSchema, ({ address }) => {
@@ -247,6 +185,7 @@
         daemon,
         address,
         processors,
+        sentAt: clock.now(),
         digests: computeDigests(),
         rateLimits: options.rateLimits.share(),
         departures: options.departures.share(),
@@ -272,6 +211,7 @@
       compareDigests(
         (prefix) => findMajority(peerDigests.map((each) => each[prefix])),
         () => 0,
+        () => undefined,
       );
     }
     refreshUncompared();
@@ -288,6 +228,7 @@
   function compareDigests(
     findExpected: (prefix: string) => number | undefined,
     getExpectedVersion: (prefix: string) => Version,
+    confirm: (prefix: string) => void,
   ): void {
     for (const watcher of watchers) {
       const { prefix } = watcher;
@@ -301,6 +242,7 @@
         differences.delete(prefix);
         if (!options.isCoordinator()) {
           watcher.confirm();
+          confirm(prefix);
         }
         continue;
       }
--- a/src/discovery/freshnessMessages.ts
+++ b/src/discovery/freshnessMessages.ts
@@ -41,6 +41,8 @@
   address: addressSchema,
   /** Processor capacity of the daemon's VM, in cores. */
   processors: z.number().positive(),
+  /** Time on the daemon's own clock, in milliseconds; daemons of earlier versions send none. */
+  sentAt: z.number().nullable().default(null),
   digests: digestsSchema,
   /** Rate limits of backend servers; daemons of earlier versions send none. */
   rateLimits: rateLimitsSchema.default([]),
@@ -70,6 +72,13 @@
   helpers: z.array(addressSchema).default([]),
   /** Share of the requests that overloaded owners of keys can take. */
   ownerShares: ownerSharesSchema.default([]),
+  /** Time at which the state that is replied to was sent, on its sender's clock. */
+  stateSentAt: z.number().nullable().default(null),
+  /**
+   * Age of the coordinator's knowledge of each prefix in milliseconds, if it distributes changes; daemons of earlier
+   * versions send none.
+   */
+  ages: z.record(z.string(), z.number().nonnegative()).default({}),
 });
 /** Question of a daemon that gets no replies; names the address to which the answer goes. */
 export const coordinatorQuestionSchema = z.object({ address: addressSchema });
--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -2,32 +2,16 @@
  * Watches all objects under one prefix of the object store: lists them once, then watches for changes. A watch
  * returns each version in full; a history that is larger than the state is not read, but the state listed again.
  */
-import murmurhash from "murmurhash";
 import { HistoryGoneError, describeError } from "../errors";
-import {
-  CallPriority,
-  Freshness,
-  type ObjectChanges,
-  type ObjectStore,
-  type StoredObject,
-  getTimeline,
-} from "../objectStore";
-import { Event, type Logger } from "../observability";
-import { type CancelTimer, type Clock, type Version, sleep } from "../types";
+import { CallPriority, Freshness, type ObjectChanges, getTimeline } from "../objectStore";
+import { Event } from "../observability";
+import { type CancelTimer, type Version, sleep } from "../types";
+import { FollowEnd } from "./changeFeed";
+import { createObjectVersions } from "./objectVersions";
+import type { PrefixWatcher, PrefixWatcherOptions } from "./prefixWatcherTypes";
+import { findWatchedAt } from "./stateChange";
+import { choosePauseMs, chooseWatchWaitMs } from "./watchTiming";
 
-/**
- * Bounds the calls of checked daemons while nothing changes: one call per prefix in this time. Shorter than the history
- * of the store, which a watch that waits for longer would outlive.
- */
-const CHECKED_WATCH_WAIT_MS = 15_000;
-/** The same for daemons without contact to the coordinator, which poll the store at intervals besides. */
-const UNCHECKED_WATCH_WAIT_MS = 2000;
-/**
- * The same for the coordinator, whose state the others are compared with, unless a watcher has its own limit. When
- * all watches have died at once, all daemons agree, and only a watch that is not answered in time shows it. With
- * the margin and the time in which the others notice a difference this must stay below the shortest bound.
- */
-const REFERENCE_WATCH_WAIT_MS = 750;
 /**
  * Exceeds the time that an answer takes unless the store is slow. A watch that is not answered by then is replaced by
  * a poll on another connection: one more call if the store was only slow.
@@ -47,55 +31,6 @@
 /** A refresh or the end of a grace period cancelled the pending watch; this is not a failure of the store. */
 class WatchCancelledError extends Error {}
 
-/** Receives the objects of a prefix and their changes. */
-export interface PrefixListener {
-  /** Called with the complete list; objects that are not in it no longer exist. */
-  readonly onList: (objects: readonly StoredObject[]) => void;
-  /** Called with the changed objects and the paths of the removed ones. */
-  readonly onChange: (objects: readonly StoredObject[], removed: readonly string[]) => void;
-  /** Called when the store answers again after failed calls, before its answer is passed on. */
-  readonly onStoreRecovered?: () => void;
-}
-
-/** Options for {@link createPrefixWatcher}. */
-export interface PrefixWatcherOptions extends PrefixListener {
-  readonly objects: ObjectStore;
-  readonly prefix: string;
-  /** Pause after each change, in milliseconds, so that changes in quick succession arrive in one answer. */
-  readonly pauseMs: number;
-  /** Returns whether digests are compared with the coordinator's, so that cheaper, stale watches suffice. */
-  readonly isFreshnessChecked: () => boolean;
-  /** Returns whether the others' digests are compared with this daemon's. */
-  readonly isReference: () => boolean;
-  /** Maximum wait of a watch while this daemon is the reference, in milliseconds; a default unless set. */
-  readonly referenceWaitMs?: number | undefined;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly random: () => number;
-}
-
-/** Watches one prefix. */
-export interface PrefixWatcher {
-  readonly prefix: string;
-  /**
-   * Returns the local time since which the state is known: when the latest read of the newest state began, or when
-   * the state was last confirmed. Negative infinity while only stale answers were read.
-   */
-  getCurrentAt(): number;
-  /** Returns whether the latest call was answered, or may still be answered in time. */
-  isAnswered(): boolean;
-  /** Returns the version of the store up to which the changes are known; 0 when that is not known. */
-  getVersion(): Version;
-  /** Records that the state equals the newest one, as another daemon knows it. */
-  confirm(): void;
-  /** Computes a digest of the known versions; equal digests almost certainly mean equal versions. */
-  computeDigest(): number;
-  /** Cancels a pending watch, whose connection may be dead without an error, and polls at once. */
-  refresh(): void;
-  /** Lists and watches until aborted. */
-  run(signal: AbortSignal): Promise<void>;
-}
-
 /**
  * Creates a prefix watcher.
  *
@@ -103,11 +38,15 @@
  * @returns The watcher; it makes no calls until it is run.
  */
 export function createPrefixWatcher(options: PrefixWatcherOptions): PrefixWatcher {
-  const { objects, prefix, pauseMs, clock, logger } = options;
-  const versions = new Map<string, number>();
+  const { objects, prefix, clock, logger, follower } = options;
+  const versions = createObjectVersions();
   let since: number | undefined;
+  /** Version since which the state is known to be the same. */
+  let unchangedSince: Version = 0;
   let failures = 0;
   let mustPoll = false;
+  /** A version was announced that a stale answer may have. */
+  let mustPollStale = false;
   /** Whether no call was answered since a watch was not answered in time. */
   let isOverdue = false;
   /** The state is read again instead of its history, which may be larger. */
@@ -120,9 +59,31 @@
   let mustDeliverList = false;
   let cancelGrace: CancelTimer | undefined;
   let pendingWatch: AbortController | undefined;
+  let isPendingStale = false;
   /** Kind and start of the latest call, for logs. */
-  let currentCall: "list" | "watch" | "poll" = "list";
+  let currentCall: "list" | "watch" | "poll" | "datagram" = "list";
   let callStartedAt = clock.now();
+  follower?.bind({
+    findVersion: () => since,
+    apply: (version, content) => {
+      currentCall = "datagram";
+      callStartedAt = clock.now();
+      const from = since;
+      since = version;
+      applyChanges({ ...content, version }, from);
+    },
+    advance: (version) => {
+      if (since !== undefined && version > since) {
+        since = version;
+        unchangedSince = version;
+      }
+    },
+    endStaleWatch: () => {
+      if (isPendingStale) {
+        pendingWatch?.abort();
+      }
+    },
+  });
 
   return {
     prefix,
@@ -132,7 +93,7 @@
     confirm: () => {
       currentAt = clock.now();
     },
-    computeDigest,
+    computeDigest: () => versions.computeDigest(),
     refresh,
     run: async (signal) => {
       while (!signal.aborted) {
@@ -148,32 +109,47 @@
   function refresh(): void {
     mustPoll = true;
     pendingWatch?.abort();
+    follower?.wake();
   }
 
   async function readNext(signal: AbortSignal): Promise<void> {
+    const mustRead = since === undefined || mustList || mustPoll || mustPollStale;
+    if (!mustRead && follower?.isFollowing() === true) {
+      const end = await follower.follow(signal);
+      mustPollStale = end === FollowEnd.Announced;
+      // Without contact the watch that follows reads the newest state.
+      mustPoll ||= end === FollowEnd.Unconfirmed;
+      return;
+    }
     callStartedAt = clock.now();
     const hasChanged = since === undefined || mustList ? await listState() : await readHistory(since, signal);
+    mustPoll ||= follower?.isBehind() === true;
     if (hasChanged) {
-      await sleep(clock, pauseMs, signal);
+      await sleep(clock, choosePauseMs(options), signal);
     }
   }
 
   /** Lists all objects. Returns whether they differ from those known before. */
   async function listState(): Promise<boolean> {
     currentCall = "list";
-    const listed = await listAtLeast(since);
+    const known = since;
+    const listed = await listAtLeast(known);
     recordSuccess();
+    if (isOutdated(listed, known)) {
+      return false;
+    }
     stateBytes = listed.transfer?.bytes ?? 0;
     const isFirst = since === undefined;
     if (since !== undefined && getTimeline(listed.version) > getTimeline(since)) {
       startGrace(listed.version);
     }
-    const added = listed.objects.filter((object) => versions.get(object.path) !== object.version);
-    const hasChanged = added.length > 0 || listed.objects.length !== versions.size;
-    versions.clear();
-    listed.objects.forEach(recordVersion);
+    const { added, hasChanged } = versions.replaceAll(listed.objects);
     deliverList(listed, isFirst || hasChanged);
     since = listed.version;
+    unchangedSince = since;
+    if (!isFirst && hasChanged) {
+      follower?.publish({ base: unchangedSince, version: since, content: null });
+    }
     // Large changes in quick succession are read as state until they end: their history would grow.
     const changedBytes = stateBytes * (added.length / Math.max(1, listed.objects.length));
     mustList = !isFirst && changedBytes >= LARGE_HISTORY_BYTES;
@@ -191,7 +167,7 @@
     const startedAt = clock.now();
     mustPoll = false;
     const newest = await objects.list(prefix, CallPriority.Configuration);
-    currentAt = startedAt;
+    recordNewest(startedAt);
     return newest;
   }
 
@@ -217,6 +193,7 @@
       isInGrace = false;
       mustList = true;
       pendingWatch?.abort();
+      follower?.wake();
     });
     options.onStoreRecovered?.();
   }
@@ -225,38 +202,65 @@
   async function readHistory(from: Version, signal: AbortSignal): Promise<boolean> {
     const changes = await watchOrPoll(from, signal);
     recordSuccess();
+    if (isOutdated(changes, from)) {
+      return false;
+    }
+    const base = unchangedSince;
     since = Math.max(from, changes.version);
-    const removed = changes.removed ?? [];
-    if (changes.objects.length + removed.length === 0) {
+    const { objects: changed, removed = [] } = changes;
+    if (changed.length + removed.length === 0) {
       return false;
     }
-    changes.objects.forEach(recordVersion);
-    removed.forEach((path) => versions.delete(path));
-    options.onChange(changes.objects, removed);
-    logRead(changes, from);
+    applyChanges(changes, from);
+    follower?.publish({ base, version: since, content: { objects: changed, removed } });
     return true;
   }
 
+  /** Returns whether changes from the coordinator have led past a state while it was being read. */
+  function isOutdated(read: ObjectChanges, known: Version | undefined): boolean {
+    return since !== undefined && since !== known && read.version < since;
+  }
+
+  function applyChanges(changes: ObjectChanges, from: Version | undefined): void {
+    const { objects: changed, removed = [], version } = changes;
+    unchangedSince = Math.max(from ?? 0, version);
+    versions.applyChanges(changed, removed);
+    options.onChange(changed, removed);
+    logRead(changes, from);
+  }
+
+  function recordNewest(at: number): void {
+    currentAt = at;
+    follower?.recordNewest(at);
+  }
+
   async function watchOrPoll(from: number, signal: AbortSignal) {
     const maxBytes = Math.max(LARGE_HISTORY_BYTES, stateBytes * MAX_HISTORY_RATIO);
     const startedAt = clock.now();
     if (mustPoll) {
       currentCall = "poll";
       mustPoll = false;
+      mustPollStale = false;
       const polled = await objects
         .watch(prefix, from, { waitMs: 0, signal, maxBytes })
         .catch((error: unknown) => {
           mustPoll = true;
           throw error;
         });
-      currentAt = startedAt;
+      recordNewest(startedAt);
       return polled;
     }
+    if (mustPollStale) {
+      currentCall = "poll";
+      mustPollStale = false;
+      return objects.watch(prefix, from, { waitMs: 0, signal, freshness: Freshness.Stale, maxBytes });
+    }
     currentCall = "watch";
     const current = new AbortController();
     pendingWatch = current;
     const isChecked = options.isFreshnessChecked();
-    const waitMs = getWatchWaitMs(isChecked);
+    isPendingStale = isChecked;
+    const waitMs = chooseWatchWaitMs(options, isChecked);
     // Another connection may work, so this is no failure of the store unless the poll fails as well.
     const cancelTimeout = clock.schedule(waitMs + WATCH_MARGIN_MS, () => {
       isOverdue = true;
@@ -266,7 +270,11 @@
       const freshness = isChecked ? Freshness.Stale : Freshness.Newest;
       const combined = AbortSignal.any([signal, current.signal]);
       const watched = await objects.watch(prefix, from, { waitMs, signal: combined, freshness, maxBytes });
-      currentAt = isChecked ? currentAt : startedAt;
+      if (!isChecked) {
+        currentAt = startedAt;
+        const hasChanges = watched.objects.length + (watched.removed ?? []).length > 0;
+        follower?.recordNewest(findWatchedAt(startedAt, waitMs, hasChanges, clock.now()));
+      }
       return watched;
     } catch (error) {
       throw current.signal.aborted ? new WatchCancelledError() : error;
@@ -276,27 +284,6 @@
     }
   }
 
-  function getWatchWaitMs(isChecked: boolean): number {
-    if (isChecked) {
-      return CHECKED_WATCH_WAIT_MS;
-    }
-    return options.isReference()
-      ? (options.referenceWaitMs ?? REFERENCE_WATCH_WAIT_MS)
-      : UNCHECKED_WATCH_WAIT_MS;
-  }
-
-  function computeDigest(): number {
-    let digest = 0;
-    for (const [path, version] of versions) {
-      digest ^= murmurhash.v3(`${path}@${version}`);
-    }
-    return digest >>> 0;
-  }
-
-  function recordVersion(object: StoredObject): void {
-    versions.set(object.path, object.version);
-  }
-
   function logRead(changes: ObjectChanges, from: Version | undefined): void {
     logger.log(Event.StateRead, {
       prefix,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
   type PrefixWatcher,
   type PrefixListener,
   type DiscoveredServer,
+  createChangeFeed,
   createPrefixWatcher,
   createExclusionExchange,
   createFreshnessCheck,
@@ -257,6 +258,21 @@
     clock,
     logger,
   });
+  const distribution = createChangeFeed({
+    channel,
+    peers: () => peers.getAddresses(),
+    isCoordinator: () => lease.isHeld(),
+    isInContact: () => freshness.isFreshnessChecked(),
+    findCountedSize: () => freshness.findCountedSize(),
+    drainMs: limits.drainMs,
+    clock,
+    logger,
+    counters,
+    random,
+  });
+  metrics.addGauge("followed_state", "1 while the coordinator's changes replace a watch", "prefix", () =>
+    distribution.getFollowed(),
+  );
   const exclusionWatcher = createWatcher(
     paths.exclusions,
     CONFIGURATION_BATCH_PAUSE_MS,
@@ -341,6 +357,7 @@
       },
     },
     ownerShares,
+    distribution,
   });
   const stateExchange = createStateExchange({
     daemon: options.daemon,
@@ -389,6 +406,7 @@
       isFreshnessChecked: () => freshness.isFreshnessChecked(),
       isReference: () => lease.isHeld(),
       referenceWaitMs,
+      follower: distribution.createFollower(prefix),
       clock,
       logger,
       random,
--- a/src/membership/datagramChannel.ts
+++ b/src/membership/datagramChannel.ts
@@ -15,6 +15,10 @@
 export interface DatagramChannel {
   /** Sends a message. It may be lost or duplicated. */
   send(address: Address, kind: string, content: unknown): void;
+  /** Packs a message once for all its recipients. */
+  pack(kind: string, content: unknown): Uint8Array;
+  /** Sends a packed message to several addresses. */
+  sendPacked(addresses: readonly Address[], packed: Uint8Array): void;
   /** Sets the handler of a message kind. Messages that fail schema validation are counted and dropped. */
   receive<Schema extends z.ZodType>(
     kind: string,
@@ -44,6 +48,12 @@
     send: (address, kind, content) => {
       transport.send(address, pack({ kind, content }));
     },
+    pack: (kind, content) => pack({ kind, content }),
+    sendPacked: (addresses, packed) => {
+      addresses.forEach((address) => {
+        transport.send(address, packed);
+      });
+    },
     receive: (kind, schema, handler) => {
       handlers.set(kind, (content) => {
         const result = schema.safeParse(content);
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -44,6 +44,16 @@
     Severity.Warn,
     "object store was restored from a copy; objects that it lacks are removed unless they return soon",
   ),
+  CoordinatorFollowed: defineEvent(
+    1107,
+    Severity.Info,
+    "changes come from the coordinator; the object store is not watched",
+  ),
+  CoordinatorNotFollowed: defineEvent(
+    1108,
+    Severity.Info,
+    "coordinator does not confirm the known state; it is read from the object store",
+  ),
   SnapshotAccepted: defineEvent(1201, Severity.Info, "newer snapshot accepted"),
   SnapshotInvalid: defineEvent(1202, Severity.Error, "snapshot rejected: invalid content"),
   MemberAlive: defineEvent(1301, Severity.Info, "member alive"),
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -11,13 +11,12 @@
   createPrefixWatcher,
   createServerDirectory,
 } from "../src/discovery";
-import { PlatformUnavailableError } from "../src/errors";
 import { createRoutingState } from "../src/gateway";
 import { createDatagramChannel } from "../src/membership";
-import { Freshness, type ObjectChanges, type ObjectStore, type StoredObject } from "../src/objectStore";
+import type { StoredObject } from "../src/objectStore";
 import { createCounters, silentLogger } from "../src/observability";
-import { sleep } from "../src/types";
 import { decodeConfiguration } from "../platform/decoding";
+import { type Change, createConnectedStore } from "./support/connectedStore";
 import { createFakeClock, createProcessClock } from "./support/fakeClock";
 import { createFakeNetwork } from "./support/fakeNetwork";
 import { createTestServer, unsharedState } from "./support/gateway";
@@ -28,104 +27,11 @@
 const BATCH_PAUSE_MS = { servers: 500, configuration: 250, exclusions: 250 } as const;
 const DAEMONS = 4;
 const STORE_LATENCY_MS = 5;
-/** How long the platform's client waits for an answer, beyond the waiting time of a watch. */
-const CALL_TIMEOUT_MS = 900;
-const CLIENT_MARGIN_MS = 1000;
 /** A coordinator that the store does not answer loses its lease after this time. */
 const LEASE_MS = 2000;
 /** Daemons count as in touch again this long after their connections went silent. */
 const SETTLE_MS = 3000;
 
-interface Change {
-  readonly path: string;
-  /** Undefined when the object was removed. */
-  readonly value: unknown;
-}
-
-/** Creates an object store whose connections can go silent; a call on a new connection is answered. */
-function createConnectedStore(clock: ReturnType<typeof createFakeClock>) {
-  const history: (Change & { readonly version: number })[] = [];
-  let latencyMs = STORE_LATENCY_MS;
-  let silences = 0;
-  /** Wakes the watches that wait. */
-  let wake = new AbortController();
-  const wakeAll = () => {
-    wake.abort();
-    wake = new AbortController();
-  };
-  const put = (path: string, value: unknown) => {
-    history.push({ path, value, version: history.length + 1 });
-    wakeAll();
-  };
-  const read = (prefix: string, since: number): ObjectChanges => {
-    const latest = new Map<string, StoredObject>();
-    for (const entry of history.filter(({ path, version }) => path.startsWith(prefix) && version > since)) {
-      latest.set(entry.path, entry);
-    }
-    const changed = [...latest.values()];
-    return {
-      objects: changed.filter(({ value }) => value !== undefined),
-      removed: changed.filter(({ value }) => value === undefined).map(({ path }) => path),
-      version: history.length,
-    };
-  };
-  /** Creates one daemon's access, which is answered only while it is connected. */
-  function createAccess(isConnected: () => boolean) {
-    const counts = { newest: 0, stale: 0 };
-    const count = (freshness: Freshness = Freshness.Newest) => {
-      counts[freshness] += 1;
-    };
-    const fail = () => new PlatformUnavailableError("no answer", { props: { step: "call" } });
-    const objects: ObjectStore = {
-      read: () => Promise.reject(fail()),
-      write: () => Promise.reject(fail()),
-      list: async (prefix, _priority, freshness) => {
-        count(freshness);
-        await sleep(clock, isConnected() ? latencyMs : CALL_TIMEOUT_MS);
-        if (!isConnected()) {
-          throw fail();
-        }
-        return read(prefix, 0);
-      },
-      watch: async (prefix, since, { waitMs, signal, freshness }) => {
-        count(freshness);
-        const silencesBefore = silences;
-        const endAt = clock.now() + Math.max(waitMs, latencyMs);
-        const lostAt = clock.now() + (waitMs === 0 ? CALL_TIMEOUT_MS : waitMs + CLIENT_MARGIN_MS);
-        await sleep(clock, latencyMs);
-        for (;;) {
-          const isSilent = silences !== silencesBefore || !isConnected();
-          const changes = read(prefix, since);
-          const hasChanges = changes.objects.length + (changes.removed ?? []).length > 0;
-          if (!isSilent && (hasChanges || clock.now() >= endAt)) {
-            return changes;
-          }
-          if (signal.aborted || clock.now() >= lostAt) {
-            throw fail();
-          }
-          await sleep(
-            clock,
-            (isSilent ? lostAt : endAt) - clock.now(),
-            AbortSignal.any([signal, wake.signal]),
-          );
-        }
-      },
-    };
-    return { objects, counts };
-  }
-  return {
-    put,
-    createAccess,
-    silence: () => {
-      silences += 1;
-      wakeAll();
-    },
-    setLatency: (ms: number) => {
-      latencyMs = ms;
-    },
-  };
-}
-
 const serverPath = `${PREFIXES.servers}s1`;
 const configurationPath = `${PREFIXES.configuration}main`;
 const createConfiguration = (version: number) => ({
