--- a/src/gateway/coordination/stateExchange.ts
+++ b/src/gateway/coordination/stateExchange.ts
@@ -39,7 +39,7 @@
 /** Options for {@link createStateExchange}. */
 export interface StateExchangeOptions {
   readonly daemon: DaemonName;
-  readonly channel: DatagramChannel;
+  readonly channel: Pick<DatagramChannel, "send" | "receive">;
   readonly isCoordinator: () => boolean;
   /** Returns the coordinator's address; undefined while it is not known. */
   readonly findCoordinator: () => Address | undefined;
