Admit requests by priority during a shortage, and set retry times by objective

Cause: a service that was short of capacity refused urgent and other requests alike, and refused callers were told to retry after 8% to 24% of their remaining time, mostly too late for the objective.

Change: daemons report offered, withheld and refused work by priority every 400 ms; the coordinator corrects the estimated capacity by the refusals and announces an admitted share for each priority, with a lower bound of 0.3 of the mean. A hash of host, path, key and a round of 2 s selects the requests, so that repeating one at once gains nothing. Overloaded owners of keys split their share by priority. Refusals for lack of capacity on routes with an objective get a retry time between the end of the obstacle and the last time for an answer within the objective; this also holds for deployments with a single priority.

--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -1,7 +1,13 @@
 /** Decides which requests are served, by which server, and which are refused; imports nothing of the network. */
 export * from "./coldAdmission";
 export * from "./permitPool";
+export * from "./priorityAdmission";
+export * from "./priorityController";
+export * from "./priorityDemands";
+export * from "./priorityShares";
 export * from "./retryBudgetShare";
+export * from "./retryTimes";
+export * from "./returnTimes";
 export * from "./routeCosts";
 export * from "./serverAdmission";
 export * from "./serverBackOff";
--- a/src/gateway/admission/serverAdmission.ts
+++ b/src/gateway/admission/serverAdmission.ts
@@ -1,30 +1,21 @@
 /** Decides whether a request may be sent to a backend server now. Every path that sends one asks here. */
 import type { DiscoveredServer, ServerDirectory } from "../../discovery";
-import type { OwnerShares } from "../../keyRanges";
 import type { Clock, ServerName } from "../../types";
 import { RejectionReason } from "../attemptTypes";
 import type { RoutedRequest } from "../dispatchTypes";
 import type { ColdAdmission } from "./coldAdmission";
+import { OBJECTIVE_SHARE, PROCESSING_TIME_MARGIN } from "./returnTimes";
 import type { RouteCosts } from "./routeCosts";
 import type { ServerBackOff } from "./serverBackOff";
 import type { ServerLoads } from "./serverLoads";
 
-/**
- * Multiple of the mean processing time that a request is expected to take after the queue. Processing times
- * vary: with time for the mean alone, half of the answers would be late.
- */
-const PROCESSING_TIME_MARGIN = 1.3;
-/**
- * Share of the available time that the estimate may fill. The rest covers the latest requests of other
- * daemons to the same server, which the estimate does not include.
- */
-const OBJECTIVE_SHARE = 0.85;
-
 /** Why a request must not be sent to a server now. */
 export interface Obstacle {
   readonly reason: RejectionReason;
   /** Time after which the obstacle is expected to be gone, in milliseconds; 0 when that is not known. */
   readonly waitMs: number;
+  /** Shortest queue of all candidates that are overloaded, in milliseconds. */
+  readonly shortestQueueMs?: number;
 }
 
 /** Admission of requests to backend servers. */
@@ -48,7 +39,8 @@
   readonly permits: { isExhausted(server: ServerName): boolean };
   readonly backOff: Pick<ServerBackOff, "getRemainingMs">;
   readonly coldAdmission: Pick<ColdAdmission, "tryAcquire" | "getWaitMs">;
-  readonly ownerShares: Pick<OwnerShares, "find">;
+  /** Share of a request's priority that may be sent to an owner of keys: 1 unless it is overloaded. */
+  readonly ownerShares: { find(server: ServerName, request: RoutedRequest): number };
   readonly costs: Pick<RouteCosts, "getWeight">;
   /**
    * Time for which the owner of keys still gets requests after it has said that it is leaving, in milliseconds. Its
@@ -87,7 +79,7 @@
     if (backOffMs > 0) {
       return { reason: RejectionReason.BackingOff, waitMs: backOffMs };
     }
-    if (isOwner && options.random() >= options.ownerShares.find(server.name)) {
+    if (isOwner && options.random() >= options.ownerShares.find(server.name, request)) {
       return { reason: RejectionReason.Overloaded, waitMs: 0 };
     }
     if (!connections.hasRoom(server) || isTooBusy(request, server)) {
--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -7,6 +7,8 @@
   NoOwner: "no-owner",
   OwnerUnusable: "owner-unusable",
   Overloaded: "overloaded",
+  /** The service is short of capacity, which goes to more urgent requests. */
+  Priority: "priority",
   Cold: "cold",
   RateLimited: "rate-limited",
   /** The server has asked this daemon to send nothing for a time that has not passed yet. */
--- a/src/gateway/coordination/index.ts
+++ b/src/gateway/coordination/index.ts
@@ -1,4 +1,5 @@
 /** Exchanges between daemons about limits and keys that hold for all of them. */
 export * from "./keyCoordination";
 export * from "./permitExchange";
+export * from "./priorityExchange";
 export * from "./stateExchange";
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -8,6 +8,7 @@
 import type { PermitExchange } from "./coordination";
 import type { ServerProtocol } from "./protocols";
 import {
+  type PriorityAdmission,
   type RetryBudgetShare,
   type RouteCosts,
   type Obstacle,
@@ -15,6 +16,8 @@
   type ServerBackOff,
   type DistanceCosts,
   chooseServer,
+  createRetryTimes,
+  joinObstacles,
   type ServerLoads,
   type ServerRateLimits,
   type ServerSubsets,
@@ -25,14 +28,6 @@
 const MAX_MOVE_WAIT_MS = 250;
 /** Maximum share of a request's remaining time that is spent waiting for a key to be moved. */
 const MAX_MOVE_WAIT_SHARE = 0.3;
-/**
- * Shares of the remaining time that make up the retry-after time of a refused request: short enough for a
- * retry to meet the objective, and spread so that refused callers do not all retry at once.
- */
-const MIN_RETRY_AFTER_SHARE = 0.08;
-const RETRY_AFTER_SPREAD = 0.16;
-/** Callers honour a retry-after time up to this share of their remaining time. */
-const MAX_RETRY_AFTER_SHARE = 0.33;
 /** Share of a request's objective that it may wait in the queue of a server of the subset. */
 const MAX_SUBSET_WAIT_SHARE = 0.15;
 /** With less time than this left, no backend server can answer. */
@@ -63,6 +58,7 @@
   readonly backOff: Pick<ServerBackOff, "record">;
   readonly permits: Pick<PermitExchange, "acquire">;
   readonly admission: ServerAdmission;
+  readonly priorities: Pick<PriorityAdmission, "findObstacle" | "recordRefusal" | "getUrgency">;
   readonly subsets: ServerSubsets;
   readonly costs: RouteCosts;
   readonly retryBudget: RetryBudgetShare;
@@ -103,6 +99,7 @@
   } = options;
 
   const classifier = createAttemptClassifier(options);
+  const retryTimes = createRetryTimes(options);
 
   return async (request) => {
     const { route, service } = request;
@@ -110,6 +107,10 @@
     if (request.key !== undefined && service.isKeyed) {
       owners.recordRequest(service.name, request.key, costs.getWeight(route, service.name));
     }
+    const shortage = options.priorities.findObstacle(request);
+    if (shortage !== undefined) {
+      return refuse(request, shortage, undefined);
+    }
     const tried = new Set<ServerName>();
     let lastResult: AttemptResult = { kind: "notRun", reason: RejectionReason.NoServer };
     for (let sent = 0; sent < Math.max(1, route.attempts); sent += 1) {
@@ -204,7 +205,7 @@
         const obstacle = denied.has(candidate.name)
           ? { reason: RejectionReason.RateLimited, waitMs: 0 }
           : admission.findObstacle(request, candidate);
-        refusal = obstacle ?? refusal;
+        refusal = joinObstacles(refusal, obstacle);
         return obstacle === undefined;
       },
     });
@@ -316,11 +317,14 @@
 
   function refuse(
     request: RoutedRequest,
-    { reason, waitMs }: Obstacle,
+    obstacle: Obstacle,
     server: ServerName | undefined,
   ): DispatchResult {
+    const { reason } = obstacle;
     const inputs = getDecisionInputs(request, server);
-    return { kind: "notRun", reason, retryAfterMs: chooseRetryAfterMs(request, waitMs), inputs };
+    options.priorities.recordRefusal(request, reason);
+    const retryAfterMs = retryTimes.choose(request, obstacle, inputs);
+    return { kind: "notRun", reason, retryAfterMs, inputs };
   }
 
   function getDecisionInputs(request: RoutedRequest, tried: ServerName | undefined): DecisionInputs {
@@ -337,14 +341,6 @@
     };
   }
 
-  /** Returns the retry-after time in milliseconds: spread, and after the obstacle if callers wait that long. */
-  function chooseRetryAfterMs(request: RoutedRequest, waitMs: number): number {
-    const remainingMs = Math.max(0, request.deadlineAt - clock.now());
-    const spreadMs = remainingMs * (MIN_RETRY_AFTER_SHARE + RETRY_AFTER_SPREAD * options.random());
-    const maxMs = remainingMs * MAX_RETRY_AFTER_SHARE;
-    return waitMs > maxMs ? spreadMs : Math.min(maxMs, Math.max(spreadMs, waitMs));
-  }
-
   function logRetry(request: RoutedRequest, server: DiscoveredServer, lastResult: AttemptResult): void {
     counters.increment("requests.retried", lastResult.kind);
     logger.log(Event.RequestRetried, {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,12 +29,15 @@
 import { type ServiceName, repeat } from "../types";
 import {
   createColdAdmission,
+  createPriorityAdmission,
+  createPriorityDemands,
   createRetryBudgetShare,
   createRouteCosts,
   createServerAdmission,
   createServerBackOff,
   estimateCapacities,
   createServerLoads,
+  isMixedService,
   createServerRateLimits,
   createServerSubsets,
 } from "./admission";
@@ -42,7 +45,12 @@
 import { createCallerListener } from "./callers";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
-import { createKeyCoordination, createPermitExchange, createStateExchange } from "./coordination";
+import {
+  createKeyCoordination,
+  createPermitExchange,
+  createPriorityExchange,
+  createStateExchange,
+} from "./coordination";
 import type { GatewayOptions } from "./gatewayOptions";
 import { createRoutingState } from "./routingState";
 import { createServerConnections } from "./servers";
@@ -53,6 +61,7 @@
 /** Maximum requests of one daemon for each slot of a server; more would only wait in the server's queue. */
 const MAX_REQUESTS_PER_SLOT = 3;
 const CLEANUP_INTERVAL_MS = 500;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
 const LEAVING_OWNER_SHARE = 0.5;
 /** Maximum periodic tasks; more listeners than this on the stop signal indicate a leak. */
@@ -153,6 +162,16 @@
   const backOff = createServerBackOff(clock, logger);
   const ownerShares = createOwnerShares(clock);
   const costs = createRouteCosts();
+  const demands = createPriorityDemands(clock);
+  const priorities = createPriorityAdmission({
+    demands,
+    costs,
+    isInContact: () => lease.isHeld() || freshness.isFreshnessChecked(),
+    clock,
+    timeOfDay: options.timeOfDay,
+    logger,
+    counters,
+  });
   const admission = createServerAdmission({
     directory,
     connections,
@@ -160,7 +179,9 @@
     permits,
     backOff,
     coldAdmission,
-    ownerShares,
+    ownerShares: {
+      find: (server, request) => priorities.splitOwnerShare(request, ownerShares.find(server)),
+    },
     costs,
     leavingOwnerMs: limits.drainMs * LEAVING_OWNER_SHARE,
     clock,
@@ -182,6 +203,7 @@
     backOff,
     permits,
     admission,
+    priorities,
     subsets: createServerSubsets(options.daemon, options.dataCentre),
     costs,
     retryBudget: createRetryBudgetShare(
@@ -243,6 +265,7 @@
     connections,
     rateLimits,
     backOff,
+    priorities,
     isCoordinator: () => lease.isHeld(),
   });
   await startReadinessServer();
@@ -348,7 +371,19 @@
     isCoordinator: () => lease.isHeld(),
     findCoordinator: () => lease.findCoordinator(),
     getPeers: () => peers.getAddresses(),
-    states: [],
+    states: [
+      createPriorityExchange({
+        daemon: options.daemon,
+        demands,
+        admission: priorities,
+        isConfiguredMixed: (service) => isMixedService(routing.findActive()?.configuration.routes, service),
+        isKeyed: (service) => findPolicy(service)?.isKeyed ?? false,
+        getCapacity: estimateServiceCapacity,
+        clock,
+        timeOfDay: options.timeOfDay,
+        logger,
+      }),
+    ],
     clock,
     logger,
   });
@@ -407,6 +442,12 @@
     );
   }
 
+  /** Returns the requests of mean work per second that the usable servers of a service can take. */
+  function estimateServiceCapacity(service: ServiceName): number {
+    const capacities = estimateServerCapacities(directory.getUsable(service));
+    return capacities.reduce((total, capacity) => total + capacity, 0) * MILLISECONDS_PER_SECOND;
+  }
+
   /** Returns the requests per second that a server accepts now; null when it sets no limit. */
   function findMaxRate(server: DiscoveredServer): number | null {
     const policy = findPolicy(server.service);
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -5,7 +5,7 @@
 import type { ServiceName } from "../types";
 import type { CallerListener } from "./callers";
 import type { RoutingState } from "./routingState";
-import type { ServerBackOff, ServerRateLimits } from "./admission";
+import type { PriorityAdmission, ServerBackOff, ServerRateLimits } from "./admission";
 import type { ServerConnections } from "./servers";
 
 /** Options for {@link addGatewayGauges}. */
@@ -18,6 +18,7 @@
   readonly connections: ServerConnections;
   readonly rateLimits: Pick<ServerRateLimits, "count">;
   readonly backOff: Pick<ServerBackOff, "count">;
+  readonly priorities: Pick<PriorityAdmission, "listShares">;
   readonly isCoordinator: () => boolean;
 }
 
@@ -52,6 +53,9 @@
   metrics.addGauge("backing_off_servers", "Backend servers that want no requests now", "name", () => ({
     all: options.backOff.count(),
   }));
+  metrics.addGauge("priority_admitted_share", "Admitted share during a shortage", "priority", () =>
+    options.priorities.listShares(),
+  );
 
   function mapServices(read: (service: ServiceName) => number): Readonly<Record<string, number>> {
     const services = [...(routing.findActive()?.configuration.services.keys() ?? [])];
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -144,5 +144,16 @@
   RequestCut: defineEvent(1835, Severity.Warn, "request cut off by the exit of the daemon; it may have run"),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
+  PriorityShortageStarted: defineEvent(
+    1871,
+    Severity.Warn,
+    "service is short of capacity; less urgent requests are refused",
+  ),
+  PriorityShortageEnded: defineEvent(1872, Severity.Info, "service is no longer short of capacity"),
+  PrioritySharesLocal: defineEvent(
+    1873,
+    Severity.Warn,
+    "daemon decides on its own, without the coordinator, which priorities it refuses, or no longer refuses any",
+  ),
   RequestFailed: defineEvent(1701, Severity.Debug, "request ended without an answer"),
 } as const;
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -8,6 +8,7 @@
 import {
   type CallerListener,
   type Dispatcher,
+  type PriorityAdmission,
   type Route,
   RouteKind,
   type RoutedRequest,
@@ -16,6 +17,8 @@
   createColdAdmission,
   createDispatcher,
   createPermitExchange,
+  createPriorityAdmission,
+  createPriorityDemands,
   createRetryBudgetShare,
   createRouteCosts,
   createRouteMatcher,
@@ -141,11 +144,29 @@
   return directory;
 }
 
+/** Creates an admission by priority that is in contact with a coordinator. */
+export function createTestPriorities(
+  clock: Clock,
+  demands = createPriorityDemands(clock),
+  isInContact: () => boolean = () => true,
+): PriorityAdmission {
+  return createPriorityAdmission({
+    demands,
+    costs: { getWeight: () => 1 },
+    isInContact,
+    clock,
+    timeOfDay: () => clock.now(),
+    logger: silentLogger,
+    counters: createCounters("test"),
+  });
+}
+
 /** Creates a dispatcher to the servers; the first one owns all keys. */
 export function createTestDispatcher(
   servers: readonly DiscoveredServer[],
   clock: Clock = systemClock,
   directory: ServerDirectory = createTestDirectory(servers, clock),
+  priorities: PriorityAdmission = createTestPriorities(clock),
 ): Dispatcher {
   const rateLimits = createServerRateLimits({ directory, clock, logger: silentLogger });
   const connections = createServerConnections(clock, () => 4);
@@ -176,6 +197,7 @@
     rateLimits,
     backOff,
     permits,
+    priorities,
     subsets: createServerSubsets("d1", "a"),
     costs: createRouteCosts(),
     admission: createServerAdmission({
