--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -145,13 +145,13 @@
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   PriorityShortageStarted: defineEvent(
-    1871,
+    1881,
     Severity.Warn,
     "service is short of capacity; less urgent requests are refused",
   ),
-  PriorityShortageEnded: defineEvent(1872, Severity.Info, "service is no longer short of capacity"),
+  PriorityShortageEnded: defineEvent(1882, Severity.Info, "service is no longer short of capacity"),
   PrioritySharesLocal: defineEvent(
-    1873,
+    1883,
     Severity.Warn,
     "daemon decides on its own, without the coordinator, which priorities it refuses, or no longer refuses any",
   ),
