--- a/src/gateway/coordination/index.ts
+++ b/src/gateway/coordination/index.ts
@@ -2,4 +2,5 @@
 export * from "./keyCoordination";
 export * from "./performanceExchange";
 export * from "./permitExchange";
+export * from "./priorityExchange";
 export * from "./stateExchange";
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,6 +33,8 @@
   createColdAdmission,
   createPerformanceEstimates,
   createProcessNumbers,
+  createPriorityAdmission,
+  createPriorityDemands,
   createRetryBudgetShare,
   createRouteCosts,
   createServerAdmission,
@@ -40,6 +42,7 @@
   estimateCapacities,
   createServerLoads,
   createServerPerformance,
+  isMixedService,
   createServerRateLimits,
   createServerSubsets,
 } from "./admission";
@@ -51,6 +54,7 @@
   createKeyCoordination,
   createPerformanceExchange,
   createPermitExchange,
+  createPriorityExchange,
   createStateExchange,
 } from "./coordination";
 import type { GatewayOptions } from "./gatewayOptions";
@@ -67,6 +71,7 @@
 /** Share of the servers of a service that must have a shared estimate for its capacities to count as measured. */
 const MEASURED_SHARE = 0.5;
 const CLEANUP_INTERVAL_MS = 500;
+const MILLISECONDS_PER_SECOND = 1000;
 /** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
 const LEAVING_OWNER_SHARE = 0.5;
 /** Maximum periodic tasks; more listeners than this on the stop signal indicate a leak. */
@@ -195,6 +200,16 @@
   const backOff = createServerBackOff(clock, logger);
   const ownerShares = createOwnerShares(clock);
   const costs = createRouteCosts();
+  const demands = createPriorityDemands(clock);
+  const priorities = createPriorityAdmission({
+    demands,
+    costs,
+    isInContact: () => lease.isHeld() || freshness.isFreshnessChecked(),
+    clock,
+    timeOfDay: options.timeOfDay,
+    logger,
+    counters,
+  });
   const admission = createServerAdmission({
     directory,
     connections,
@@ -202,7 +217,9 @@
     permits,
     backOff,
     coldAdmission,
-    ownerShares,
+    ownerShares: {
+      find: (server, request) => priorities.splitOwnerShare(request, ownerShares.find(server)),
+    },
     costs,
     leavingOwnerMs: limits.drainMs * LEAVING_OWNER_SHARE,
     clock,
@@ -224,6 +241,7 @@
     backOff,
     permits,
     admission,
+    priorities,
     subsets: createServerSubsets(options.daemon, options.dataCentre),
     costs,
     retryBudget: createRetryBudgetShare(
@@ -286,6 +304,7 @@
     rateLimits,
     backOff,
     performance,
+    priorities,
     isCoordinator: () => lease.isHeld(),
   });
   await startReadinessServer();
@@ -410,7 +429,20 @@
     isCoordinator: () => lease.isHeld(),
     findCoordinator: () => lease.findCoordinator(),
     getPeers: () => peers.getAddresses(),
-    states: [performanceExchange],
+    states: [
+      performanceExchange,
+      createPriorityExchange({
+        daemon: options.daemon,
+        demands,
+        admission: priorities,
+        isConfiguredMixed: (service) => isMixedService(routing.findActive()?.configuration.routes, service),
+        isKeyed: (service) => findPolicy(service)?.isKeyed ?? false,
+        getCapacity: estimateServiceCapacity,
+        clock,
+        timeOfDay: options.timeOfDay,
+        logger,
+      }),
+    ],
     clock,
     logger,
   });
@@ -473,6 +505,12 @@
     );
   }
 
+  /** Returns the requests of mean work per second that the usable servers of a service can take. */
+  function estimateServiceCapacity(service: ServiceName): number {
+    const capacities = estimateServerCapacities(directory.getUsable(service));
+    return capacities.reduce((total, capacity) => total + capacity, 0) * MILLISECONDS_PER_SECOND;
+  }
+
   /** Returns the requests per second that a server accepts now; null when it sets no limit. */
   function findMaxRate(server: DiscoveredServer): number | null {
     const policy = findPolicy(server.service);
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -5,7 +5,7 @@
 import type { ServiceName } from "../types";
 import type { CallerListener } from "./callers";
 import type { RoutingState } from "./routingState";
-import type { ServerBackOff, ServerPerformance, ServerRateLimits } from "./admission";
+import type { PriorityAdmission, ServerBackOff, ServerPerformance, ServerRateLimits } from "./admission";
 import type { ServerConnections } from "./servers";
 
 /** Options for {@link addGatewayGauges}. */
@@ -19,6 +19,7 @@
   readonly rateLimits: Pick<ServerRateLimits, "count">;
   readonly backOff: Pick<ServerBackOff, "count">;
   readonly performance: Pick<ServerPerformance, "find">;
+  readonly priorities: Pick<PriorityAdmission, "listShares">;
   readonly isCoordinator: () => boolean;
 }
 
@@ -53,6 +54,9 @@
   metrics.addGauge("backing_off_servers", "Backend servers that want no requests now", "name", () => ({
     all: options.backOff.count(),
   }));
+  metrics.addGauge("priority_admitted_share", "Admitted share during a shortage", "priority", () =>
+    options.priorities.listShares(),
+  );
 
   metrics.addGauge("shared_estimates", "Backend servers with a shared estimate of speed", "service", () =>
     mapServices((service) => countServers(service, () => true)),
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -164,5 +164,16 @@
     Severity.Info,
     "number of concurrent requests above which a backend server does little more work has changed",
   ),
+  PriorityShortageStarted: defineEvent(
+    1881,
+    Severity.Warn,
+    "service is short of capacity; less urgent requests are refused",
+  ),
+  PriorityShortageEnded: defineEvent(1882, Severity.Info, "service is no longer short of capacity"),
+  PrioritySharesLocal: defineEvent(
+    1883,
+    Severity.Warn,
+    "daemon decides on its own, without the coordinator, which priorities it refuses, or no longer refuses any",
+  ),
   RequestFailed: defineEvent(1701, Severity.Debug, "request ended without an answer"),
 } as const;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -671,7 +671,7 @@
       const unreachable = ports.map((port, index) => createTestServer(`dead${index}`, port));
       // Farther than the others, so that it is the last one to be tried.
       const last = { ...createServer("alive"), dataCentre: "far" };
-      const dispatch = createTestDispatcher([...unreachable, last], systemClock, undefined, 1000);
+      const dispatch = createTestDispatcher([...unreachable, last], systemClock, undefined, undefined, 1000);
       expect((await dispatch(createRequest(RouteKind.Unsafe))).kind).toBe(expected);
     },
   );
