Check organisations in the soak

Cause: no run with real processes used API keys or allowances.

Change: all callers of the soak send a key. Three promises: no server sees a key or another organisation's name, no request without a valid key runs or is served, and no more than the bound arrives in five seconds.

--- a/standins/edge/backendServer.ts
+++ b/standins/edge/backendServer.ts
@@ -51,6 +51,10 @@
   readonly drainingSince: number | undefined;
   /** The limit that the server named when the request arrived; undefined when it named none. */
   readonly rateLimit: RateLimit | undefined;
+  /** The organisation that the request named; undefined when it named none. */
+  readonly organisation: string | undefined;
+  /** Whether the request carried an API key, which only daemons should see. */
+  readonly hasApiKey: boolean;
 }
 
 /** A limit of requests per second, and since when a server has named it. */
@@ -373,6 +377,8 @@
       at: performance.now(),
       drainingSince,
       rateLimit: rateLimitOnArrival,
+      organisation: request.headers[WireHeader.Tenant]?.toString(),
+      hasApiKey: request.headers[WireHeader.Authorization] !== undefined,
     });
     const bornAtRunStart = bornAt;
     await new Promise((resolve) => setTimeout(resolve, options.workMs * (0.5 + Math.random())));
--- a/standins/soak/deployment.ts
+++ b/standins/soak/deployment.ts
@@ -14,6 +14,12 @@
 
 /** Host name of the configured routes. */
 export const SOAK_HOST = "soak.example";
+/** API keys of the configured organisations. */
+export const SoakKey = { regular: "soak-key-1", bounded: "soak-key-2" } as const;
+/** Names of the configured organisations. */
+export const SoakOrganisation = { regular: "regular", bounded: "bounded" } as const;
+/** Allowance of the organisation `bounded`. */
+export const BOUNDED_ALLOWANCE = { requestsPerSecond: 5, burst: 5 } as const;
 /** Request timeout of the configured routes. */
 export const SOAK_TIMEOUT_MS = 1500;
 /** Sizes of the backend servers' answers in bytes. */
@@ -260,6 +266,7 @@
     metadata: { name },
     spec: { maxConns: 130, warmupS: 0, sharded },
   });
+  const createOrganisation = (name: string, spec: unknown) => ({ type: "tenants", metadata: { name }, spec });
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutS: 3, idleTimeoutS: 15 };
   return {
     version: version.toString(HEXADECIMAL_RADIX).padStart(VERSION_DIGITS, "0"),
@@ -274,6 +281,12 @@
       createService("desk", true),
       createService("ledger", false),
       createService("vault", false),
+      createOrganisation(SoakOrganisation.regular, { apiKeys: [SoakKey.regular] }),
+      createOrganisation(SoakOrganisation.bounded, {
+        apiKeys: [SoakKey.bounded],
+        ratePerS: BOUNDED_ALLOWANCE.requestsPerSecond,
+        burst: BOUNDED_ALLOWANCE.burst,
+      }),
       { type: "limits", metadata: {}, spec: limits },
     ],
   };
--- a/standins/soak/pipeliningCallers.ts
+++ b/standins/soak/pipeliningCallers.ts
@@ -2,7 +2,7 @@
 import { connect } from "node:net";
 import { WireHeader } from "../../platform/wireNames";
 import { sleep, systemClock } from "../../src/types";
-import { type ConnectedDaemon, SOAK_HOST, SOAK_TIMEOUT_MS } from "./deployment";
+import { type ConnectedDaemon, SOAK_HOST, SOAK_TIMEOUT_MS, SoakKey } from "./deployment";
 
 const SERIES_INTERVAL_MS = 150;
 const MAX_SERIES_LENGTH = 6;
@@ -98,6 +98,7 @@
       `${WireHeader.RequestId}: ${requestId}`,
       `${WireHeader.RemainingMs}: ${SOAK_TIMEOUT_MS}`,
       `${WireHeader.Key}: ${randomInt(KEY_COUNT)}`,
+      `${WireHeader.Authorization}: Bearer ${SoakKey.regular}`,
     ];
     return `GET /lookup/x HTTP/1.1\r\n${fields.join("\r\n")}\r\n\r\n`;
   }
--- a/standins/soak/promises.ts
+++ b/standins/soak/promises.ts
@@ -1,5 +1,7 @@
 /** Checks the records of callers and backend servers against the promises. */
 import type { BackOffRecord, RunRecord } from "../edge/backendServer";
+import type { BoundedRecord } from "./boundedCallers";
+import { findExcess, findForeign, findUnauthorized } from "./organisationPromises";
 import type { SeriesRecord } from "./pipeliningCallers";
 
 /** Time after which the rate limit that a backend server names holds. */
@@ -73,6 +75,8 @@
   readonly backOffs: readonly BackOffRecord[];
   /** Series of requests that were sent ahead. */
   readonly series: readonly SeriesRecord[];
+  /** Requests of the organisation with an allowance, and such without a valid API key. */
+  readonly bounded: readonly BoundedRecord[];
   /** Descriptions of keys that two backend servers owned at once. */
   readonly ownershipConflicts: readonly string[];
   /** Returns whether no fault disturbed links or backend servers while the request could be on its way. */
@@ -101,7 +105,12 @@
   }
   const getRuns = (requestId: string) => runsById.get(requestId) ?? [];
   const attemptsById = new Map(facts.attempts.map((attempt) => [attempt.requestId, attempt]));
-  const askedIds = new Set([...attemptsById.keys(), ...facts.series.flatMap(({ requestIds }) => requestIds)]);
+  const boundedIds = new Set(facts.bounded.map(({ requestId }) => requestId));
+  const askedIds = new Set([
+    ...attemptsById.keys(),
+    ...facts.series.flatMap(({ requestIds }) => requestIds),
+    ...boundedIds,
+  ]);
   const attemptsAfterRecovery = facts.attempts.filter(
     (attempt) => attempt.sentAt >= facts.recoveredAt && !hasLeftEarly(attempt),
   );
@@ -124,6 +133,8 @@
       "an answer came though nothing ran",
       listIds(facts.attempts, (each) => each.status === 200 && getRuns(each.requestId).length === 0),
     ],
+    ["a request reached a server with an API key, or under another organisation", findForeign(facts)],
+    ["a request without a valid API key ran or was served", findUnauthorized(facts)],
     ["a server ran what nobody asked", [...runsById.keys()].filter((id) => !askedIds.has(id))],
     [
       "answers to requests sent ahead came in another order",
@@ -140,6 +151,7 @@
     ],
   ];
   const timedChecks: readonly Check[] = [
+    ["an organisation exceeded its allowance", findExcess(facts.runs)],
     [
       "a leaving server got new work",
       facts.runs
--- a/standins/soak/soak.ts
+++ b/standins/soak/soak.ts
@@ -5,6 +5,7 @@
 import { sleep, systemClock } from "../../src/types";
 import { startDeployment } from "./deployment";
 import { MAX_FAULT_MS, createFaultInjector } from "./faults";
+import { createBoundedCallers } from "./boundedCallers";
 import { createPipeliningCallers } from "./pipeliningCallers";
 import { findBrokenPromises } from "./promises";
 import { createSoakCallers } from "./soakCallers";
@@ -67,7 +68,16 @@
     randomInt: createRandomInt(seed + 2),
     daemons: deployment.daemons,
   });
-  const load = Promise.all([callers.run(stopLoad.signal), pipelining.run(stopLoad.signal)]);
+  const bounded = createBoundedCallers({
+    seed,
+    randomInt: createRandomInt(seed + 5),
+    daemons: deployment.daemons,
+  });
+  const load = Promise.all([
+    callers.run(stopLoad.signal),
+    pipelining.run(stopLoad.signal),
+    bounded.run(stopLoad.signal),
+  ]);
   const delays = monitorEventLoopDelay();
   delays.enable();
   try {
@@ -90,6 +100,7 @@
         runs,
         backOffs,
         series: pipelining.series,
+        bounded: bounded.records,
         ownershipConflicts,
         // A fault that disturbs a link may have started before the request and ended after it.
         wereLinksUndisturbed: (attempt, run) =>
--- a/standins/soak/soakCallers.ts
+++ b/standins/soak/soakCallers.ts
@@ -4,7 +4,14 @@
 import { createAnswer } from "../edge/backendServer";
 import { sleep, systemClock } from "../../src/types";
 import type { SoakDaemon } from "./daemons";
-import { AnswerBytes, type ConnectedDaemon, SOAK_HOST, SOAK_TIMEOUT_MS, getAddedPrefix } from "./deployment";
+import {
+  AnswerBytes,
+  type ConnectedDaemon,
+  SOAK_HOST,
+  SOAK_TIMEOUT_MS,
+  SoakKey,
+  getAddedPrefix,
+} from "./deployment";
 import type { AttemptRecord } from "./promises";
 
 const REQUESTS_PER_SECOND = 60;
@@ -134,6 +141,7 @@
           [WireHeader.RequestId]: requestId,
           [WireHeader.RemainingMs]: String(SOAK_TIMEOUT_MS),
           [WireHeader.Key]: String(randomInt(KEY_COUNT)),
+          [WireHeader.Authorization]: `Bearer ${SoakKey.regular}`,
         },
         ...(kind === "order" ? { body: requestId } : {}),
         signal: departure,
--- a/test/soakPromises.test.ts
+++ b/test/soakPromises.test.ts
@@ -30,7 +30,16 @@
   at: 1050,
   drainingSince: undefined,
   rateLimit: undefined,
+  organisation: "regular",
+  hasApiKey: false,
 };
+const boundedRuns = Array.from({ length: 54 }, (_, index) => ({
+  ...run,
+  requestId: `b${index}`,
+  isUnsafe: false,
+  organisation: "bounded",
+  arrivedAt: 1000 + index * 90,
+}));
 const limitedRuns = Array.from({ length: 10 }, (_, index) => ({
   ...run,
   requestId: `r${index}`,
@@ -42,6 +51,7 @@
   runs: [run],
   backOffs: [],
   series: [],
+  bounded: [],
   ownershipConflicts: [],
   wereLinksUndisturbed: () => true,
   recoveredAt: 0,
@@ -227,6 +237,32 @@
     },
     expected: [/another order/],
   },
+  {
+    name: "a request that reached a server under an organisation that its caller claimed",
+    change: { runs: [{ ...run, organisation: "claimed" }] },
+    expected: [/under another organisation/],
+  },
+  {
+    name: "an API key that reached a server",
+    change: { runs: [{ ...run, hasApiKey: true }] },
+    expected: [/with an API key/],
+  },
+  {
+    name: "a request without a valid API key that ran",
+    change: {
+      runs: [run, { ...run, requestId: "b1", isUnsafe: false, organisation: "bounded" }],
+      bounded: [{ requestId: "b1", hasValidKey: false, status: 401 }],
+    },
+    expected: [/without a valid API key ran/],
+  },
+  {
+    name: "more requests of an organisation than its allowance, the slack and the excess in five seconds",
+    change: {
+      runs: [run, ...boundedRuns],
+      bounded: boundedRuns.map(({ requestId }) => ({ requestId, hasValidKey: true, status: 200 })),
+    },
+    expected: [/exceeded its allowance/],
+  },
   {
     name: "a run of a request behind an answer that closed the connection",
     change: {
