--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -2,6 +2,7 @@
 export * from "./coldAdmission";
 export * from "./performanceEstimates";
 export * from "./performanceSums";
+export * from "./localShares";
 export * from "./permitPool";
 export * from "./processNumbers";
 export * from "./priorityAdmission";
