Stop calling a store that refuses this daemon while the coordinator confirms its state

A third of the daemons were refused by the store for 9 s; a failed read made them list again every 0.3 to 1 s for each prefix, although they were in contact with the coordinator, which sent them all changes. A confirmed state now ends reads that are due, and a failed read of a confirmed state is not repeated. A change from the coordinator also ends an outage for the grace period of removals, as an answer of the store does: entries that expired meanwhile may return.

test/stateDistribution.test.ts: the new case failed before (9 calls of each refused daemon in 5 s), none after.

--- a/src/discovery/changeFeed.ts
+++ b/src/discovery/changeFeed.ts
@@ -50,6 +50,8 @@
   apply(version: Version, content: NonNullable<StateChange["content"]>): void;
   /** Records that the state is still the same at a later version of the same timeline. */
   advance(version: Version): void;
+  /** Records that the known state is recent enough, so that no read is due. */
+  confirm(): void;
   /** Ends the wait of a pending stale watch, which is not needed while the coordinator is followed. */
   endStaleWatch(): void;
 }
@@ -302,6 +304,7 @@
           currentAt = Math.max(currentAt, confirmation.at);
           state?.advance(confirmation.version);
           if (findEnd() === undefined) {
+            state?.confirm();
             state?.endStaleWatch();
           }
           break;
--- a/src/discovery/prefixWatcher.ts
+++ b/src/discovery/prefixWatcher.ts
@@ -66,6 +66,8 @@
   follower?.bind({
     findVersion: () => since,
     apply: (version, content) => {
+      // The store answers the coordinator, so entries that expired during an outage may return soon.
+      recordSuccess();
       currentCall = "datagram";
       callStartedAt = clock.now();
       const from = since;
@@ -78,6 +80,14 @@
         unchangedSince = version;
       }
     },
+    confirm: () => {
+      recordSuccess();
+      if (!isInGrace && !mustDeliverList) {
+        mustList = false;
+        mustPoll = false;
+        mustPollStale = false;
+      }
+    },
     endStaleWatch: () => {
       if (isPendingStale) {
         pendingWatch?.abort();
@@ -316,8 +326,8 @@
       return;
     }
     failures += 1;
-    // The history has grown meanwhile, and may be larger than the state.
-    mustList = true;
+    // The history has grown meanwhile, and may be larger than the state. A confirmed state need not be read.
+    mustList = follower?.isFollowing() !== true || isInGrace || mustDeliverList;
     logger.log(Event.StateReadFailed, {
       prefix,
       call: currentCall,
--- a/test/stateDistribution.test.ts
+++ b/test/stateDistribution.test.ts
@@ -68,6 +68,8 @@
   let coordinator = 0;
   let cutAt = Number.POSITIVE_INFINITY;
   let isRefused = () => false;
+  /** Daemons other than the coordinator that the store refuses. */
+  const refusedDaemons = new Set<number>();
   /** Confirmations of a state that lacked a change which the store had accepted by then. */
   const wrongConfirmations: string[] = [];
   store.put("config/main", 1);
@@ -77,7 +79,10 @@
     const processClock = createProcessClock(clock);
     const random = createRandom(index);
     const isCoordinator = () => index === coordinator && clock.now() < cutAt + LEASE_MS;
-    const access = store.createAccess(() => index !== 0 || !isRefused(), processClock);
+    const access = store.createAccess(
+      () => (index !== 0 || !isRefused()) && !refusedDaemons.has(index),
+      processClock,
+    );
     const transport = network.createTransport(address, processClock);
     const counters = createCounters("test");
     const channel = createDatagramChannel(transport, counters);
@@ -177,6 +182,7 @@
       cutAt = clock.now();
       isRefused = () => true;
     },
+    refusedDaemons,
     pauseCoordinator: () => {
       cutAt = clock.now();
       daemons[0]?.processClock.pause();
@@ -238,6 +244,35 @@
   });
 });
 
+describe("daemons that the store refuses", () => {
+  // Guards against calls to the store for state that the coordinator has confirmed, once a read has failed.
+  test("stop calling it as soon as the coordinator confirms their state", async () => {
+    const deployment = startDaemons();
+    const { clock, store, daemons, blockPair, unblockPair, refusedDaemons, stop } = deployment;
+    const refused = [17, 18, 19, 20, 21, 22, 23, 24];
+    await clock.advance(SETTLED_MS);
+    refused.forEach((index) => {
+      refusedDaemons.add(index);
+      blockPair(0, index);
+    });
+    await clock.advance(3000);
+    refused.forEach((index) => unblockPair(0, index));
+    await clock.advance(3000);
+    const before = deployment.countCalls();
+    for (let change = 0; change < 10; change += 1) {
+      store.put("servers/s0", change);
+      await clock.advance(500);
+    }
+    const after = deployment.countCalls();
+    for (const index of refused) {
+      expect(after[index], `daemon ${index}`).toEqual(before[index]);
+      const daemon = daemons[index];
+      expect(daemon === undefined ? undefined : findErrors(deployment, daemon)).toEqual([]);
+    }
+    stop.abort();
+  });
+});
+
 interface Trouble {
   readonly name: string;
   readonly start: (deployment: Deployment) => void;
