--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -56,6 +56,17 @@
     expect(loaded.peers).toEqual({ host: "127.0.0.1", port: 7540 });
   });
 
+  // Guards against a daemon that does not start, or a bound below the allowance, when the excess is given as a part.
+  test.each([
+    [1.1, 1.1],
+    [0.1, 1.1],
+    [0, 1],
+    [1, 1],
+  ])("an excess of %d is the multiple %d", (quotaExcess, excess) => {
+    const text = `${settings}quotaWindowS = 4\nquotaExcess = ${quotaExcess}\nquotaSlack = 7\n`;
+    expect(load(text).limits.allowances).toEqual({ windowMs: 4000, excess, slack: 7 });
+  });
+
   const invalidSettings: readonly (readonly [name: string, text: string, message: RegExp])[] = [
     ["a missing field", settings.replace('zone = "a"\n', ""), /self\.zone/],
     ["a field of another type", settings.replace("graceS = 6", 'graceS = "6"'), /terms\.bounds\.graceS/],
