--- a/src/gateway/admission/performanceEstimates.ts
+++ b/src/gateway/admission/performanceEstimates.ts
@@ -16,6 +16,8 @@
 const MAX_RELATIVE_TIME = 4;
 /** Means of a report count with at most this factor of the median, which bounds what one wrong daemon can do. */
 const MAX_COUNTED_RELATIVE_TIME = 6;
+/** A median of fewer answers says nothing of a report. */
+const MIN_MEDIAN_ANSWERS = 50;
 /** A report with means beyond this factor of the median is taken for nonsense and dropped. */
 const MAX_STATED_RELATIVE_TIME = 50;
 /** Answers that a process can have given since a daemon's last report, as the time for which its slots worked. */
@@ -215,7 +217,9 @@
     if (median === undefined) {
       return;
     }
-    medians.set(service, median);
+    if (sum(processes, ([, state]) => state.sums.countAnswers()) >= MIN_MEDIAN_ANSWERS) {
+      medians.set(service, median);
+    }
     const times = processes.map(([, state]) => state.sums.getTimes());
     const usualSlowness =
       sum(times, (each) => each.slowedMs) /
--- a/src/gateway/admission/performanceSums.ts
+++ b/src/gateway/admission/performanceSums.ts
@@ -1,8 +1,8 @@
 /** Decaying sums over the answers of one process, and what follows from them: its speed and its effective slots. */
 import type { RunningSums } from "./serverPerformance";
 
-/** Changes of the speed are followed at this rate; at 7 answers/s it leaves about 80 answers to average. */
-const SPEED_HALF_LIFE_MS = 8000;
+/** Changes of the speed are followed at this rate; at 7 answers/s it leaves about 60 answers to average. */
+const SPEED_HALF_LIFE_MS = 6000;
 /** The number of requests at which a server slows down is its property and needs more answers than its speed. */
 const CURVE_HALF_LIFE_MS = 120_000;
 /** Share of the best throughput that the effective slots must give. */
--- a/src/gateway/coordination/performanceExchange.ts
+++ b/src/gateway/coordination/performanceExchange.ts
@@ -109,8 +109,9 @@
   const sums = byRunning.map(({ running, answers, work, timeMs }): z.infer<typeof runningSumsSchema> => [
     running,
     limit(answers, MAX_UINT16),
-    limit(work * WORK_UNITS, MAX_UINT32),
-    limit(timeMs, MAX_UINT32),
+    // A report of answers without work or time counts as impossible.
+    Math.max(1, limit(work * WORK_UNITS, MAX_UINT32)),
+    Math.max(1, limit(timeMs, MAX_UINT32)),
   ]);
   const slowed = limit(slowedMs, MAX_UINT32);
   return load === undefined ? [process, slowed, sums] : [process, slowed, sums, packLoad(load)];
--- /dev/null
+++ b/test/performanceProcess.test.ts
@@ -0,0 +1,64 @@
+/** The wiring of shared server performance: a real daemon learns the servers' speeds from their answers. */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { request } from "undici";
+import { expect, test } from "vitest";
+import { CONFIGURATION_NAME, StoreKind, WireHeader } from "../platform/wireNames";
+import { createEdgeObjectStore } from "../standins/edge/objectStore";
+import { HOST } from "../standins/scenarios/ports";
+import { createSoakFolder, startSoakDaemon } from "../standins/soak/daemons";
+import { CONFIGURATION } from "./support/singleDaemon";
+
+const DAEMON_HOST = "127.0.77.10";
+/** One more than a daemon is taken to know by itself. */
+const SERVERS = 17;
+const PAUSE_MS = 20;
+/** Far more requests than it takes until one has been answered and reported. */
+const MAX_REQUESTS = 500;
+
+test("a daemon of a service with 17 servers shares estimates of those that have answered", async () => {
+  const server = createServer((message, response) => {
+    const id = String(message.headers[WireHeader.RequestId]);
+    response.writeHead(200, {
+      [WireHeader.RequestId]: id,
+      [WireHeader.Signature]: `signed-${id}`,
+      [WireHeader.Load]: "1,0,4,100",
+    });
+    response.end("x");
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  const store = createEdgeObjectStore(Math.random);
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, CONFIGURATION);
+  for (let index = 0; index < SERVERS; index += 1) {
+    store.put(StoreKind.Servers, `desk-${index}`, {
+      address: `${HOST}:${port}`,
+      born: Date.now(),
+      info: { service: "desk", version: "v1", zone: "a", capacity: 4 },
+      status: { state: "ready", seq: 1, warmupLeftS: 0 },
+    });
+  }
+  const { port: storePort } = await store.openEndpoint();
+  const folder = createSoakFolder();
+  const daemon = startSoakDaemon({ name: "d0", dataCentre: "a", host: DAEMON_HOST, storePort, folder });
+  let estimates = 0;
+  for (let count = 0; count < MAX_REQUESTS && estimates === 0; count += 1) {
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+    estimates = await sendAndCount(daemon.url).catch(() => 0);
+  }
+  await daemon.close();
+  server.closeAllConnections();
+  server.close();
+  await store.close();
+  expect(estimates).toBeGreaterThan(0);
+  expect(estimates).toBeLessThanOrEqual(SERVERS);
+});
+
+/** Sends a request and returns the number of servers with an estimate. */
+async function sendAndCount(url: string): Promise<number> {
+  const answer = await request(`${url}/long/x`, { method: "POST", headers: { host: "a.example" } });
+  await answer.body.dump();
+  const metrics = await request(`http://${DAEMON_HOST}:9464/metrics`);
+  const text = await metrics.body.text();
+  return Number(/^hemlockbank_shared_estimates\{service="desk"\} (\d+)$/m.exec(text)?.[1] ?? 0);
+}
