--- a/src/gateway/admission/performanceEstimates.ts
+++ b/src/gateway/admission/performanceEstimates.ts
@@ -144,7 +144,7 @@
       timeMs > 0 &&
       timeMs <= server.slots * (MAX_REPORTED_MS + (2 * timeMs) / answers) &&
       ratio < MAX_STATED_RELATIVE_TIME &&
-      byRunning.every((each) => each.running <= server.slots)
+      byRunning.every((each) => each.running <= Math.max(1, server.slots))
     );
   }
 
@@ -201,7 +201,9 @@
         states.delete(process);
       } else {
         state.server = server;
-        byService.set(server.service, [...(byService.get(server.service) ?? []), [process, state]]);
+        const processes = byService.get(server.service) ?? [];
+        processes.push([process, state]);
+        byService.set(server.service, processes);
       }
     }
     for (const [service, processes] of byService) {
@@ -263,7 +265,7 @@
   }
 
   function chooseEffectiveSlots(state: ProcessState): number {
-    const { slots } = state.server;
+    const slots = Math.max(1, state.server.slots);
     const present = Math.min(slots, state.estimate?.effectiveSlots ?? slots);
     const found = state.sums.findEffectiveSlots(slots) ?? present;
     if (found === present) {
--- a/src/gateway/admission/performanceSums.ts
+++ b/src/gateway/admission/performanceSums.ts
@@ -1,5 +1,5 @@
 /** Decaying sums over the answers of one process, and what follows from them: its speed and its effective slots. */
-import type { RunningSums } from "./serverPerformance";
+import { MAX_COUNTED_RUNNING, type RunningSums } from "./serverPerformance";
 
 /** Changes of the speed are followed at this rate; at 7 answers/s it leaves about 60 answers to average. */
 const SPEED_HALF_LIFE_MS = 6000;
@@ -120,7 +120,7 @@
   /** A number of requests that has rarely been seen counts as no slower than the others. */
   function findEffectiveSlots(slots: number): number | undefined {
     const { answers, work, time } = total(curve);
-    if (answers < MIN_CURVE_ANSWERS || work <= 0) {
+    if (answers < MIN_CURVE_ANSWERS || work <= 0 || slots > MAX_COUNTED_RUNNING) {
       return undefined;
     }
     const mean = time / work;
--- a/src/gateway/admission/serverPerformance.ts
+++ b/src/gateway/admission/serverPerformance.ts
@@ -17,8 +17,8 @@
 /** Bounds of a stated slowness; others are taken for as usual. */
 const MIN_SLOWNESS = 0.1;
 const MAX_SLOWNESS = 20;
-/** Answers with more running requests are counted with these. */
-const MAX_RUNNING = 32;
+/** Answers with more running requests are counted with these; servers with more slots keep their stated slots. */
+export const MAX_COUNTED_RUNNING = 32;
 /** Maximum servers whose answers wait for a report; only reports that are too long let them wait. */
 const MAX_PENDING = 1000;
 
@@ -127,7 +127,7 @@
       const server = findShared(name);
       const entry = server === undefined ? undefined : getPending(numbers.get(server));
       if (server !== undefined && entry !== undefined && load.slots >= 1) {
-        addAnswer(entry, server.service, latencyMs, work, load);
+        addAnswer(entry, server, latencyMs, work, load);
       }
     },
     takeObservations: (fits) => {
@@ -178,7 +178,7 @@
 
   function addAnswer(
     entry: Pending,
-    service: ServiceName,
+    server: DiscoveredServer,
     latencyMs: number,
     work: number,
     load: ServerLoad,
@@ -188,8 +188,10 @@
     // A request that shares the server with `present` others waits for its slot in proportion to them.
     const present = load.running + load.waiting + 1;
     const slowedMs = Math.max(1, latencyMs) * (load.slots / Math.max(load.slots, present));
-    const unitMs = limitTime(service, slowedMs / slowness / work);
-    const running = Math.min(MAX_RUNNING, Math.floor(Math.min(load.slots, load.running + 1)));
+    const unitMs = limitTime(server.service, slowedMs / slowness / work);
+    // The coordinator takes more running requests than the entry states slots for impossible.
+    const slots = Math.min(MAX_COUNTED_RUNNING, load.slots, Math.max(1, server.slots));
+    const running = Math.floor(Math.min(slots, load.running + 1));
     const sums = entry.byRunning.get(running) ?? { running, answers: 0, work: 0, timeMs: 0 };
     entry.byRunning.set(running, {
       running,
--- a/test/serverPerformance.test.ts
+++ b/test/serverPerformance.test.ts
@@ -3,7 +3,7 @@
  * which a daemon meets each server too rarely to know it.
  */
 import { describe, expect, test } from "vitest";
-import { estimateCapacities } from "../src/gateway";
+import { createPerformanceSums, estimateCapacities } from "../src/gateway";
 import {
   KEY_COUNT,
   type OwnedRange,
@@ -283,6 +283,13 @@
     expect(new Set(listSlots(fleet))).toEqual(new Set([4]));
   });
 
+  test("a server with more slots than are counted keeps its stated slots", () => {
+    const sums = createPerformanceSums(() => 0);
+    const counted = [16, 32].map((running) => ({ running, answers: 500, work: 500, timeMs: 500 * running }));
+    sums.add(counted, 24_000);
+    expect([sums.findEffectiveSlots(32), sums.findEffectiveSlots(100)]).toEqual([16, undefined]);
+  });
+
   test("a restart: the estimate of the former process no longer counts at any daemon", () => {
     const fleet = createFleet();
     fleet.run(10_000);
