--- a/test/serverLoads.test.ts
+++ b/test/serverLoads.test.ts
@@ -52,6 +52,22 @@
     expect(loads.estimateWaitMs("s1", SLOTS)).toBe(0);
   });
 
+  test("a rarely met server counts with the shared estimate, and waits with its effective slots", () => {
+    const estimate = { process: 1, processingMs: 100, answers: 50, effectiveSlots: 2 };
+    const loads = createServerLoads(createFakeClock(), () => "desk", {
+      find: (server) => (server === "shared" ? estimate : undefined),
+      recordLoad: () => undefined,
+      recordAnswer: () => undefined,
+    });
+    loads.recordAnswer("own", 400, 1);
+    expect(["shared", "own"].map((server) => loads.getProcessingMs(server))).toEqual([100, 400]);
+    for (const server of ["shared", "own"]) {
+      loads.recordLoad(server, { running: 3, waiting: 0, slots: 4, slowness: 1 });
+    }
+    // One more request than three waits for one of two effective slots, but not for one of four.
+    expect(["shared", "own"].map((server) => loads.estimateWaitMs(server, 4))).toEqual([100, 0]);
+  });
+
   test("the speed of a server does not depend on the kinds of requests that it gets", () => {
     const { loads } = createLoads();
     const costs = createRouteCosts();
--- a/test/serverPerformance.test.ts
+++ b/test/serverPerformance.test.ts
@@ -353,6 +353,15 @@
     expect(listTimes(fleet, 1)).not.toContain(undefined);
   });
 
+  test("a request of a fraction of a millisecond is no impossible report", () => {
+    const fleet = createFleet({ requestsPerSecond: 0 });
+    const load = { running: 4, waiting: 8, slots: 4, slowness: 3 };
+    fleet.getDaemon(5).performance.recordAnswer(fleet.getName(0), 1, 1, load);
+    fleet.run(400);
+    expect(fleet.getDaemon(0).counters.totals()).toEqual({});
+    expect(listTimes(fleet)[0]).toBeDefined();
+  });
+
   test("few servers: nothing is shared, and nothing is sent", () => {
     const fleet = createFleet({ servers: 16 });
     fleet.run(5000);
