Give each request of the process test of shared performance its own id

Cause: the test's caller sent no Request-Id, so that its server answered for another request, and the daemon refused all answers as foreign: no estimate after 500 requests.

--- a/test/performanceProcess.test.ts
+++ b/test/performanceProcess.test.ts
@@ -1,4 +1,5 @@
 /** The wiring of shared server performance: a real daemon learns the servers' speeds from their answers. */
+import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
@@ -56,7 +57,10 @@
 
 /** Sends a request and returns the number of servers with an estimate. */
 async function sendAndCount(url: string): Promise<number> {
-  const answer = await request(`${url}/long/x`, { method: "POST", headers: { host: "a.example" } });
+  const answer = await request(`${url}/long/x`, {
+    method: "POST",
+    headers: { host: "a.example", [WireHeader.RequestId]: randomUUID() },
+  });
   await answer.body.dump();
   const metrics = await request(`http://${DAEMON_HOST}:9464/metrics`);
   const text = await metrics.body.text();
