--- a/src/gateway/admission/performanceEstimates.ts
+++ b/src/gateway/admission/performanceEstimates.ts
@@ -16,6 +16,8 @@
 const MAX_RELATIVE_TIME = 4;
 /** Means of a report count with at most this factor of the median, which bounds what one wrong daemon can do. */
 const MAX_COUNTED_RELATIVE_TIME = 6;
+/** A median of fewer answers says nothing of a report. */
+const MIN_MEDIAN_ANSWERS = 50;
 /** A report with means beyond this factor of the median is taken for nonsense and dropped. */
 const MAX_STATED_RELATIVE_TIME = 50;
 /** Answers that a process can have given since a daemon's last report, as the time for which its slots worked. */
@@ -142,7 +144,7 @@
       timeMs > 0 &&
       timeMs <= server.slots * (MAX_REPORTED_MS + (2 * timeMs) / answers) &&
       ratio < MAX_STATED_RELATIVE_TIME &&
-      byRunning.every((each) => each.running <= server.slots)
+      byRunning.every((each) => each.running <= Math.max(1, server.slots))
     );
   }
 
@@ -199,7 +201,9 @@
         states.delete(process);
       } else {
         state.server = server;
-        byService.set(server.service, [...(byService.get(server.service) ?? []), [process, state]]);
+        const processes = byService.get(server.service) ?? [];
+        processes.push([process, state]);
+        byService.set(server.service, processes);
       }
     }
     for (const [service, processes] of byService) {
@@ -215,7 +219,9 @@
     if (median === undefined) {
       return;
     }
-    medians.set(service, median);
+    if (sum(processes, ([, state]) => state.sums.countAnswers()) >= MIN_MEDIAN_ANSWERS) {
+      medians.set(service, median);
+    }
     const times = processes.map(([, state]) => state.sums.getTimes());
     const usualSlowness =
       sum(times, (each) => each.slowedMs) /
@@ -259,7 +265,7 @@
   }
 
   function chooseEffectiveSlots(state: ProcessState): number {
-    const { slots } = state.server;
+    const slots = Math.max(1, state.server.slots);
     const present = Math.min(slots, state.estimate?.effectiveSlots ?? slots);
     const found = state.sums.findEffectiveSlots(slots) ?? present;
     if (found === present) {
--- a/src/gateway/admission/serverChoice.ts
+++ b/src/gateway/admission/serverChoice.ts
@@ -24,13 +24,18 @@
   readonly random: () => number;
 }
 
+/**
+ * Servers that are drawn, in proportion to their capacities, before the fastest is chosen among them. All daemons know
+ * the same capacities: if each chose the fastest of all its candidates, the slower ones would stay idle.
+ */
+const DRAWN_SERVERS = 3;
 /** Random part of the cost, so that daemons that know the same loads do not all choose the same server. */
 const COST_JITTER = 0.25;
 /** Cost of a failed request to its caller, as a multiple of the usual time. */
 const FAILURE_COST = 6;
 
 /**
- * Chooses the server with the shortest expected time until an answer.
+ * Chooses the server with the shortest expected time until an answer, among a few drawn by capacity where that is known.
  *
  * @param options - Candidates, their loads and the costs of distance.
  * @returns The server, or undefined when none may be sent the request.
@@ -40,10 +45,45 @@
   const available = options.candidates.filter(
     (server) => !tried.has(server.name) && loads.isReachable(server.name),
   );
-  const ranked = available
+  const drawn = drawByCapacity(available, options);
+  const ranked =
+    drawn === undefined
+      ? rankByCost(available, options)
+      : [
+          ...rankByCost(drawn.slice(0, DRAWN_SERVERS), options),
+          ...rankByCost(drawn.slice(DRAWN_SERVERS), options),
+        ];
+  return ranked.find((server) => options.isAdmitted(server));
+}
+
+/**
+ * Orders servers at random, each draw in proportion to the capacities that all daemons have measured together; undefined
+ * without such measurements.
+ */
+function drawByCapacity(
+  servers: readonly DiscoveredServer[],
+  { loads, random }: ServerChoiceOptions,
+): readonly DiscoveredServer[] | undefined {
+  const capacities = servers.map(({ name, slots }) => loads.findSharedCapacity(name, slots));
+  const known = capacities.filter((capacity) => capacity !== undefined);
+  if (known.length === 0) {
+    return undefined;
+  }
+  const mean = known.reduce((total, capacity) => total + capacity, 0) / known.length;
+  return servers
+    .map((server, index) => ({ server, drawnAt: -Math.log(1 - random()) / (capacities[index] ?? mean) }))
+    .sort((left, right) => left.drawnAt - right.drawnAt)
+    .map(({ server }) => server);
+}
+
+function rankByCost(
+  servers: readonly DiscoveredServer[],
+  options: ServerChoiceOptions,
+): readonly DiscoveredServer[] {
+  return servers
     .map((server) => ({ server, cost: estimateCostMs(server, options) }))
-    .sort((left, right) => left.cost - right.cost);
-  return ranked.find(({ server }) => options.isAdmitted(server))?.server;
+    .sort((left, right) => left.cost - right.cost)
+    .map(({ server }) => server);
 }
 
 function estimateCostMs(server: DiscoveredServer, options: ServerChoiceOptions): number {
--- a/src/gateway/admission/serverLoads.ts
+++ b/src/gateway/admission/serverLoads.ts
@@ -73,6 +73,8 @@
   findLoadAgeMs(server: ServerName): number | undefined;
   /** Returns the mean processing time of a request at the server, without its queue, in milliseconds. */
   getProcessingMs(server: ServerName): number;
+  /** Returns the requests per millisecond that a server can take, as all daemons measured it; undefined when unknown. */
+  findSharedCapacity(server: ServerName, slots: number): number | undefined;
   /** Returns the number of answers that the processing time is estimated from. */
   countAnswers(server: ServerName): number;
   /** Returns the share of recent requests that failed, from 0 to 1. */
@@ -178,6 +180,10 @@
       return view.load === undefined ? undefined : Math.round(clock.now() - view.loadAt);
     },
     getProcessingMs: (server) => getProcessingMs(getView(server)),
+    findSharedCapacity: (server, slots) => {
+      const estimate = shared?.find(server);
+      return estimate && Math.min(slots, estimate.effectiveSlots) / Math.max(1, estimate.processingMs);
+    },
     countAnswers: (server) => views.get(server)?.answers ?? 0,
     getFailureShare: (server) => getFailureShare(getView(server)),
     retain: (isPresent) => {
