--- a/standins/soak/daemons.ts
+++ b/standins/soak/daemons.ts
@@ -27,6 +27,8 @@
   isStopping(): boolean;
   /** The same as `isUndisturbedFor`, but neither the signals of a planned stop nor the exit after it count. */
   isOrderlyFor(ms: number): boolean;
+  /** Returns the process identifier; undefined while no process runs. */
+  getPid(): number | undefined;
   /** Returns the local time of the latest disturbance. */
   getDisturbedAt(): number;
   isReady(): Promise<boolean>;
@@ -51,6 +53,8 @@
   readonly storePort: number;
   /** Folder for the settings file and the log file. */
   readonly folder: string;
+  /** Limits of the VM beside its processor; the settings omit them by default. */
+  readonly limits?: { readonly memoryMb: number; readonly maxFds: number } | undefined;
 }
 
 /**
@@ -86,6 +90,7 @@
     isUndisturbedFor: (ms) => !isPaused && performance.now() - disturbedAt >= ms,
     isStopping: () => isStopping,
     isOrderlyFor: (ms) => !isPaused && performance.now() - unplannedAt >= ms,
+    getPid: () => (child.exitCode === null && child.signalCode === null ? child.pid : undefined),
     getDisturbedAt: () => (isPaused ? performance.now() : disturbedAt),
     isReady: async () => {
       try {
@@ -166,9 +171,10 @@
 }
 
 function createSettings(
-  { name, dataCentre, host, storePort }: SoakDaemonOptions,
+  { name, dataCentre, host, storePort, limits }: SoakDaemonOptions,
   isFirstStart: boolean,
 ): string {
+  const vmLimits = Object.entries(limits ?? {}).map(([limit, value]) => `${limit} = ${value}\n`);
   return `
 [self]
 bootstrap = ${isFirstStart}
@@ -178,7 +184,7 @@
 [self.limits]
 cpuShare = 0.5
 cpus = 1
-[network]
+${vmLimits.join("")}[network]
 portRange = [${Port.peers}, ${Port.peers + 15}]
 [network.listen]
 http = "${host}:${Port.callers}"
--- a/test/support/singleDaemon.ts
+++ b/test/support/singleDaemon.ts
@@ -12,23 +12,44 @@
 /** Polls until a wait is given up, so that the processes are ended. */
 const MAX_POLLS = 1500;
 
+/** Options for {@link startSingleDaemon}. */
+export interface SingleDaemonOptions {
+  /** Limits of the VM in the daemon's settings. */
+  readonly limits?: { readonly memoryMb: number; readonly maxFds: number };
+  /** Limit of the configuration on request bodies. */
+  readonly maxBodyBytes?: number;
+  /** Whether the backend server answers a request as soon as its body has arrived, with the length of the body. */
+  readonly answersAtOnce?: boolean;
+}
+
 /**
  * Starts the daemon and waits until it is ready. Its only route is `/long/` on the host `a.example`; requests to it
  * are not idempotent. The program must have been built.
  *
  * @param seed - Determines the address of the daemon.
+ * @param options - Limits, and how the backend server answers.
  * @returns The daemon and its backend server.
  */
-export async function startSingleDaemon(seed: number) {
+export async function startSingleDaemon(seed: number, options: SingleDaemonOptions = {}) {
   const waiting: { readonly id: string; readonly response: ServerResponse }[] = [];
   const server = createServer((message, response) => {
-    message.resume();
-    waiting.push({ id: String(message.headers[WireHeader.RequestId]), response });
+    const id = String(message.headers[WireHeader.RequestId]);
+    let bytes = 0;
+    message.on("data", (chunk: Buffer) => {
+      bytes += chunk.byteLength;
+    });
+    if (options.answersAtOnce === true) {
+      message.once("end", () => {
+        respond(response, id, String(bytes));
+      });
+    } else {
+      waiting.push({ id, response });
+    }
   });
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const store = createEdgeObjectStore(Math.random);
-  store.put(StoreKind.Configuration, CONFIGURATION_NAME, configuration);
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(options.maxBodyBytes));
   store.put(StoreKind.Servers, "desk-0", {
     address: `${HOST}:${port}`,
     born: Date.now(),
@@ -42,6 +63,7 @@
     host: `127.0.${seed}.10`,
     storePort: endpoint.port,
     folder: createSoakFolder(),
+    limits: options.limits,
   });
   const close = async () => {
     await daemon.close();
@@ -61,6 +83,7 @@
     daemon: {
       host: url.hostname,
       callerPort: Number(url.port),
+      getPid: () => daemon.getPid(),
       terminate: () => {
         daemon.terminate();
       },
@@ -82,14 +105,18 @@
     /** Answers all requests that are at the backend server. */
     answer: () => {
       waiting.splice(0).forEach(({ id, response }) => {
-        response.writeHead(200, { [WireHeader.RequestId]: id, [WireHeader.Signature]: `signed-${id}` });
-        response.end("x");
+        respond(response, id, "x");
       });
     },
     close,
   };
 }
 
+function respond(response: ServerResponse, id: string, body: string): void {
+  response.writeHead(200, { [WireHeader.RequestId]: id, [WireHeader.Signature]: `signed-${id}` });
+  response.end(body);
+}
+
 async function poll(condition: () => Promise<boolean>): Promise<void> {
   for (let count = 0; count < MAX_POLLS; count += 1) {
     if (await condition()) {
@@ -100,28 +127,30 @@
   throw new Error("the daemon process did not get to the expected state");
 }
 
-const configuration = {
-  version: "00000001",
-  resources: [
-    {
-      type: "routes",
-      metadata: { name: "long" },
-      spec: {
-        host: "a.example",
-        pathPrefix: "/long/",
-        kind: "unsafe",
-        timeoutS: 8,
-        aimS: 0.5,
-        priority: 1,
-        service: "desk",
-        attempts: 1,
+function createConfiguration(maxBodyBytes = 1_048_576) {
+  return {
+    version: "00000001",
+    resources: [
+      {
+        type: "routes",
+        metadata: { name: "long" },
+        spec: {
+          host: "a.example",
+          pathPrefix: "/long/",
+          kind: "unsafe",
+          timeoutS: 8,
+          aimS: 0.5,
+          priority: 1,
+          service: "desk",
+          attempts: 1,
+        },
       },
-    },
-    { type: "services", metadata: { name: "desk" }, spec: { maxConns: 130, warmupS: 0, sharded: false } },
-    {
-      type: "limits",
-      metadata: {},
-      spec: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutS: 3, idleTimeoutS: 15 },
-    },
-  ],
-};
+      { type: "services", metadata: { name: "desk" }, spec: { maxConns: 130, warmupS: 0, sharded: false } },
+      {
+        type: "limits",
+        metadata: {},
+        spec: { maxHeaderBytes: 16_384, maxBodyBytes, headerTimeoutS: 3, idleTimeoutS: 15 },
+      },
+    ],
+  };
+}
