Limit what is held for callers by the memory and descriptors of the VM

Cause: bodies that were arriving were in no count, and Buffer.concat doubled them; Node.js parses up to 64 KiB that it has read before a pause takes effect, so one read held thousands of requests or chunks; connections had no limit. After a crowd of one-byte chunks had gone, each turn of the event loop still parsed 64 KiB of each of its connections, so an ordinary request waited for seconds.

Change: one count (callerMemory.ts) covers bodies, input read ahead, unread answers, connections and requests. Bodies stay in the pieces in which they came (RoutedRequest.body is a list). Announced bodies over the limit get 413 before they are read. Dropped bodies are collected when memory is short (platform/heap.ts).

An ordinary request of these tests that is refused with a time to return now comes back once, as callers do: right after 60 connections have left, the server of four slots counts as overloaded. `npm test` was not run as a whole on this state.

--- a/src/gateway/callers/callerAnswers.ts
+++ b/src/gateway/callers/callerAnswers.ts
@@ -9,7 +9,7 @@
 import { RejectionReason, type StreamedBody } from "../attemptTypes";
 import type { DispatchResult, RoutedRequest } from "../dispatchTypes";
 import type { CallerFields, CallerProtocol } from "../protocols";
-import type { RequestPlace } from "./callerConnections";
+import type { RequestPlace } from "./requestPlace";
 import { selectForwardedHeaders } from "./forwardedHeaders";
 
 const NO_NAMES: ReadonlySet<string> = new Set();
--- a/src/gateway/callers/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -6,6 +6,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../types";
+import type { CallerAccount, CallerMemory } from "./callerMemory";
+import { type PendingRequest, type RequestPlace, Turn } from "./requestPlace";
+import { type PacedInput, createPacedInputs } from "./pacedInput";
 
 /** Maximum requests of one connection that are at backend servers at the same time. */
 const MAX_DISPATCHED_PER_CONNECTION = 8;
@@ -15,43 +18,8 @@
 const MAX_DISPATCHED_BEHIND = 200;
 /** A caller that has just connected has a request to send; its connection is not idle for this time. */
 const NEW_CONNECTION_MS = 500;
-
-/** Whether a request may be sent to a backend server. */
-export const Turn = {
-  Dispatch: "dispatch",
-  /** Its deadline passed before its turn came. */
-  Late: "late",
-  /** An answer ahead of it closes the connection; it counts as not read. */
-  Dropped: "dropped",
-} as const;
-export type Turn = (typeof Turn)[keyof typeof Turn];
-
-/** Place of one request among those of its connection. */
-export interface RequestPlace {
-  /** Waits until the request may be sent to a backend server. One that is not idempotent waits until it is first. */
-  waitForTurn(isIdempotent: boolean, deadlineAt: number): Promise<Turn>;
-  /**
-   * Asks for the connection to be closed after the answer, whose head must be written next. Returns false while
-   * requests behind it are at backend servers, or had been read when this was first asked; then the last of them
-   * closes the connection. Returns false, too, while the body of the request arrives.
-   */
-  closeAfter(): boolean;
-  /** Closes the connection after the answer, whose end this marks; drops requests behind it that are not sent yet. */
-  endConnection(): void;
-  /** Returns whether requests behind this one are at backend servers. */
-  hasWorkBehind(): boolean;
-  /** Returns whether an answer must ask again to close the connection, since an earlier one could not. */
-  mustClose(): boolean;
-}
-
-/** A request whose answer has not been written to its connection in full. */
-export interface PendingRequest {
-  /** Undefined when the caller sent none. */
-  readonly requestId: string | undefined;
-  readonly arrivedAt: number;
-  /** Whether the answer is complete and only its writing is not. */
-  readonly isAnswered: boolean;
-}
+/** Time for which a refusal may be read while the rest of its request is not, before the connection is closed. */
+const REFUSAL_LINGER_MS = 1000;
 
 /** Order of the requests on all connections. */
 export interface CallerConnections {
@@ -91,6 +59,9 @@
 
 interface Connection {
   readonly openedAt: number;
+  readonly account: CallerAccount;
+  readonly input: PacedInput;
+  countBodyRest: () => number;
   readonly places: Place[];
   /** Bytes that had been read from the connection at the end of the last request; more are a part of the next one. */
   bytesAtRest: number;
@@ -104,9 +75,11 @@
  * Creates the order of connections without requests.
  *
  * @param clock - Clock that deadlines are measured by.
+ * @param memory - Count of what is held for callers.
  * @returns The order.
  */
-export function createCallerConnections(clock: Clock): CallerConnections {
+export function createCallerConnections(clock: Clock, memory: CallerMemory): CallerConnections {
+  const inputs = createPacedInputs();
   const connections = new Map<Socket, Connection>();
   let dispatchedBehind = 0;
   let pendingCount = 0;
@@ -133,9 +106,11 @@
     },
     whenAnswered: (socket, callback) => {
       const connection = connections.get(socket);
+      connection?.input.discard();
       if (connection?.places.at(-1)?.message.complete === false) {
         connection.places.pop();
         pendingCount -= 1;
+        connection.account.addRequests(-1);
       }
       if (connection === undefined || connection.places.length === 0) {
         callback();
@@ -164,13 +139,12 @@
     };
     connection.places.push(place);
     pendingCount += 1;
-    if (connection.places.length >= MAX_READ_AHEAD) {
-      socket.pause();
-    }
+    connection.countBodyRest = () => 0;
+    connection.account.addRequests(1);
     const finish = () => {
       response.removeListener("close", finish);
       socket.removeListener("close", finish);
-      remove(socket, connection, place);
+      remove(connection, place);
     };
     response.once("close", finish);
     // A response that waits for its turn gets no event when the connection is closed.
@@ -187,6 +161,21 @@
       },
       hasWorkBehind: () => hasWorkBehind(connection, place),
       mustClose: () => connection.isCloseWanted,
+      account: connection.account,
+      followBody: (countRest) => {
+        connection.countBodyRest = countRest;
+      },
+      stopReading: () => {
+        connection.input.stop();
+        endConnection(connection, place);
+        // A close with unread bytes resets the connection, and the refusal could be lost.
+        socket.destroySoon = () => {
+          socket.end();
+          clock.schedule(REFUSAL_LINGER_MS, () => {
+            socket.destroy();
+          });
+        };
+      },
     };
   }
 
@@ -195,9 +184,24 @@
   }
 
   function createConnection(socket: Socket): Connection {
+    const places: Place[] = [];
+    const account = memory.open({
+      socket,
+      isWaitingForCaller: () => isWaitingForCaller(socket, places),
+      isIdle: () => isIdle(socket, connection),
+    });
+    const input = inputs.open(socket, {
+      mayRead: () => places.length < MAX_READ_AHEAD,
+      countBodyRest: () => connection.countBodyRest(),
+      onWaiting: account.addInput,
+      onData: account.recordProgress,
+    });
     const connection: Connection = {
       openedAt: clock.now(),
-      places: [],
+      account,
+      input,
+      countBodyRest: () => 0,
+      places,
       bytesAtRest: 0,
       isCloseWanted: false,
       closingPlace: undefined,
@@ -210,12 +214,13 @@
     return connection;
   }
 
-  function isIdle(socket: Socket, { places, openedAt, bytesAtRest }: Connection): boolean {
+  function isIdle(socket: Socket, { places, openedAt, bytesAtRest, input }: Connection): boolean {
     const isNew = bytesAtRest === 0 && clock.now() - openedAt < NEW_CONNECTION_MS;
-    return places.length === 0 && !isNew && socket.bytesRead === bytesAtRest && socket.writableLength === 0;
+    const isQuiet = socket.bytesRead === bytesAtRest && input.countWaiting() === 0;
+    return places.length === 0 && !isNew && isQuiet && socket.writableLength === 0;
   }
 
-  function remove(socket: Socket, connection: Connection, place: Place): void {
+  function remove(connection: Connection, place: Place): void {
     const index = connection.places.indexOf(place);
     if (index === -1) {
       return;
@@ -229,9 +234,8 @@
     if (index === 0 && first?.isDispatched === true) {
       dispatchedBehind -= 1;
     }
-    if (connection.places.length === MAX_READ_AHEAD - 1) {
-      socket.resume();
-    }
+    connection.account.addRequests(-1);
+    connection.input.update();
     [...connection.places].forEach((waiting) => waiting.check?.());
     if (first === undefined) {
       connection.onAnswered?.();
@@ -278,6 +282,9 @@
   }
 
   function closeAfter(connection: Connection, place: Place): boolean {
+    if (connection.closingPlace === place) {
+      return true;
+    }
     const behind = listBehind(connection, place);
     if (!connection.isCloseWanted) {
       connection.isCloseWanted = true;
@@ -304,6 +311,12 @@
   }
 }
 
+/** Returns whether the daemon waits for a request, for the rest of one, or for its caller to read an answer. */
+function isWaitingForCaller(socket: Socket, places: readonly Place[]): boolean {
+  const latest = places.at(-1);
+  return latest === undefined || isBodyArriving(latest.message) || socket.writableLength > 0;
+}
+
 /** Returns whether a part of a body is missing. A request without a body is complete only after its head was handled. */
 function isBodyArriving({ complete, headers }: IncomingMessage): boolean {
   const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -19,9 +19,12 @@
   type ServicePolicy,
 } from "../types";
 import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
-import { type PendingRequest, Turn, createCallerConnections } from "./callerConnections";
+import { createCallerConnections } from "./callerConnections";
 import { selectForwardedHeaders } from "./forwardedHeaders";
-import { type BodyReadResult, createRequestBodies } from "./requestBody";
+import { type CallerMemory, createCallerMemory } from "./callerMemory";
+import { createCallerBudget } from "./memoryBudget";
+import { type BodyReadResult, readBody } from "./requestBody";
+import { type PendingRequest, Turn } from "./requestPlace";
 
 /** Limit of the HTTP parser; the configured limit is checked on the header that it has read. */
 const PARSER_HEADER_BYTES = 65_536;
@@ -32,6 +35,8 @@
 /** Retry-after time of requests refused before dispatch, for example before the first configuration. */
 const EARLY_REFUSAL_RETRY_AFTER_MS = 300;
 
+/** Up to this rest of a body that is too large is discarded, so that its connection can be used again. */
+const MAX_DISCARDED_BYTES = 65_536;
 /** Time for which the answer to a malformed request may be read before its connection is closed, in milliseconds. */
 const MALFORMED_LINGER_MS = 1000;
 
@@ -43,6 +48,8 @@
   readonly dispatch: Dispatcher;
   readonly callerProtocol: CallerProtocol;
   readonly serverProtocol: ServerProtocol;
+  /** Count of what is held for callers; without one, that of a VM with the default limits. */
+  readonly memory?: CallerMemory;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -82,8 +89,7 @@
 export async function createCallerListener(options: CallerListenerOptions): Promise<CallerListener> {
   const { callerProtocol, clock, logger, metrics } = options;
   const { counters } = metrics;
-  const connections = createCallerConnections(clock);
-  const bodies = createRequestBodies();
+  const connections = createCallerConnections(clock, options.memory ?? createDefaultMemory());
   const stopAdmission = createStopAdmission(clock);
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
@@ -120,6 +126,16 @@
     },
   };
 
+  function createDefaultMemory(): CallerMemory {
+    return createCallerMemory({
+      budget: createCallerBudget(),
+      measureHeap: () => 0,
+      clock,
+      logger,
+      counters,
+    });
+  }
+
   async function serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = clock.now();
     try {
@@ -159,22 +175,31 @@
       answers.refuse(pending, { status: Status.BadRequest, detail });
       return;
     }
-    const body = await bodies.read(message, configuration.limits.maxBodyBytes);
+    const body = await readBody(message, pending.place, configuration.limits.maxBodyBytes);
     if (body.kind !== "whole") {
       refuseBody(pending, body);
       return;
     }
     const request = createRequest(message, route, service, pending.fields, body.content, arrivedAt, caller);
-    await serveInTurn(pending, request);
+    await serveInTurn(pending, request, body.release);
   }
 
-  /** Sends the request to a backend server as soon as the requests ahead of it on its connection allow it. */
-  async function serveInTurn(pending: PendingAnswer, request: RoutedRequest): Promise<void> {
+  /**
+   * Sends the request to a backend server as soon as the requests ahead of it on its connection allow it, and releases
+   * its body once it needs no further attempt. If this throws, the body is released with its connection.
+   */
+  async function serveInTurn(
+    pending: PendingAnswer,
+    request: RoutedRequest,
+    releaseBody: () => void,
+  ): Promise<void> {
     const turn = await pending.place.waitForTurn(request.route.kind !== RouteKind.Unsafe, request.deadlineAt);
     switch (turn) {
       case Turn.Dropped:
+        releaseBody();
         return;
       case Turn.Late:
+        releaseBody();
         answers.refuse(pending, { status: Status.ServiceUnavailable, detail: RejectionReason.Late });
         return;
       case Turn.Dispatch:
@@ -183,8 +208,8 @@
         turn satisfies never;
     }
     const dispatchedAt = clock.now();
-    const result =
-      stopAdmission.findRefusal(request) ?? (await bodies.hold(request.body, options.dispatch(request)));
+    const result = stopAdmission.findRefusal(request) ?? (await options.dispatch(request));
+    releaseBody();
     const outcome = result.kind === "answered" ? String(result.message.statusCode) : result.reason;
     metrics.recordLatency(request.service.name, outcome, clock.now() - request.arrivedAt);
     await sendResult(pending, request, result);
@@ -204,10 +229,14 @@
         pending.response.destroy();
         return;
       case "tooLarge":
+        if (body.restBytes > MAX_DISCARDED_BYTES) {
+          pending.place.stopReading();
+        }
         answers.refuse(pending, { status: Status.PayloadTooLarge, detail: "the body is too large" });
         return;
       case "noRoom":
-        refuseEarly(pending, "too many bodies are held");
+        pending.place.stopReading();
+        refuseEarly(pending, "too much is held for callers");
         return;
       default:
         body satisfies never;
@@ -219,15 +248,15 @@
     route: Route,
     service: ServicePolicy,
     fields: CallerFields,
-    body: Buffer,
+    body: readonly Buffer[],
     arrivedAt: number,
     caller: CallerWatch,
   ): RoutedRequest {
     const callerTimeoutMs = fields.remainingMs ?? route.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs ?? callerTimeoutMs);
     const headers = selectForwardedHeaders(message.rawHeaders, options.serverProtocol.replacedFields);
-    if (headers["content-length"] === undefined && body.byteLength > 0) {
-      headers["content-length"] = String(body.byteLength);
+    if (headers["content-length"] === undefined && body.length > 0) {
+      headers["content-length"] = String(body.reduce((total, piece) => total + piece.byteLength, 0));
     }
     return {
       id: fields.requestId ?? "",
--- /dev/null
+++ b/src/gateway/callers/callerMemory.ts
@@ -0,0 +1,281 @@
+/** Counts what is held for callers, and closes connections when it exceeds the limits. */
+import type { Socket } from "node:net";
+import { type Counters, Event, type Logger } from "../../observability";
+import type { Clock } from "../../types";
+import {
+  type CallerBudget,
+  CONNECTION_BYTES,
+  REQUEST_BYTES,
+  chooseConnectionToClose,
+  chooseHoldersToClose,
+} from "./memoryBudget";
+
+/** Freed bytes after which the garbage collector is asked to free them when memory is short; it takes some 50 ms. */
+const MIN_COLLECTED_BYTES = 8_000_000;
+/** Interval at which the unread answers are counted, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** What is held for one connection. */
+export interface CallerAccount {
+  /** Changes the number of requests that are not answered. */
+  readonly addRequests: (change: number) => void;
+  /** Changes the number of bytes of bodies. */
+  readonly addBytes: (change: number) => void;
+  /** Changes the number of bytes of input that has been read ahead, which the garbage collector frees soon. */
+  readonly addInput: (change: number) => void;
+  /** Records that the caller has sent or read something. */
+  readonly recordProgress: () => void;
+  /** Sets how the connection is closed to free its memory: with a refusal, or at once when undefined. */
+  readonly onClose: (close: (() => void) | undefined) => void;
+}
+
+/** What the account needs to know of a connection. */
+export interface AccountedConnection {
+  readonly socket: Socket;
+  /** Returns whether the daemon waits for the caller: for the rest of a request, or to read an answer. */
+  isWaitingForCaller(): boolean;
+  /** Returns whether the connection carries no request. */
+  isIdle(): boolean;
+}
+
+/** Count of what is held for all callers. */
+export interface CallerMemory {
+  /** Opens the account of a connection, which ends with it; closes another one if there are too many. */
+  open(connection: AccountedConnection): CallerAccount;
+  /** Changes the number of bytes of backend servers' answers that are held for callers. */
+  addAnswerBytes(change: number): void;
+  /** Returns whether nothing more should be held that can also wait elsewhere. */
+  isShort(): boolean;
+  /** Returns the number of bytes that are held. */
+  countBytes(): number;
+}
+
+/** Options for {@link createCallerMemory}. */
+export interface CallerMemoryOptions {
+  readonly budget: CallerBudget;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly counters: Pick<Counters, "increment">;
+  /** Returns the size of the JavaScript heap in bytes. */
+  readonly measureHeap: () => number;
+  /** Returns the memory of all buffers in bytes, those that are not freed yet included. */
+  readonly measureBuffers?: () => number;
+  /** Frees the memory of what is no longer held; without it, Node.js does so when it sees fit. */
+  readonly collectGarbage?: () => void;
+}
+
+interface Account {
+  readonly connection: AccountedConnection;
+  requests: number;
+  bytes: number;
+  progressAt: number;
+  close: () => void;
+  /** Whether it was closed to free its memory; the connection may stay open until its refusal has been read. */
+  isEnded: boolean;
+}
+
+/**
+ * Creates the count, without any connection.
+ *
+ * @param options - Limits, clock, logger, counters and garbage collector.
+ * @returns The count.
+ */
+export function createCallerMemory(options: CallerMemoryOptions): CallerMemory {
+  const { budget, clock, logger, counters } = options;
+  const accounts = new Set<Account>();
+  let requests = 0;
+  let bytes = 0;
+  let answerBytes = 0;
+  /** What sockets had not written at the last check; most of it is in `answerBytes`, too. */
+  let unreadBytes = 0;
+  let uncollectedBytes = 0;
+  let totalBytes = budget.getTotalBytes(options.measureHeap());
+  let isCheckScheduled = false;
+
+  return {
+    open,
+    addAnswerBytes: (change) => {
+      answerBytes += change;
+      recordChange(change);
+    },
+    isShort: () => countHeld() >= totalBytes,
+    countBytes: countHeld,
+  };
+
+  function open(connection: AccountedConnection): CallerAccount {
+    const { socket } = connection;
+    if (accounts.size >= budget.maxConnections) {
+      makeRoom(socket);
+    }
+    const destroy = () => {
+      socket.destroy();
+    };
+    const account: Account = {
+      connection,
+      requests: 0,
+      bytes: 0,
+      progressAt: clock.now(),
+      close: destroy,
+      isEnded: false,
+    };
+    accounts.add(account);
+    socket.once("close", () => {
+      end(account);
+      accounts.delete(account);
+    });
+    socket.on("drain", () => {
+      account.progressAt = clock.now();
+    });
+    scheduleCheck();
+    return {
+      addRequests: (change) => {
+        if (account.isEnded) {
+          return;
+        }
+        account.requests += change;
+        requests += change;
+        account.progressAt = clock.now();
+        if (change > 0) {
+          checkState();
+        }
+      },
+      addBytes: (change) => {
+        if (account.isEnded) {
+          return;
+        }
+        account.bytes += change;
+        bytes += change;
+        recordChange(change);
+      },
+      addInput: (change) => {
+        if (account.isEnded) {
+          return;
+        }
+        account.bytes += change;
+        bytes += change;
+        recordChange(Math.max(0, change));
+      },
+      recordProgress: () => {
+        account.progressAt = clock.now();
+      },
+      onClose: (close) => {
+        account.close = close ?? destroy;
+      },
+    };
+  }
+
+  /** Closes a connection in favour of one that was just accepted, or that one if all others carry requests. */
+  function makeRoom(accepted: Socket): void {
+    counters.increment("callers.closed", "connections");
+    const surplus = chooseConnectionToClose(listConnections());
+    if (surplus === undefined) {
+      accepted.destroy();
+      return;
+    }
+    end(surplus.account);
+    accounts.delete(surplus.account);
+    surplus.account.connection.socket.destroy();
+  }
+
+  /** Takes what an account holds out of the count; its later changes have no effect. */
+  function end(account: Account): void {
+    if (account.isEnded) {
+      return;
+    }
+    account.isEnded = true;
+    requests -= account.requests;
+    bytes -= account.bytes;
+    uncollectedBytes += account.bytes;
+  }
+
+  function recordChange(change: number): void {
+    if (change < 0) {
+      uncollectedBytes -= change;
+    } else {
+      checkTotal();
+    }
+  }
+
+  function countState(): number {
+    return accounts.size * CONNECTION_BYTES + requests * REQUEST_BYTES;
+  }
+
+  function countHeld(): number {
+    return countState() + bytes + Math.max(answerBytes, unreadBytes);
+  }
+
+  function checkState(): void {
+    if (countState() > budget.stateBytes) {
+      close(countState(), budget.stateBytes, "requests");
+    }
+  }
+
+  function checkTotal(): void {
+    if (countHeld() + uncollectedBytes <= totalBytes) {
+      return;
+    }
+    // Node.js may have freed some of them in the meantime.
+    const bufferBytes = options.measureBuffers?.() ?? Number.POSITIVE_INFINITY;
+    uncollectedBytes = Math.min(uncollectedBytes, Math.max(0, bufferBytes - bytes - answerBytes));
+    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > totalBytes) {
+      options.collectGarbage?.();
+      uncollectedBytes = 0;
+    }
+    if (countHeld() > totalBytes) {
+      close(countHeld(), totalBytes, "memory");
+    }
+  }
+
+  function close(heldBytes: number, limitBytes: number, limit: string): void {
+    const open = [...accounts].filter((account) => !account.isEnded);
+    const holders = open.map((account) => ({
+      account,
+      bytes:
+        CONNECTION_BYTES +
+        account.requests * REQUEST_BYTES +
+        account.bytes +
+        account.connection.socket.writableLength,
+      stalledMs: measureStall(account),
+    }));
+    const chosen = chooseHoldersToClose(holders, heldBytes, limitBytes);
+    logger.log(Event.CallersClosed, { limit, heldBytes, limitBytes, connections: chosen.length });
+    for (const { account } of chosen) {
+      counters.increment("callers.closed", limit);
+      account.close();
+      end(account);
+    }
+  }
+
+  function measureStall({ connection, progressAt }: Account): number {
+    return connection.isWaitingForCaller() ? clock.now() - progressAt : 0;
+  }
+
+  function* listConnections() {
+    for (const account of accounts) {
+      const isIdle = account.isEnded || account.connection.isIdle();
+      // An idle connection that was just used may carry the next request already.
+      const stalledMs = isIdle ? clock.now() - account.progressAt : measureStall(account);
+      yield { account, isIdle, stalledMs };
+    }
+  }
+
+  /** Counts unread answers and adjusts the limit while there are connections. */
+  function scheduleCheck(): void {
+    if (isCheckScheduled) {
+      return;
+    }
+    isCheckScheduled = true;
+    clock.schedule(CHECK_INTERVAL_MS, () => {
+      isCheckScheduled = false;
+      totalBytes = budget.getTotalBytes(options.measureHeap());
+      unreadBytes = 0;
+      for (const { connection } of accounts) {
+        unreadBytes += connection.socket.writableLength;
+      }
+      checkTotal();
+      if (accounts.size > 0) {
+        scheduleCheck();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/callers/memoryBudget.ts
@@ -0,0 +1,121 @@
+/** Limits on what is held for callers, and the choice of those to close when a limit is exceeded. No network. */
+
+/** Memory of a VM whose settings state none. */
+export const DEFAULT_MEMORY_MB = 350;
+/** Maximum open descriptors on a VM whose settings state none. */
+export const DEFAULT_MAX_DESCRIPTORS = 4100;
+const BYTES_PER_MB = 1_000_000;
+/** Memory of the process beside its JavaScript heap and what is held for callers, in MB. */
+const RESERVE_MB = 80;
+/** The rest of what is left goes to the fragments and the garbage that holding it leaves behind. */
+const HELD_SHARE = 0.8;
+/** Limit on small VMs: one body of the largest size, 67,108,864 bytes, with its bookkeeping. */
+const MIN_HELD_MB = 72;
+/** Requests and connections are objects of the JavaScript heap, which has 160 MB for everything. */
+const MAX_STATE_BYTES = 40_000_000;
+/** Part of the VM's descriptors for callers; the others are for backend servers, the store and the log. */
+const CONNECTION_SHARE = 0.6;
+/** Added to the time without progress, so that size decides among holders that have just made some. */
+const MIN_STALLED_MS = 200;
+/** After the limit was exceeded, this share of it is left free, so that not each further byte needs a choice. */
+const RELIEF_SHARE = 0.1;
+
+/** Estimated memory of an open connection with its HTTP parser, in bytes. */
+export const CONNECTION_BYTES = 12_288;
+/** Estimated memory of a request with its header fields and its answer's head, in bytes. */
+export const REQUEST_BYTES = 8192;
+/** Estimated memory of a chunk beside its content, in bytes. */
+export const CHUNK_BYTES = 256;
+
+/** Limits on what is held for all callers together. */
+export interface CallerBudget {
+  /** Returns the limit on everything that is held, in bytes, with a JavaScript heap of a size in bytes. */
+  readonly getTotalBytes: (heapBytes: number) => number;
+  /** Limit on the estimates for connections and requests, in bytes. */
+  readonly stateBytes: number;
+  readonly maxConnections: number;
+}
+
+/** What is held for the connection of one caller. */
+export interface Holder {
+  /** Bytes of everything, estimates for the connection and its requests included. */
+  readonly bytes: number;
+  /** Time for which this daemon has waited for the caller without progress, in milliseconds; 0 while it does not wait. */
+  readonly stalledMs: number;
+}
+
+/**
+ * Derives the limits from those of the VM.
+ *
+ * @param memoryMb - Memory of the VM in MB.
+ * @param maxDescriptors - Maximum open descriptors of the process.
+ * @returns The limits.
+ */
+export function createCallerBudget(
+  memoryMb = DEFAULT_MEMORY_MB,
+  maxDescriptors = DEFAULT_MAX_DESCRIPTORS,
+): CallerBudget {
+  return {
+    getTotalBytes: (heapBytes) => {
+      const freeBytes = (memoryMb - RESERVE_MB) * BYTES_PER_MB - heapBytes;
+      return Math.max(MIN_HELD_MB * BYTES_PER_MB, freeBytes * HELD_SHARE);
+    },
+    stateBytes: MAX_STATE_BYTES,
+    maxConnections: Math.max(1, Math.floor(maxDescriptors * CONNECTION_SHARE)),
+  };
+}
+
+/**
+ * Chooses the holders to close when a limit is exceeded: the largest and slowest first.
+ *
+ * @param holders - All holders.
+ * @param heldBytes - What is held now, in bytes.
+ * @param limitBytes - The limit, in bytes.
+ * @returns The holders to close; empty while the limit is kept.
+ */
+export function chooseHoldersToClose<Each extends Holder>(
+  holders: readonly Each[],
+  heldBytes: number,
+  limitBytes: number,
+): readonly Each[] {
+  if (heldBytes <= limitBytes) {
+    return [];
+  }
+  const chosen: Each[] = [];
+  let excess = heldBytes - limitBytes * (1 - RELIEF_SHARE);
+  const ordered = [...holders].sort((left, right) => weigh(right) - weigh(left));
+  for (const holder of ordered) {
+    if (excess <= 0) {
+      break;
+    }
+    chosen.push(holder);
+    excess -= holder.bytes;
+  }
+  return chosen;
+}
+
+/**
+ * Chooses the connection to close when there are too many: the one that has been idle for longest, or else the one
+ * whose caller has been waited for the longest.
+ *
+ * @param connections - All connections, the newest last, without the one that was just accepted.
+ * @returns The connection; undefined when none is idle or waited for.
+ */
+export function chooseConnectionToClose<
+  Each extends { readonly stalledMs: number; readonly isIdle: boolean },
+>(connections: Iterable<Each>): Each | undefined {
+  let chosen: Each | undefined;
+  for (const each of connections) {
+    const isBetter =
+      chosen === undefined ||
+      (each.isIdle !== chosen.isIdle ? each.isIdle : each.stalledMs > chosen.stalledMs);
+    if (each.stalledMs > 0 && isBetter) {
+      chosen = each;
+    }
+  }
+  return chosen;
+}
+
+function weigh({ bytes, stalledMs }: Holder): number {
+  return bytes * (stalledMs + MIN_STALLED_MS);
+}
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -17,7 +17,8 @@
   readonly method: string;
   readonly path: string;
   readonly headers: OutgoingHttpHeaders;
-  readonly body: Buffer;
+  /** The body in the pieces in which it is kept; empty when there is none. */
+  readonly body: readonly Buffer[];
   /** Local time at which the timeout of the caller or of the route expires, whichever is earlier. */
   readonly deadlineAt: number;
   readonly arrivedAt: number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,7 +39,7 @@
   createServerSubsets,
 } from "./admission";
 import { createDispatcher } from "./dispatcher";
-import { createCallerListener } from "./callers";
+import { createCallerBudget, createCallerListener, createCallerMemory } from "./callers";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import { createKeyCoordination, createPermitExchange, createStateExchange } from "./coordination";
@@ -131,11 +131,21 @@
   });
   const loads = createServerLoads(clock, (name) => directory.get(name)?.service);
   const rateLimits = createServerRateLimits({ directory, clock, logger });
-  const connections = createServerConnections(clock, (server) => {
+  const memory = createCallerMemory({
+    budget: createCallerBudget(options.memoryMb, options.maxDescriptors),
+    clock,
+    logger,
+    counters,
+    measureHeap: options.heap.measure,
+    measureBuffers: options.heap.measureBuffers,
+    collectGarbage: options.heap.collectGarbage,
+  });
+  const getMaxConnections = (server: DiscoveredServer) => {
     const maxConnections = findPolicy(server.service)?.maxConnections ?? 1;
     const share = Math.floor((maxConnections * CONNECTION_SHARE) / freshness.getClusterSize());
     return Math.max(2, Math.min(share, server.slots * MAX_REQUESTS_PER_SLOT));
-  });
+  };
+  const connections = createServerConnections(clock, getMaxConnections, memory);
   const channel = createDatagramChannel(await createUdpTransport(options.peers), counters);
   const permits = createPermitExchange({
     channel,
@@ -230,6 +240,7 @@
     dispatch,
     callerProtocol: options.callerProtocol,
     serverProtocol: options.serverProtocol,
+    memory,
     clock,
     logger,
     metrics,
@@ -237,6 +248,7 @@
   addGatewayGauges({
     metrics,
     callerListener,
+    memory,
     routing,
     owners,
     directory,
--- a/src/gateway/gatewayOptions.ts
+++ b/src/gateway/gatewayOptions.ts
@@ -16,6 +16,16 @@
   readonly exclusions: string;
 }
 
+/** The JavaScript heap of the process. */
+export interface Heap {
+  /** Returns its size in bytes. */
+  readonly measure: () => number;
+  /** Returns the memory of all buffers in bytes, which is not part of the heap. */
+  readonly measureBuffers: () => number;
+  /** Runs the garbage collector, which does not know of the limits on memory. */
+  readonly collectGarbage: () => void;
+}
+
 /** Options for `startGateway`. */
 export interface GatewayOptions {
   readonly daemon: DaemonName;
@@ -24,6 +34,11 @@
   readonly isFirstStart: boolean;
   /** Processor capacity of the VM, in cores. */
   readonly processors: number;
+  /** Memory of the VM in MB. */
+  readonly memoryMb: number;
+  /** Maximum number of open descriptors of the process. */
+  readonly maxDescriptors: number;
+  readonly heap: Heap;
   readonly callers: Address;
   readonly readiness: Address;
   /** Address to which other daemons send datagrams. */
--- a/src/gateway/gauges.ts
+++ b/src/gateway/gauges.ts
@@ -3,7 +3,7 @@
 import type { OwnerTable } from "../keyRanges";
 import type { Metrics } from "../observability";
 import type { ServiceName } from "../types";
-import type { CallerListener } from "./callers";
+import type { CallerListener, CallerMemory } from "./callers";
 import type { RoutingState } from "./routingState";
 import type { ServerBackOff, ServerRateLimits } from "./admission";
 import type { ServerConnections } from "./servers";
@@ -12,6 +12,7 @@
 export interface GatewayGaugeOptions {
   readonly metrics: Metrics;
   readonly callerListener: CallerListener;
+  readonly memory: Pick<CallerMemory, "countBytes">;
   readonly routing: RoutingState;
   readonly owners: OwnerTable;
   readonly directory: ServerDirectory;
@@ -31,6 +32,12 @@
   metrics.addGauge("requests_in_flight", "Requests not answered yet", "state", () => ({
     open: callerListener.countPending(),
   }));
+  metrics.addGauge("callers_held_bytes", "Bytes that are held for callers", "name", () => ({
+    all: options.memory.countBytes(),
+  }));
+  metrics.addGauge("caller_connections", "Open connections from callers", "name", () => ({
+    all: callerListener.countConnections(),
+  }));
   metrics.addGauge("configuration_version", "Version in force", "name", () => ({
     main: routing.findActive()?.configuration.version ?? 0,
   }));
--- a/src/gateway/servers/answerBody.ts
+++ b/src/gateway/servers/answerBody.ts
@@ -24,12 +24,21 @@
   read(answer: IncomingMessage, caller: Pick<CallerWatch, "onEnd">): Promise<AnswerBody>;
 }
 
+/** Count of everything that is held for callers. */
+export interface AnswerMemory {
+  /** Changes the number of bytes of answers. */
+  addAnswerBytes(change: number): void;
+  /** Returns whether nothing more should be held, so that servers wait for the callers. */
+  isShort(): boolean;
+}
+
 /**
  * Creates a count of bodies in memory.
  *
+ * @param memory - Count that the bodies belong to; without one, only their own limit holds.
  * @returns The count, without any body.
  */
-export function createAnswerBodies(): AnswerBodies {
+export function createAnswerBodies(memory?: AnswerMemory): AnswerBodies {
   let heldBytes = 0;
 
   return {
@@ -61,7 +70,7 @@
           chunks.add(chunk);
           bytes += chunk.byteLength;
           hold.add(chunk.byteLength);
-          if (bytes > MAX_BUFFERED_ANSWER_BYTES || heldBytes > MAX_HELD_ANSWER_BYTES) {
+          if (bytes > MAX_BUFFERED_ANSWER_BYTES || heldBytes > MAX_HELD_ANSWER_BYTES || isShort()) {
             streamRest();
           }
         };
@@ -74,7 +83,7 @@
         caller.onEnd(hold.end);
         answer.once("error", fail);
         answer.once("close", onClose);
-        if (heldBytes >= MAX_HELD_ANSWER_BYTES) {
+        if (heldBytes >= MAX_HELD_ANSWER_BYTES || isShort()) {
           streamRest();
           return;
         }
@@ -88,6 +97,10 @@
       }),
   };
 
+  function isShort(): boolean {
+    return memory?.isShort() ?? false;
+  }
+
   function createHold(): Hold {
     let bytes = 0;
     let isEnded = false;
@@ -95,6 +108,7 @@
       if (!isEnded) {
         bytes += change;
         heldBytes += change;
+        memory?.addAnswerBytes(change);
       }
     };
     return {
--- a/src/gateway/servers/keptConnections.ts
+++ b/src/gateway/servers/keptConnections.ts
@@ -21,7 +21,7 @@
 export interface KeptConnectionUse {
   readonly id: string;
   readonly isIdempotent: boolean;
-  readonly body: Buffer;
+  readonly body: readonly Buffer[];
 }
 
 /** Kept connections. */
@@ -90,7 +90,7 @@
 
   function closeUnfit(agent: Agent, { id, isIdempotent, body }: KeptConnectionUse): void {
     // Without a body, the head is the whole request and may run.
-    const isConfirmable = isIdempotent || body.byteLength > 0;
+    const isConfirmable = isIdempotent || body.length > 0;
     for (const socket of listKept(agent)) {
       const limitMs = isConfirmable ? (maxIdleMs.get(socket) ?? MAX_IDLE_MS) : MAX_IDLE_UNCONFIRMED_MS;
       if (getIdleMs(socket) > limitMs || lastRequests.get(socket) === id) {
--- a/src/gateway/servers/serverConnections.ts
+++ b/src/gateway/servers/serverConnections.ts
@@ -13,7 +13,7 @@
 import { type CallerWatch, discardBody, limitHead } from "../../http";
 import { type Clock, formatAddress } from "../../types";
 import type { AnswerBody, UnansweredAttempt } from "../attemptTypes";
-import { createAnswerBodies } from "./answerBody";
+import { type AnswerMemory, createAnswerBodies } from "./answerBody";
 import { CUT_DETAIL, createConnectionEnds } from "./connectionEnds";
 import { createKeptConnections } from "./keptConnections";
 
@@ -36,7 +36,8 @@
   /** Path and query as the caller sent them. */
   readonly path: string;
   readonly headers: OutgoingHttpHeaders;
-  readonly body: Buffer;
+  /** The body in pieces, which are sent as they are. */
+  readonly body: readonly Buffer[];
   /** Whether the request may run more than once, so that a connection that was idle for long may be used. */
   readonly isIdempotent: boolean;
   /** Local time after which the answer is no longer waited for; a streamed one is broken off. */
@@ -99,15 +100,17 @@
  *
  * @param clock - Clock that deadlines and idle times are measured by.
  * @param getMaxConnections - Returns the maximum number of connections of this daemon to a server.
+ * @param memory - Counts the answers that are held for callers.
  * @returns The connections.
  */
 export function createServerConnections(
   clock: Clock,
   getMaxConnections: (server: DiscoveredServer) => number,
+  memory?: AnswerMemory,
 ): ServerConnections {
   const pools = new Map<string, ServerPool>();
   const kept = createKeptConnections(clock);
-  const bodies = createAnswerBodies();
+  const bodies = createAnswerBodies(memory);
   const ends = createConnectionEnds();
   let openedCount = 0;
 
@@ -280,7 +283,8 @@
 
       function sendRequest(): void {
         isSent = true;
-        clientRequest.end(outgoing.body.byteLength === 0 ? undefined : outgoing.body);
+        outgoing.body.slice(0, -1).forEach((piece) => clientRequest.write(piece));
+        clientRequest.end(outgoing.body.at(-1));
       }
 
       async function receive(answer: IncomingMessage): Promise<void> {
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -142,6 +142,11 @@
   RequestRetried: defineEvent(1833, Severity.Info, "request retried"),
   AnswerBrokenOff: defineEvent(1834, Severity.Warn, "answer broken off; the caller got a part of it"),
   RequestCut: defineEvent(1835, Severity.Warn, "request cut off by the exit of the daemon; it may have run"),
+  CallersClosed: defineEvent(
+    1836,
+    Severity.Warn,
+    "too much was held for callers; the largest and slowest connections were refused or closed",
+  ),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   RequestFailed: defineEvent(1701, Severity.Debug, "request ended without an answer"),
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -158,7 +158,7 @@
         method: "GET",
         path: "/",
         headers: { "request-id": id },
-        body: Buffer.alloc(0),
+        body: [],
         isIdempotent: true,
         deadlineAt: systemClock.now() + DEADLINE_MS,
         caller: { ...presentCaller, onEnd: (callback) => endings.push(callback) },
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -235,7 +235,7 @@
       method: "GET",
       path: "/",
       headers: { host: "a.example", "request-id": "q1" },
-      body: Buffer.alloc(0),
+      body: [],
       isIdempotent: true,
       deadlineAt: systemClock.now() + deadlineMs,
       caller: presentCaller,
@@ -284,14 +284,14 @@
       });
       const before = server.receivedRequests.length;
       const connections = createServerConnections(clock, () => 4);
-      const body = idle.method === "POST" ? Buffer.from("x") : Buffer.alloc(0);
+      const body = idle.method === "POST" ? [Buffer.from("x")] : [];
       const sendNonIdempotent = (id: string) =>
         connections.send({
           id,
           server: createServer(),
           method: idle.method,
           path: "/",
-          headers: { host: "a.example", "request-id": id, "content-length": String(body.byteLength) },
+          headers: { host: "a.example", "request-id": id, "content-length": String(body.length) },
           body,
           isIdempotent: false,
           deadlineAt: clock.now() + DEADLINE_MS,
@@ -336,7 +336,7 @@
       method: "GET",
       path: "/",
       headers: { host: "a.example", "request-id": "q1" },
-      body: Buffer.alloc(0),
+      body: [],
       isIdempotent: true,
       deadlineAt: clock.now() + 1000,
       caller: { ...presentCaller, signal: caller.signal },
@@ -369,7 +369,7 @@
       method: "POST",
       path: "/",
       headers: {},
-      body: Buffer.from("x"),
+      body: [Buffer.from("x")],
       isIdempotent: false,
       deadlineAt: systemClock.now() + DEADLINE_MS,
       caller: { ...presentCaller, confirmPresence: () => Promise.resolve(false) },
@@ -390,7 +390,7 @@
       method: "POST",
       path: "/",
       headers: {},
-      body: Buffer.from("x"),
+      body: [Buffer.from("x")],
       isIdempotent: false,
       deadlineAt: systemClock.now() + DEADLINE_MS,
       caller: presentCaller,
--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -4,6 +4,7 @@
  * limited its memory; each case failed then.
  */
 import { afterEach, expect, test } from "vitest";
+import { sleep, systemClock } from "../src/types";
 import {
   type CrowdConnection,
   countDescriptors,
@@ -101,7 +102,7 @@
       connection.close();
     });
     const processorMs = readProcessorMs(pid);
-    const answer = await exchange(address, `${POST}Content-Length: 5\r\n\r\n`, ["hello"]);
+    const answer = await sendOrdinaryRequest(address);
     expect(daemon.getPid(), "the process has ended").toBe(pid);
     expect.soft(readProcessorMs(pid) - processorMs).toBeLessThan(MAX_ANSWER_PROCESSOR_MS);
     expect.soft(readPeakBytes(pid)).toBeLessThan(MEMORY_MB * BYTES_PER_MB);
@@ -163,6 +164,21 @@
   return { daemon, address, pid: daemon.getPid() ?? 0 };
 }
 
+/** Sends one request as an ordinary caller: one that is refused with a time to return comes back then, once. */
+async function sendOrdinaryRequest(address: {
+  readonly host: string;
+  readonly port: number;
+}): Promise<string> {
+  const send = () => exchange(address, `${POST}Content-Length: 5\r\n\r\n`, ["hello"]);
+  const answer = await send();
+  const retryAfterS = /^HTTP\/1\.1 503 [^]*\r\nretry-after: ([\d.]+)/.exec(answer)?.[1];
+  if (retryAfterS === undefined) {
+    return answer;
+  }
+  await sleep(systemClock, Number(retryAfterS) * 1000);
+  return send();
+}
+
 /** Sends one request and returns its answer. */
 async function exchange(
   address: { readonly host: string; readonly port: number },
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -85,7 +85,7 @@
     method: "GET",
     path: "/a%2Fb/../c?x=1&x=2",
     headers: { host: "a.example", "request-id": change.id ?? "q1" },
-    body: Buffer.alloc(0),
+    body: [],
     arrivedAt: systemClock.now(),
     deadlineAt: systemClock.now() + DEADLINE_MS,
     caller: presentCaller,
