Test that a body far over the limit gets 413 and is not read on

Guards against a daemon that reads such a body to its end, or that closes the connection before its caller can read the refusal.

--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -124,3 +124,38 @@
     await listener.close();
   },
 );
+
+const LARGE_PIECE = "x".repeat(65_536);
+const tooLargeBodies = [
+  ["announced", "Content-Length: 67108864\r\n\r\n", LARGE_PIECE],
+  ["in chunks", "Transfer-Encoding: chunked\r\n\r\n", `10000\r\n${LARGE_PIECE}\r\n`],
+] as const;
+
+// Guards against a daemon that reads a body far over the limit to its end, or closes before the refusal can be read.
+test.each(tooLargeBodies)(
+  "a body far over the limit, %s, gets 413, is not read on, and its connection is closed",
+  async (_name, fields, piece) => {
+    const { listener, port } = await startListener({ kind: "notRun" } as unknown as DispatchResult);
+    const caller = connect(port, HOST);
+    let received = "";
+    caller.on("error", () => undefined);
+    caller.on("data", (chunk) => {
+      received += chunk.toString();
+    });
+    caller.write(`POST / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n${fields}`);
+    const pieceCount = ANSWER_BYTES / LARGE_PIECE.length;
+    let sentCount = 0;
+    for (let count = 0; count < pieceCount; count += 1) {
+      caller.write(piece, (error) => {
+        sentCount += error instanceof Error ? 0 : 1;
+      });
+    }
+    await comesTrue(() => received !== "" && listener.countConnections() === 0);
+    expect(listener.countConnections()).toBe(0);
+    expect(received).toMatch(/^HTTP\/1\.1 413 /);
+    expect(received).toMatch(/connection: close/i);
+    expect(sentCount).toBeLessThan(pieceCount);
+    caller.destroy();
+    await listener.close();
+  },
+);
