--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -143,7 +143,7 @@
   AnswerBrokenOff: defineEvent(1834, Severity.Warn, "answer broken off; the caller got a part of it"),
   RequestCut: defineEvent(1835, Severity.Warn, "request cut off by the exit of the daemon; it may have run"),
   CallersClosed: defineEvent(
-    1836,
+    1838,
     Severity.Warn,
     "too much was held for callers; the largest and slowest connections were refused or closed",
   ),
