--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -47,7 +47,7 @@
   createServerSubsets,
 } from "./admission";
 import { createDispatcher } from "./dispatcher";
-import { createCallerListener } from "./callers";
+import { createCallerBudget, createCallerListener, createCallerMemory } from "./callers";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import {
@@ -185,11 +185,21 @@
     counters,
   });
   const rateLimits = createServerRateLimits({ directory, clock, logger });
-  const connections = createServerConnections(clock, (server) => {
+  const memory = createCallerMemory({
+    budget: createCallerBudget(options.memoryMb, options.maxDescriptors),
+    clock,
+    logger,
+    counters,
+    measureHeap: options.heap.measure,
+    measureBuffers: options.heap.measureBuffers,
+    collectGarbage: options.heap.collectGarbage,
+  });
+  const getMaxConnections = (server: DiscoveredServer) => {
     const maxConnections = findPolicy(server.service)?.maxConnections ?? 1;
     const share = Math.floor((maxConnections * CONNECTION_SHARE) / freshness.getClusterSize());
     return Math.max(2, Math.min(share, server.slots * MAX_REQUESTS_PER_SLOT));
-  });
+  };
+  const connections = createServerConnections(clock, getMaxConnections, memory);
   const channel = createDatagramChannel(await createUdpTransport(options.peers), counters);
   const permits = createPermitExchange({
     channel,
@@ -326,6 +336,7 @@
     }),
     callerProtocol: options.callerProtocol,
     serverProtocol: options.serverProtocol,
+    memory,
     clock,
     logger,
     metrics,
@@ -333,6 +344,7 @@
   addGatewayGauges({
     metrics,
     callerListener,
+    memory,
     routing,
     owners,
     directory,
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -162,6 +162,11 @@
     Severity.Info,
     "request without an API key of the configuration in force; it got 401",
   ),
+  CallersClosed: defineEvent(
+    1838,
+    Severity.Warn,
+    "too much was held for callers; the largest and slowest connections were refused or closed",
+  ),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   PerformanceReportDropped: defineEvent(
--- a/test/performanceProcess.test.ts
+++ b/test/performanceProcess.test.ts
@@ -8,7 +8,7 @@
 import { createEdgeObjectStore } from "../standins/edge/objectStore";
 import { HOST } from "../standins/scenarios/ports";
 import { createSoakFolder, startSoakDaemon } from "../standins/soak/daemons";
-import { CONFIGURATION } from "./support/singleDaemon";
+import { createConfiguration } from "./support/singleDaemon";
 
 const DAEMON_HOST = "127.0.77.10";
 /** One more than a daemon is taken to know by itself. */
@@ -30,7 +30,7 @@
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const store = createEdgeObjectStore(Math.random);
-  store.put(StoreKind.Configuration, CONFIGURATION_NAME, CONFIGURATION);
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration());
   for (let index = 0; index < SERVERS; index += 1) {
     store.put(StoreKind.Servers, `desk-${index}`, {
       address: `${HOST}:${port}`,
