Share estimates of server performance from 24 daemons up

With 12 daemons each meets a server several times a second and needs no shared estimates. They are now used from 24 counted daemons up, like the distribution of state.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -77,6 +77,8 @@
 const SHARED_ESTIMATE_ANSWERS = 1000;
 /** Share of the servers of a service that must have a shared estimate for its capacities to count as measured. */
 const MEASURED_SHARE = 0.5;
+/** With fewer daemons each meets a server often enough to know its speed by itself. */
+const MIN_SHARING_DAEMONS = 24;
 const CLEANUP_INTERVAL_MS = 500;
 const MILLISECONDS_PER_SECOND = 1000;
 /** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
@@ -585,7 +587,8 @@
   }
 
   function isPerformanceShared(service: ServiceName): boolean {
-    return directory.getByService(service).length > MAX_WHOLE_SIZE;
+    const isLarge = (freshness.findCountedSize() ?? 0) >= MIN_SHARING_DAEMONS;
+    return isLarge && directory.getByService(service).length > MAX_WHOLE_SIZE;
   }
 
   function findPolicy(service: ServiceName): ServicePolicy | undefined {
