Explain where a daemon would send a request, without sending it

Operators could not ask a daemon which servers it would consider for a request, and what excludes each of them, without sending a request that changes counts, rotations and the rates of cold servers.

Change: the command `hemlockbank explain route`, and the page `/explain` beside the metrics of a running daemon. Decisions with a side effect are split so that requests and explanations share the code and only the part with the effect differs: `peekService` (rotation by weight), `isDue` (cold servers), `peekObstacle` (admission to a server) and `peek` (shares of priorities). The choice among servers has moved from the dispatcher to `serverSelection.ts`, which both use. `splitOwnerShare` does not keep local shares that it computes any more: a request passes `findObstacle` first, which keeps them. `hasRoom` does not create a connection pool any more.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
   configRolloutCommand,
 } from "./commands/config";
 import { daemonCommand } from "./commands/daemon";
+import { explainRouteCommand } from "./commands/explain";
 import { keyOwnerCommand, statusCommand } from "./commands/inspect";
 import { stateCommands, stoppedDaemonCommand, stoppedServerCommand } from "./commands/operate";
 import { questionnaireCommand } from "./commands/questionnaire";
@@ -27,6 +28,7 @@
   configHistoryCommand,
   statusCommand,
   keyOwnerCommand,
+  explainRouteCommand,
   ...stateCommands,
   stoppedDaemonCommand,
   stoppedServerCommand,
--- a/src/gateway/admission/coldAdmission.ts
+++ b/src/gateway/admission/coldAdmission.ts
@@ -12,6 +12,11 @@
 export interface ColdAdmission {
   /** Admits one request. Returns false when this daemon's share of the server's rate is used up. */
   tryAcquire(server: ServerName, requestsPerSecond: number): boolean;
+  /**
+   * Returns whether a request would be admitted, without using up the rate. Always false before the first request to
+   * the server, since its time is not drawn until then.
+   */
+  isDue(server: ServerName): boolean;
   /** Returns the time until this daemon may send the server its next request, in milliseconds. */
   getWaitMs(server: ServerName): number;
   /** Removes the state of servers that are no longer cold. */
@@ -37,14 +42,16 @@
     tryAcquire: (server, requestsPerSecond) => {
       const now = clock.now();
       const intervalMs = (MILLISECONDS_PER_SECOND * getClusterSize()) / (requestsPerSecond * USED_RATE_SHARE);
-      const dueAt = nextAt.get(server) ?? now + random() * intervalMs;
-      if (now < dueAt) {
-        nextAt.set(server, dueAt);
+      if (!nextAt.has(server)) {
+        nextAt.set(server, now + random() * intervalMs);
+      }
+      if (!isDue(server)) {
         return false;
       }
       nextAt.set(server, now + intervalMs);
       return true;
     },
+    isDue,
     getWaitMs: (server) => Math.max(0, (nextAt.get(server) ?? 0) - clock.now()),
     retain: (isCold) => {
       for (const server of nextAt.keys()) {
@@ -54,4 +61,8 @@
       }
     },
   };
+
+  function isDue(server: ServerName): boolean {
+    return clock.now() >= (nextAt.get(server) ?? Number.POSITIVE_INFINITY);
+  }
 }
--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -20,5 +20,6 @@
 export * from "./serverLoads";
 export * from "./serverPerformance";
 export * from "./serverRateLimits";
+export * from "./serverSelection";
 export * from "./serverSubset";
 export * from "./stopAdmission";
--- a/src/gateway/admission/priorityAdmission.ts
+++ b/src/gateway/admission/priorityAdmission.ts
@@ -3,7 +3,7 @@
 import { type Counters, Event, type Logger } from "../../observability";
 import type { Clock, ServiceName } from "../../types";
 import { RejectionReason } from "../attemptTypes";
-import type { RoutedRequest } from "../dispatchTypes";
+import type { RequestTraits } from "../dispatchTypes";
 import type { PriorityDemands } from "./priorityDemands";
 import {
   MIN_RELATIVE_SHARE,
@@ -58,22 +58,38 @@
   readonly services: readonly AnnouncedShares[];
 }
 
+/** What the shares say about a request. */
+export interface PriorityView {
+  /** Admitted share of the request's priority; 1 without a shortage. */
+  readonly share: number;
+  /** Why the request must not be sent; undefined when it may. */
+  readonly obstacle: Obstacle | undefined;
+}
+
 interface ShareTable {
   readonly shares: ReadonlyMap<number, number>;
   readonly highest: number;
   readonly floor: number;
 }
 
+/** Shares that this daemon computed on its own; the table is undefined without a shortage. */
+interface LocalTable {
+  readonly computedAt: number;
+  readonly table: ShareTable | undefined;
+}
+
 /** Admission by priority of one daemon. */
 export interface PriorityAdmission {
   /** Counts a request and returns why it must not be sent; undefined when it may. */
-  findObstacle(request: RoutedRequest): Obstacle | undefined;
+  findObstacle(request: RequestTraits): Obstacle | undefined;
+  /** Returns what the shares say about a request, without counting it. */
+  peek(request: RequestTraits): PriorityView;
   /** Counts a request that was refused, if the reason is a lack of capacity. */
-  recordRefusal(request: RoutedRequest, reason: RejectionReason): void;
+  recordRefusal(request: RequestTraits, reason: RejectionReason): void;
   /** Returns the share of a request's priority at an owner of keys that can take a share of all its requests. */
-  splitOwnerShare(request: RoutedRequest, share: number): number;
+  splitOwnerShare(request: RequestTraits, share: number): number;
   /** Returns the rank of a request's priority among those seen at its service. */
-  getUrgency(request: RoutedRequest): Urgency;
+  getUrgency(request: RequestTraits): Urgency;
   /** Applies an announcement, unless a later one has been applied. */
   apply(announcement: PriorityAnnouncement): void;
   /** Returns whether announced shares are in force for a service. */
@@ -103,16 +119,14 @@
  */
 export function createPriorityAdmission(options: PriorityAdmissionOptions): PriorityAdmission {
   const { demands, costs, clock, counters } = options;
-  const local = new Map<
-    ServiceName,
-    { readonly computedAt: number; readonly table: ShareTable | undefined }
-  >();
+  const local = new Map<ServiceName, LocalTable>();
   let announcement: PriorityAnnouncement | undefined;
   let tables: ReadonlyMap<ServiceName, ShareTable> = new Map();
   let appliedAt = Number.NEGATIVE_INFINITY;
 
   return {
     findObstacle,
+    peek,
     recordRefusal: (request, reason) => {
       if (CAPACITY_REASONS.has(reason)) {
         record("refused", request);
@@ -130,65 +144,92 @@
       ),
   };
 
-  function findObstacle(request: RoutedRequest): Obstacle | undefined {
+  function findObstacle(request: RequestTraits): Obstacle | undefined {
     const { service, priority } = request;
     record("offered", request);
-    const table = findTable(service.name);
-    const share = table === undefined ? 1 : findShare(table, priority);
+    const { obstacle } = decide(request, findTable(service.name));
+    if (obstacle !== undefined) {
+      record("withheld", request);
+      counters.increment("priority.refused", `${service.name}/${priority}`);
+    }
+    return obstacle;
+  }
+
+  function peek(request: RequestTraits): PriorityView {
+    return decide(request, peekTable(request.service.name));
+  }
+
+  function decide(request: RequestTraits, table: ShareTable | undefined): PriorityView {
+    const share = table === undefined ? 1 : findShare(table, request.priority);
     if (share >= 1) {
-      return undefined;
+      return { share, obstacle: undefined };
     }
     const { round, leftMs } = getRound();
-    if (computePosition(request, round) < share) {
-      return undefined;
-    }
-    record("withheld", request);
-    counters.increment("priority.refused", `${service.name}/${priority}`);
-    return { reason: RejectionReason.Priority, waitMs: leftMs };
+    const isAdmitted = computePosition(request, round) < share;
+    return {
+      share,
+      obstacle: isAdmitted ? undefined : { reason: RejectionReason.Priority, waitMs: leftMs },
+    };
   }
 
-  function record(kind: "offered" | "refused" | "withheld", request: RoutedRequest): void {
+  function record(kind: "offered" | "refused" | "withheld", request: RequestTraits): void {
     const { route, service, priority } = request;
     demands.record(kind, service.name, priority, costs.getWeight(route, service.name));
   }
 
   function findTable(service: ServiceName): ShareTable | undefined {
+    if (!isValid() && !options.isInContact()) {
+      updateLocalTable(service);
+    }
+    return peekTable(service);
+  }
+
+  function peekTable(service: ServiceName): ShareTable | undefined {
     if (isValid()) {
       return tables.get(service);
     }
-    return options.isInContact() ? undefined : findLocalTable(service);
+    return options.isInContact() ? undefined : (findCurrentLocal(service) ?? computeLocal(service)).table;
   }
 
   function isValid(): boolean {
     return clock.now() - appliedAt < VALIDITY_MS;
   }
 
-  function findLocalTable(service: ServiceName): ShareTable | undefined {
-    const known = local.get(service);
-    if (known !== undefined && clock.now() - known.computedAt < LOCAL_INTERVAL_MS) {
-      return known.table;
+  function updateLocalTable(service: ServiceName): void {
+    if (findCurrentLocal(service) !== undefined) {
+      return;
     }
-    const table = computeLocalTable(demands.measure(service), known?.table ?? tables.get(service));
-    if ((table === undefined) !== (known?.table === undefined)) {
-      options.logger.log(Event.PrioritySharesLocal, { service, isShort: table !== undefined });
+    const known = local.get(service);
+    const next = computeLocal(service);
+    if ((next.table === undefined) !== (known?.table === undefined)) {
+      options.logger.log(Event.PrioritySharesLocal, { service, isShort: next.table !== undefined });
     }
-    local.set(service, { computedAt: clock.now(), table });
-    return table;
+    local.set(service, next);
+  }
+
+  function findCurrentLocal(service: ServiceName): LocalTable | undefined {
+    const known = local.get(service);
+    return known !== undefined && clock.now() - known.computedAt < LOCAL_INTERVAL_MS ? known : undefined;
+  }
+
+  function computeLocal(service: ServiceName): LocalTable {
+    const former = local.get(service)?.table ?? tables.get(service);
+    return { computedAt: clock.now(), table: computeLocalTable(demands.measure(service), former) };
   }
 
-  function splitOwnerShare(request: RoutedRequest, share: number): number {
+  function splitOwnerShare(request: RequestTraits, share: number): number {
     const mix = share < 1 ? demands.measure(request.service.name).filter(({ offered }) => offered > 0) : [];
     if (mix.length < 2) {
       return share;
     }
     const offered = mix.reduce((total, each) => total + each.offered, 0);
     const own = computePriorityShares(mix, share * offered).get(request.priority) ?? share;
-    const table = findTable(request.service.name);
+    const table = peekTable(request.service.name);
     // The owner's share refers to all requests; those that the service's share has refused are not refused twice.
     return Math.min(1, own / (table === undefined ? 1 : findShare(table, request.priority)));
   }
 
-  function getUrgency({ service, priority }: RoutedRequest): Urgency {
+  function getUrgency({ service, priority }: RequestTraits): Urgency {
     const [highest = priority, ...others] = demands.listPriorities(service.name);
     if (others.length === 0) {
       return Urgency.Equal;
@@ -222,7 +263,7 @@
 }
 
 /** Returns the position of a request in its round, from 0 to 1: requests below the share are admitted. */
-function computePosition({ route, path, key }: RoutedRequest, round: number): number {
+function computePosition({ route, path, key }: RequestTraits, round: number): number {
   return murmurhash.v3(`${round}\n${route.host}\n${path}\n${key ?? ""}`) / HASH_VALUES;
 }
 
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -10,15 +10,9 @@
 import type { DispatchResult, Dispatcher, RoutedRequest } from "../dispatchTypes";
 import type { CallerFields, CallerProtocol, ServerProtocol } from "../protocols";
 import { type OrganisationAdmission, admitAll, assignOrganisation } from "../organisations";
-import type { ActiveConfiguration, RouteMatcher } from "../routeMatcher";
+import { type ActiveConfiguration, getServicePolicy } from "../routeMatcher";
 import { createStopAdmission } from "../admission";
-import {
-  type CallerLimits,
-  type Route,
-  RouteKind,
-  type RoutingConfiguration,
-  type ServicePolicy,
-} from "../types";
+import { type CallerLimits, type Route, RouteKind, type ServicePolicy } from "../types";
 import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
 import { type PendingRequest, Turn, createCallerConnections } from "./callerConnections";
 import { selectForwardedHeaders } from "./forwardedHeaders";
@@ -27,7 +21,7 @@
 /** Limit of the HTTP parser; the configured limit is checked on the header that it has read. */
 const PARSER_HEADER_BYTES = 65_536;
 /** Timeout of a request when neither the caller nor the route sets one. */
-const DEFAULT_TIMEOUT_MS = 10_000;
+export const DEFAULT_TIMEOUT_MS = 10_000;
 /** Added to the idle timeout, up to which callers reuse connections: this side must not close them first. */
 const IDLE_MARGIN_MS = 1000;
 /** Retry-after time of requests refused before dispatch, for example before the first configuration. */
@@ -161,7 +155,7 @@
       answers.refuse(pending, decision);
       return;
     }
-    const service = findService(configuration, matcher, route);
+    const service = getServicePolicy(configuration, matcher.chooseService(route));
     if (service.isKeyed && pending.fields.key === undefined) {
       const detail = "the request needs a key from 0 to 65535";
       answers.refuse(pending, { status: Status.BadRequest, detail });
@@ -319,23 +313,6 @@
   }
 }
 
-function findService(
-  configuration: RoutingConfiguration,
-  matcher: RouteMatcher,
-  route: Route,
-): ServicePolicy {
-  const name = matcher.chooseService(route) ?? "";
-  return configuration.services.get(name) ?? { name, ...unknownServicePolicy };
-}
-
-/** Policy of a service that a route names before its entry has been read; it has no backend servers then. */
-const unknownServicePolicy = {
-  isKeyed: false,
-  maxConnections: 1,
-  coldMs: 0,
-  coldRequestsPerSecond: null,
-} as const;
-
 function formatParserErrorStatus(code: string | undefined): string {
   if (code === "HPE_HEADER_OVERFLOW") {
     return "431 Request Header Fields Too Large";
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -24,6 +24,12 @@
   readonly caller: CallerWatch;
 }
 
+/** What decides whether and where a request is sent. */
+export type RequestTraits = Pick<
+  RoutedRequest,
+  "route" | "service" | "priority" | "key" | "path" | "deadlineAt"
+>;
+
 /** What this daemon knew about a request's server when the request ended without an answer; logged. */
 export interface DecisionInputs {
   /** The last server that was tried, or the key's owner when none was; undefined when there was neither. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Dispatches requests: chooses a backend server, sends, classifies the result, and retries where allowed. */
 import type { DiscoveredServer, ServerDirectory } from "../discovery";
 import { type Counters, Event, type Logger } from "../observability";
-import type { Clock, DataCentreName, ServerName, ServiceName } from "../types";
+import type { Clock, ServerName, ServiceName } from "../types";
 import { RejectionReason } from "./attemptTypes";
 import { dropBody, type AttemptResult, createAttemptClassifier, type ServerConnections } from "./servers";
 import type { DecisionInputs, DispatchResult, Dispatcher, RoutedRequest } from "./dispatchTypes";
@@ -14,13 +14,11 @@
   type Obstacle,
   type ServerAdmission,
   type ServerBackOff,
-  type DistanceCosts,
-  chooseServer,
+  type Selection,
+  type ServerSelection,
   createRetryTimes,
-  joinObstacles,
   type ServerLoads,
   type ServerRateLimits,
-  type ServerSubsets,
 } from "./admission";
 import { RouteKind } from "./types";
 
@@ -28,8 +26,6 @@
 const MAX_MOVE_WAIT_MS = 250;
 /** Maximum share of a request's remaining time that is spent waiting for a key to be moved. */
 const MAX_MOVE_WAIT_SHARE = 0.3;
-/** Share of a request's objective that it may wait in the queue of a server of the subset. */
-const MAX_SUBSET_WAIT_SHARE = 0.15;
 /** Servers of a data centre are often unreachable together; a refused connection costs a round trip, a lost one 300 ms. */
 const MAX_UNREACHABLE_ATTEMPTS = 3;
 /** With less time than this left, no backend server can answer. */
@@ -61,7 +57,7 @@
   readonly permits: Pick<PermitExchange, "acquire">;
   readonly admission: ServerAdmission;
   readonly priorities: Pick<PriorityAdmission, "findObstacle" | "recordRefusal" | "getUrgency">;
-  readonly subsets: ServerSubsets;
+  readonly selection: ServerSelection;
   readonly costs: RouteCosts;
   readonly retryBudget: RetryBudgetShare;
   readonly protocol: ServerProtocol;
@@ -69,13 +65,8 @@
   readonly random: () => number;
   readonly logger: Logger;
   readonly counters: Counters;
-  readonly dataCentre: DataCentreName;
-  readonly distance: DistanceCosts;
 }
 
-type Selection =
-  { readonly kind: "server"; readonly server: DiscoveredServer } | ({ readonly kind: "none" } & Obstacle);
-
 const HTTP_GATEWAY_TIMEOUT = 504;
 
 /**
@@ -179,51 +170,19 @@
     return selectOwner(request, key, tried);
   }
 
-  /** Selects a server of this daemon's subset that would answer soon; otherwise the best one of all. */
   function selectByLoad(
     request: RoutedRequest,
     tried: ReadonlySet<ServerName>,
     denied: ReadonlySet<ServerName>,
   ): Selection {
-    const { service, route } = request;
-    const servers = directory.getUsable(service.name);
-    const subset = options.subsets.choose(service.name, servers);
-    const objectiveMs = route.objectiveMs ?? request.deadlineAt - clock.now();
-    const isPrompt = ({ name, slots }: DiscoveredServer) =>
-      loads.estimateLatencyMs(name, slots) - loads.getProcessingMs(name) <=
-      objectiveMs * MAX_SUBSET_WAIT_SHARE;
-    const preferred = subset === servers ? [] : subset.filter(isPrompt);
-    const selection = selectAmong(preferred, request, tried, denied);
-    return selection.kind === "server" ? selection : selectAmong(servers, request, tried, denied);
-  }
-
-  function selectAmong(
-    candidates: readonly DiscoveredServer[],
-    request: RoutedRequest,
-    tried: ReadonlySet<ServerName>,
-    denied: ReadonlySet<ServerName>,
-  ): Selection {
-    let refusal: Obstacle = {
-      reason: candidates.length === 0 ? RejectionReason.NoServer : RejectionReason.Unreachable,
-      waitMs: 0,
-    };
-    const { shortMs, largeMs } = options.distance;
-    const server = chooseServer({
-      candidates,
-      loads,
-      dataCentre: options.dataCentre,
-      remoteCostMs: request.route.kind === RouteKind.Download ? largeMs : shortMs,
+    return options.selection.selectByLoad(request, {
       tried,
       random: options.random,
-      isAdmitted: (candidate) => {
-        const obstacle = denied.has(candidate.name)
+      findObstacle: (server) =>
+        denied.has(server.name)
           ? { reason: RejectionReason.RateLimited, waitMs: 0 }
-          : admission.findObstacle(request, candidate);
-        refusal = joinObstacles(refusal, obstacle);
-        return obstacle === undefined;
-      },
+          : admission.findObstacle(request, server),
     });
-    return server === undefined ? { kind: "none", ...refusal } : { kind: "server", server };
   }
 
   async function selectOwner(
@@ -232,13 +191,13 @@
     tried: ReadonlySet<ServerName>,
   ): Promise<Selection> {
     const { service } = request;
-    let server = findUsableOwner(service.name, key);
+    let server = options.selection.findUsableOwner(service.name, key);
     const isMoving = server === undefined || tried.has(server.name);
     if (isMoving) {
       const remainingMs = request.deadlineAt - clock.now();
       const waitMs = Math.min(MAX_MOVE_WAIT_MS, remainingMs * MAX_MOVE_WAIT_SHARE);
       const hasChanged = await owners.waitForChange(service.name, waitMs);
-      server = hasChanged ? findUsableOwner(service.name, key) : undefined;
+      server = hasChanged ? options.selection.findUsableOwner(service.name, key) : undefined;
     }
     if (server === undefined) {
       return { kind: "none", reason: RejectionReason.NoOwner, waitMs: 0 };
@@ -247,12 +206,6 @@
     return obstacle === undefined ? { kind: "server", server } : { kind: "none", ...obstacle };
   }
 
-  function findUsableOwner(service: ServiceName, key: number): DiscoveredServer | undefined {
-    const name = owners.findOwner(service, key);
-    const server = name === undefined ? undefined : directory.get(name);
-    return server !== undefined && admission.mayServeKeys(server) ? server : undefined;
-  }
-
   async function attempt(request: RoutedRequest, server: DiscoveredServer): Promise<AttemptResult> {
     if (!(await request.caller.confirmPresence())) {
       return { kind: "notRun", reason: RejectionReason.Abandoned };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,10 +44,12 @@
   createServerPerformance,
   isMixedService,
   createServerRateLimits,
+  createServerSelection,
   createServerSubsets,
 } from "./admission";
 import { createDispatcher } from "./dispatcher";
 import { createCallerListener } from "./callers";
+import { type RouteExplainer, createRouteExplainer } from "./explanation";
 import { addGatewayGauges } from "./gauges";
 import { shutDownGracefully } from "./gracefulShutdown";
 import {
@@ -114,6 +116,8 @@
 export interface Gateway {
   /** Returns whether the daemon accepts callers. */
   isReady(): boolean;
+  /** Explains where a request would be sent now, without sending it or changing anything. */
+  readonly explain: RouteExplainer;
   /** Shuts down gracefully; resolves when no request is left or the grace period is over. */
   shutDown(): Promise<void>;
 }
@@ -254,6 +258,16 @@
     clock,
     random,
   });
+  const selection = createServerSelection({
+    directory,
+    owners,
+    admission,
+    loads,
+    subsets: createServerSubsets(options.daemon, options.dataCentre),
+    dataCentre: options.dataCentre,
+    distance: { shortMs: SHORT_ANSWER_REMOTE_COST_MS, largeMs: LARGE_ANSWER_REMOTE_COST_MS },
+    clock,
+  });
   const dispatch = createDispatcher({
     directory,
     owners: {
@@ -271,7 +285,7 @@
     permits,
     admission,
     priorities,
-    subsets: createServerSubsets(options.daemon, options.dataCentre),
+    selection,
     costs,
     retryBudget: createRetryBudgetShare(
       clock,
@@ -283,8 +297,6 @@
     random,
     logger,
     counters,
-    dataCentre: options.dataCentre,
-    distance: { shortMs: SHORT_ANSWER_REMOTE_COST_MS, largeMs: LARGE_ANSWER_REMOTE_COST_MS },
   });
   const lease = createCoordinatorLease({
     objects,
@@ -504,7 +516,20 @@
   );
   void coordination.run(stop.signal);
 
-  return { isReady, shutDown };
+  const explain = createRouteExplainer({
+    findActive: () => routing.findActive(),
+    isStopping: () => isShuttingDown,
+    directory,
+    owners,
+    selection,
+    admission,
+    priorities,
+    loads,
+    performance,
+    rateLimits,
+    clock,
+  });
+  return { isReady, explain, shutDown };
 
   function createWatcher(
     prefix: string,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -5,6 +5,7 @@
 export * from "./coordination";
 export * from "./dispatchTypes";
 export * from "./dispatcher";
+export * from "./explanation";
 export * from "./gateway";
 export * from "./gatewayOptions";
 export * from "./gracefulShutdown";
--- a/src/gateway/routeMatcher.ts
+++ b/src/gateway/routeMatcher.ts
@@ -1,6 +1,6 @@
 /** Finds the route of a request and distributes a route's requests over its services by weight. */
 import type { ServiceName } from "../types";
-import type { Route, RoutingConfiguration, WeightedService } from "./types";
+import type { Route, RoutingConfiguration, ServicePolicy, WeightedService } from "./types";
 
 /** Route matcher of one configuration. */
 export interface RouteMatcher {
@@ -8,6 +8,11 @@
   match(host: string, path: string): Route | undefined;
   /** Chooses the service of the route's next request; undefined when no service may get requests. */
   chooseService(route: Route): ServiceName | undefined;
+  /**
+   * Returns what {@link chooseService} would return, without advancing the rotation; undefined also before the first
+   * request of a weighted route, since the start of its rotation is not drawn until then.
+   */
+  peekService(route: Route): ServiceName | undefined;
 }
 
 /** A configuration in force, with its route matcher. */
@@ -54,6 +59,12 @@
       const [only] = route.services;
       return route.services.length <= 1 ? only?.service : chooseByWeight(getRotation(route));
     },
+    peekService: (route) => {
+      const [only] = route.services;
+      return route.services.length <= 1
+        ? only?.service
+        : findNextEntry(rotations.get(route) ?? [])?.weightedService.service;
+    },
   };
 
   function getRotation(route: Route): readonly RotationEntry[] {
@@ -82,18 +93,49 @@
 
 /** Smooth weighted round robin: exact shares over any series of requests, without bursts to one service. */
 function chooseByWeight(rotation: readonly RotationEntry[]): ServiceName | undefined {
+  const next = findNextEntry(rotation);
+  if (next === undefined) {
+    return undefined;
+  }
   let total = 0;
-  let best: RotationEntry | undefined;
   for (const entry of rotation) {
     entry.credit += entry.weightedService.weight;
     total += entry.weightedService.weight;
-    if (entry.weightedService.weight > 0 && (best === undefined || entry.credit > best.credit)) {
+  }
+  next.credit -= total;
+  return next.weightedService.service;
+}
+
+/** Returns the entry whose turn is next, without a change of the rotation. */
+function findNextEntry(rotation: readonly RotationEntry[]): RotationEntry | undefined {
+  let best: RotationEntry | undefined;
+  for (const entry of rotation) {
+    const isAhead = best === undefined || getNextCredit(entry) > getNextCredit(best);
+    if (entry.weightedService.weight > 0 && isAhead) {
       best = entry;
     }
   }
-  if (best === undefined) {
-    return undefined;
-  }
-  best.credit -= total;
-  return best.weightedService.service;
+  return best;
+}
+
+function getNextCredit({ credit, weightedService }: RotationEntry): number {
+  return credit + weightedService.weight;
+}
+
+/**
+ * Returns the policy of a service.
+ *
+ * @param configuration - The configuration.
+ * @param name - Name of the service; undefined when a route has none that may get requests.
+ * @returns The policy; that of a service without backend servers when a route names it before its entry has been read.
+ */
+export function getServicePolicy(configuration: RoutingConfiguration, name: ServiceName = ""): ServicePolicy {
+  return configuration.services.get(name) ?? { name, ...unknownServicePolicy };
 }
+
+const unknownServicePolicy = {
+  isKeyed: false,
+  maxConnections: 1,
+  coldMs: 0,
+  coldRequestsPerSecond: null,
+} as const;
--- a/src/gateway/servers/serverConnections.ts
+++ b/src/gateway/servers/serverConnections.ts
@@ -114,7 +114,10 @@
   return {
     send,
     hasRoom: (server) => {
-      const pool = getPool(server);
+      const pool = pools.get(formatAddress(server.address));
+      if (pool === undefined) {
+        return getMaxConnections(server) > 0;
+      }
       const mayOpen = clock.now() - pool.turnedAwayAt >= TURNED_AWAY_PAUSE_MS || kept.hasAny(pool.agent);
       return mayOpen && pool.inFlight < getMaxConnections(server);
     },
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -2,8 +2,9 @@
  * Metrics in the Prometheus text format: counters by reason, a latency histogram, and gauges read on each
  * scrape.
  */
-import { createServer } from "node:http";
+import { type ServerResponse, createServer } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { describeError } from "../errors";
 import { listen } from "../http";
 import type { Address } from "../types";
 import type { Counters } from "./counters";
@@ -13,6 +14,16 @@
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5];
 const MILLISECONDS_PER_SECOND = 1000;
 const HTTP_NOT_FOUND = 404;
+const HTTP_METHOD_NOT_ALLOWED = 405;
+const HTTP_INTERNAL_ERROR = 500;
+
+/** A further page at the address of the metrics. */
+export interface Page {
+  /** URL path without a query. */
+  readonly path: string;
+  /** Returns the status and the content, which is sent as JSON. */
+  read(query: URLSearchParams): { readonly status: number; readonly content: unknown };
+}
 
 /** Metrics of one daemon. */
 export interface Metrics {
@@ -91,16 +102,28 @@
 }
 
 /**
- * Serves the rendered metrics over HTTP.
+ * Serves the rendered metrics, and further pages, over HTTP. Pages are only read, with GET.
  *
  * @param metrics - The metrics.
  * @param address - Address to listen on.
  * @param path - URL path of the metrics.
+ * @param pages - Further pages.
  * @returns A promise that resolves once the server is listening.
  * @throws Error when the address cannot be bound.
  */
-export async function serveMetrics(metrics: Metrics, address: Address, path: string): Promise<void> {
+export async function serveMetrics(
+  metrics: Metrics,
+  address: Address,
+  path: string,
+  pages: readonly Page[] = [],
+): Promise<void> {
   const server = createServer((message, response) => {
+    const [pagePath, ...query] = (message.url ?? "").split("?");
+    const page = pages.find((each) => each.path === pagePath);
+    if (page !== undefined) {
+      servePage(page, message.method, new URLSearchParams(query.join("?")), response);
+      return;
+    }
     if (message.url !== path) {
       response.writeHead(HTTP_NOT_FOUND).end();
       return;
@@ -112,3 +135,26 @@
   });
   await listen(server, address);
 }
+
+function servePage(
+  page: Page,
+  method: string | undefined,
+  query: URLSearchParams,
+  response: ServerResponse,
+): void {
+  if (method !== "GET") {
+    response.writeHead(HTTP_METHOD_NOT_ALLOWED, { allow: "GET" }).end();
+    return;
+  }
+  const { status, content } = readPage(page, query);
+  response.writeHead(status, { "content-type": "application/json" }).end(`${JSON.stringify(content)}\n`);
+}
+
+/** An unexpected error of a page must end neither the process nor the metrics. */
+function readPage(page: Page, query: URLSearchParams): ReturnType<Page["read"]> {
+  try {
+    return page.read(query);
+  } catch (error) {
+    return { status: HTTP_INTERNAL_ERROR, content: { error: describeError(error) } };
+  }
+}
--- a/test/serverAdmission.test.ts
+++ b/test/serverAdmission.test.ts
@@ -39,7 +39,11 @@
     },
     permits: { isExhausted: () => known.isExhausted },
     backOff: { getRemainingMs: () => known.backOffMs },
-    coldAdmission: { tryAcquire: () => known.isColdAdmitted, getWaitMs: () => 70 },
+    coldAdmission: {
+      tryAcquire: () => known.isColdAdmitted,
+      isDue: () => known.isColdAdmitted,
+      getWaitMs: () => 70,
+    },
     ownerShares: { find: () => known.share },
     costs: { getWeight: () => known.weight },
     leavingOwnerMs: 1000,
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -27,6 +27,7 @@
   createServerConnections,
   createServerLoads,
   createServerRateLimits,
+  createServerSelection,
   createServerSubsets,
 } from "../../src/gateway";
 import { createDatagramChannel } from "../../src/membership";
@@ -185,47 +186,56 @@
     logger: silentLogger,
     counters: createCounters("test"),
   });
+  const owners = {
+    findOwner: () => servers[0]?.name,
+    getVersion: () => 0,
+    waitForChange: () => Promise.resolve(false),
+    recordRequest: () => undefined,
+  };
+  const admission = createServerAdmission({
+    directory,
+    connections,
+    loads,
+    permits,
+    backOff,
+    coldAdmission: createColdAdmission(
+      clock,
+      () => 0,
+      () => 1,
+    ),
+    ownerShares: { find: () => 1 },
+    costs: { getWeight: () => 1 },
+    leavingOwnerMs: LEAVING_OWNER_MS,
+    clock,
+    random: createRandom(SEED),
+  });
   return createDispatcher({
     directory,
-    owners: {
-      findOwner: () => servers[0]?.name,
-      getVersion: () => 0,
-      waitForChange: () => Promise.resolve(false),
-      recordRequest: () => undefined,
-    },
+    owners,
     connections,
     loads,
     rateLimits,
     backOff,
     permits,
     priorities,
-    subsets: createServerSubsets("d1", "a"),
-    costs: createRouteCosts(),
-    admission: createServerAdmission({
+    selection: createServerSelection({
       directory,
-      connections,
+      owners,
+      admission,
       loads,
-      permits,
-      backOff,
-      coldAdmission: createColdAdmission(
-        clock,
-        () => 0,
-        () => 1,
-      ),
-      ownerShares: { find: () => 1 },
-      costs: { getWeight: () => 1 },
-      leavingOwnerMs: LEAVING_OWNER_MS,
+      subsets: createServerSubsets("d1", "a"),
+      dataCentre: "a",
+      distance: { shortMs: remoteCostMs, largeMs: remoteCostMs },
       clock,
-      random: createRandom(SEED),
     }),
+    costs: createRouteCosts(),
+    admission,
     retryBudget: createRetryBudgetShare(clock, { ratio: 0, windowMs: 10_000, slack: 10 }, () => 1),
     protocol: wireServerProtocol,
     clock,
     random: createRandom(SEED),
     logger: silentLogger,
     counters: createCounters("test"),
-    dataCentre: "a",
-    distance: { shortMs: remoteCostMs, largeMs: remoteCostMs },
   });
 }
 
