Keep the speed that servers state in their slowness in the shared estimates; split gateway.ts

The blend is 10 answers now, the estimate names the mean slowness, and momentary slowness counts relative to it.

--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -22,4 +22,5 @@
 export * from "./serverRateLimits";
 export * from "./serverSelection";
 export * from "./serverSubset";
+export * from "./serviceCapacities";
 export * from "./stopAdmission";
--- a/src/gateway/admission/performanceEstimates.ts
+++ b/src/gateway/admission/performanceEstimates.ts
@@ -8,8 +8,11 @@
 
 /** Weight of the service's median against a process's own answers, in answers. */
 const PRIOR_ANSWERS = 8;
-/** Weight of the service's mean momentary slowness against that of a process, in answers. */
-const SLOWNESS_PRIOR_ANSWERS = 50;
+/**
+ * Weight of the service's mean slowness against that of a process, in answers. The slowness that a process states is
+ * also how its speed shows, so a few answers must suffice; momentary slowness has averaged out after some ten.
+ */
+const SLOWNESS_PRIOR_ANSWERS = 10;
 /** A smaller change of an estimate counts for nothing: capacities that wobble would move keys all the time. */
 const MIN_CHANGE = 0.15;
 /** Estimates lie within this factor of the service's median. */
@@ -186,10 +189,10 @@
   function continueAnnounced(state: ProcessState, process: number): void {
     const announced = options.findAnnounced(process);
     if (announced !== undefined) {
-      const { processingMs, effectiveSlots } = announced;
+      const { processingMs, slowness, effectiveSlots } = announced;
       const answers = Math.min(MAX_CONTINUED_ANSWERS, announced.answers);
       state.estimate = announced;
-      state.sums.start(effectiveSlots, answers, processingMs);
+      state.sums.start(effectiveSlots, answers, processingMs / slowness, slowness);
     }
   }
 
@@ -245,7 +248,8 @@
     const limited = Math.min(MAX_RELATIVE_TIME * median, Math.max(median / MAX_RELATIVE_TIME, blended));
     const { slowedMs, timeMs } = state.sums.getTimes();
     const prior = SLOWNESS_PRIOR_ANSWERS * median;
-    const processingMs = (limited * (slowedMs + prior * usualSlowness)) / (timeMs + prior);
+    const slowness = (slowedMs + prior * usualSlowness) / (timeMs + prior);
+    const processingMs = limited * slowness;
     const previous = state.estimate;
     const effectiveSlots = chooseEffectiveSlots(state);
     const hasNewSlots = previous !== undefined && effectiveSlots !== previous.effectiveSlots;
@@ -254,6 +258,7 @@
     state.estimate = {
       process,
       processingMs: isChanged ? processingMs : (previous?.processingMs ?? processingMs),
+      slowness: isChanged ? slowness : (previous?.slowness ?? slowness),
       answers: Math.round(answers),
       effectiveSlots,
     };
--- a/src/gateway/admission/performanceSums.ts
+++ b/src/gateway/admission/performanceSums.ts
@@ -40,8 +40,8 @@
 export interface PerformanceSums {
   /** Adds answers and the sum of their processing times with momentary slowness, in milliseconds. */
   add(byRunning: readonly RunningSums[], slowedMs: number): void;
-  /** Starts with answers at one number of requests, each of which took `unitMs` for a unit of work. */
-  start(running: number, answers: number, unitMs: number): void;
+  /** Starts with answers at one number of requests, each of which took `unitMs` for a unit of work when not slowed. */
+  start(running: number, answers: number, unitMs: number, slowness: number): void;
   /** Returns the decayed number of answers. */
   countAnswers(): number;
   /** Returns the mean time for a unit of work at no more than `slots` concurrent requests, in milliseconds. */
@@ -73,9 +73,9 @@
         addTo(curve, running, answers, work, timeMs);
       }
     },
-    start: (running, answers, unitMs) => {
-      slowedMs = answers * unitMs;
-      addTo(speed, running, answers, answers, slowedMs);
+    start: (running, answers, unitMs, slowness) => {
+      slowedMs = answers * unitMs * slowness;
+      addTo(speed, running, answers, answers, answers * unitMs);
     },
     countAnswers: () => {
       decay();
--- a/src/gateway/admission/serverLoads.ts
+++ b/src/gateway/admission/serverLoads.ts
@@ -222,7 +222,9 @@
   }
 
   function estimateProcessingMs(view: ServerView): number {
-    const slowness = view.load?.slowness ?? 1;
+    // A shared processing time contains the slowness that the server states on average.
+    const usualSlowness = shared?.find(view.server)?.slowness ?? 1;
+    const slowness = (view.load?.slowness ?? usualSlowness) / usualSlowness;
     const weight = getReportWeight(view, SLOWNESS_HALF_LIFE_MS);
     return getProcessingMs(view) * (weight * slowness + (1 - weight));
   }
--- a/src/gateway/admission/serverPerformance.ts
+++ b/src/gateway/admission/serverPerformance.ts
@@ -53,6 +53,8 @@
   readonly process: number;
   /** Mean time for a unit of work without a queue, at no more than the effective slots, in milliseconds. */
   readonly processingMs: number;
+  /** Mean of the slowness that the process states, which the processing time contains. */
+  readonly slowness: number;
   /** Answers that the estimate is made of. */
   readonly answers: number;
   /** Number of concurrent requests above which the server does little more work; at most its slots. */
--- a/src/gateway/coordination/performanceExchange.ts
+++ b/src/gateway/coordination/performanceExchange.ts
@@ -16,7 +16,7 @@
 /** Maximum packed sizes of the parts of a message, in bytes. */
 const OBSERVATION_BYTES = 32;
 const RUNNING_SUMS_BYTES = 18;
-const ESTIMATE_BYTES = 16;
+const ESTIMATE_BYTES = 19;
 const LOAD_BYTES = 20;
 /** Queues in one announcement, the longest; estimates get the rest of it. */
 const MAX_LOADS = 50;
@@ -40,8 +40,14 @@
   z.tuple([uint32Schema, uint32Schema, z.array(runningSumsSchema), loadSchema]),
   z.tuple([uint32Schema, uint32Schema, z.array(runningSumsSchema)]),
 ]);
-/** Process, processing time in tenths of a millisecond, answers, effective slots. */
-const estimateSchema = z.tuple([uint32Schema, uint32Schema.min(1), uint16Schema, uint16Schema.min(1)]);
+/** Process, processing time in tenths of a millisecond, answers, effective slots, slowness in percent. */
+const estimateSchema = z.tuple([
+  uint32Schema,
+  uint32Schema.min(1),
+  uint16Schema,
+  uint16Schema.min(1),
+  uint16Schema.min(1),
+]);
 const announcementSchema = z.object({
   estimates: z.array(estimateSchema),
   loads: z.array(z.tuple([uint32Schema, loadSchema])),
@@ -127,21 +133,28 @@
   return { process, byRunning, slowedMs, load: load === undefined ? undefined : unpackLoad(load) };
 }
 
-function packEstimate({ process, processingMs, answers, effectiveSlots }: ProcessEstimate) {
+function packEstimate({ process, processingMs, slowness, answers, effectiveSlots }: ProcessEstimate) {
   const time = Math.max(1, limit(processingMs * TIME_UNITS_PER_MS, MAX_UINT32));
   const packed: z.infer<typeof estimateSchema> = [
     process,
     time,
     limit(answers, MAX_UINT16),
     limit(effectiveSlots, MAX_UINT16),
+    Math.max(1, limit(slowness * PERCENT, MAX_UINT16)),
   ];
   return packed;
 }
 
-function unpackEstimate([process, time, answers, effectiveSlots]: z.infer<
+function unpackEstimate([process, time, answers, effectiveSlots, slowness]: z.infer<
   typeof estimateSchema
 >): ProcessEstimate {
-  return { process, processingMs: time / TIME_UNITS_PER_MS, answers, effectiveSlots };
+  return {
+    process,
+    processingMs: time / TIME_UNITS_PER_MS,
+    slowness: slowness / PERCENT,
+    answers,
+    effectiveSlots,
+  };
 }
 
 function packLoad({ load, ageMs }: AgedLoad): PackedLoad {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,18 +1,11 @@
 /** One daemon of the gateway: wires discovery, key ownership and dispatching, and shuts down gracefully. */
 import { setMaxListeners } from "node:events";
-import { createServer } from "node:http";
 import {
-  type PrefixWatcher,
-  type PrefixListener,
   type DiscoveredServer,
-  createChangeFeed,
-  createPrefixWatcher,
-  createExclusionExchange,
   createFreshnessCheck,
   createPeerStates,
   createServerDirectory,
 } from "../discovery";
-import { listen } from "../http";
 import {
   type KeyLoad,
   getClaimDelayMs,
@@ -31,21 +24,17 @@
 import {
   MAX_WHOLE_SIZE,
   createColdAdmission,
-  createPerformanceEstimates,
-  createProcessNumbers,
   createPriorityAdmission,
   createPriorityDemands,
   createRetryBudgetShare,
   createRouteCosts,
   createServerAdmission,
   createServerBackOff,
-  estimateCapacities,
-  createServerLoads,
-  createServerPerformance,
   isMixedService,
   createServerRateLimits,
   createServerSelection,
   createServerSubsets,
+  createServiceCapacities,
 } from "./admission";
 import { createDispatcher } from "./dispatcher";
 import { createCallerBudget, createCallerListener, createCallerMemory } from "./callers";
@@ -54,54 +43,30 @@
 import { shutDownGracefully } from "./gracefulShutdown";
 import {
   createKeyCoordination,
-  createPerformanceExchange,
   createPermitExchange,
   createPriorityExchange,
-  createAllowanceExchange,
   createStateExchange,
 } from "./coordination";
 import type { GatewayOptions } from "./gatewayOptions";
-import {
-  CONTACT_LOSS_MS,
-  createAllowanceLedger,
-  createLargestSize,
-  createOrganisationAdmission,
-} from "./organisations";
+import { createOrganisationControl } from "./organisationControl";
+import { startReadinessServer } from "./readinessServer";
 import { createRoutingState } from "./routingState";
 import { createServerConnections } from "./servers";
+import { createSharedPerformance } from "./sharedPerformance";
+import { createStateWatchers } from "./stateWatchers";
 import type { ServicePolicy } from "./types";
 
 /** Share of a server's connections for all daemons; the rest is for control calls and replaced daemons. */
 const CONNECTION_SHARE = 0.7;
 /** Maximum requests of one daemon for each slot of a server; more would only wait in the server's queue. */
 const MAX_REQUESTS_PER_SLOT = 3;
-/** Weight of a shared estimate beside those of this daemon alone, in answers: it is already blended. */
-const SHARED_ESTIMATE_ANSWERS = 1000;
-/** Share of the servers of a service that must have a shared estimate for its capacities to count as measured. */
-const MEASURED_SHARE = 0.5;
 /** With fewer daemons each meets a server often enough to know its speed by itself. */
 const MIN_SHARING_DAEMONS = 24;
 const CLEANUP_INTERVAL_MS = 500;
-const MILLISECONDS_PER_SECOND = 1000;
 /** Share of the time after which a leaving server gets no new work, in which its keys move to other owners. */
 const LEAVING_OWNER_SHARE = 0.5;
 /** Maximum periodic tasks; more listeners than this on the stop signal indicate a leak. */
 const MAX_TASKS = 50;
-/**
- * Pause that gathers changes of servers; a fraction of the two seconds within which
- * a leaving server must get no new requests.
- */
-const SERVER_BATCH_PAUSE_MS = 500;
-/**
- * Pause that gathers changes of the configuration; a fraction of the two seconds
- * within which it must be in force.
- */
-const CONFIGURATION_BATCH_PAUSE_MS = 250;
-/**
- * Maximum wait of the coordinator's watch of the exclusions: with the time in which daemons notice a difference,
- * a fraction of the five seconds within which an exclusion must be in force.
- */
-const EXCLUSION_WATCH_WAIT_MS = 2000;
 /** Extra time that a server in the same data centre may take over a remote one: the round trip. */
 const SHORT_ANSWER_REMOTE_COST_MS = 4;
 /**
@@ -162,35 +127,26 @@
     decode: options.decodeServer,
     getColdMs: (service) => findPolicy(service)?.coldMs ?? 0,
   });
-  const processNumbers = createProcessNumbers(
-    () => listServices().flatMap((service) => directory.getByService(service)),
-    clock,
-  );
-  const performance = createServerPerformance({
-    clock,
-    numbers: processNumbers,
-    findServer: (name) => directory.get(name),
-    isShared: isPerformanceShared,
-  });
-  const loads = createServerLoads(clock, (name) => directory.get(name)?.service, performance);
-  const performanceExchange = createPerformanceExchange({
+  const {
     performance,
-    estimates: createPerformanceEstimates({
-      clock,
-      numbers: processNumbers,
-      isShared: isPerformanceShared,
-      findAnnounced: (process) => performance.findProcess(process),
-      logger,
-    }),
-    applyLoad: (process, load) => {
-      const server = processNumbers.find(process);
-      if (server !== undefined) {
-        loads.mergeLoad(server.name, server.slots, load);
-      }
-    },
+    loads,
+    exchange: performanceExchange,
+  } = createSharedPerformance({
+    directory,
+    listServices,
+    isShared: isPerformanceShared,
+    clock,
+    logger,
     counters,
   });
   const rateLimits = createServerRateLimits({ directory, clock, logger });
+  const capacities = createServiceCapacities({
+    directory,
+    performance,
+    loads,
+    findRateLimit: (server) => rateLimits.find(server),
+    findPolicy,
+  });
   const memory = createCallerMemory({
     budget: createCallerBudget(options.memoryMb, options.maxDescriptors),
     clock,
@@ -219,23 +175,18 @@
     logger,
     counters,
   });
-  const largestSize = createLargestSize(clock, () => freshness.findCountedSize());
-  const getAllowanceShares = () => largestSize.find() ?? freshness.getClusterSize();
-  const allowances = createAllowanceExchange({
+  const organisations = createOrganisationControl({
     daemon: options.daemon,
     channel,
     address: options.peers,
-    ledger: createAllowanceLedger({
-      clock,
-      bound: limits.allowances,
-      getClusterSize: getAllowanceShares,
-      countContacts: () => peers.countWithin(CONTACT_LOSS_MS) + 1,
-    }),
+    bound: limits.allowances,
     findAllowance: (organisation) =>
       routing.findActive()?.configuration.organisations?.byName.get(organisation)?.allowance,
+    findCountedSize: () => freshness.findCountedSize(),
+    getClusterSize: () => freshness.getClusterSize(),
+    countContacts: (maxAgeMs) => peers.countWithin(maxAgeMs),
     isCoordinator: () => lease.isHeld(),
     findCoordinator: () => lease.findCoordinator(),
-    getClusterSize: getAllowanceShares,
     clock,
     random,
     logger,
@@ -341,13 +292,7 @@
     address: options.callers,
     findActive: () => routing.findActive(),
     dispatch,
-    organisationAdmission: createOrganisationAdmission({
-      acquire: (organisation, allowance) => allowances.acquire(organisation, allowance),
-      clock,
-      random,
-      logger,
-      counters,
-    }),
+    organisationAdmission: organisations.admission,
     callerProtocol: options.callerProtocol,
     serverProtocol: options.serverProtocol,
     memory,
@@ -369,7 +314,7 @@
     priorities,
     isCoordinator: () => lease.isHeld(),
   });
-  await startReadinessServer();
+  await startReadinessServer(options.readiness, options.readinessPath, isReady);
   logger.log(Event.DaemonStarted, { dataCentre: options.dataCentre, incarnation: self.incarnation });
   const peers = createPeerStates(clock);
   const feed = createAssignmentFeed({
@@ -381,7 +326,11 @@
     clock,
     logger,
   });
-  const distribution = createChangeFeed({
+  const { watchers, exclusions, distribution } = createStateWatchers({
+    objects,
+    paths,
+    routing,
+    directory,
     channel,
     peers: () => peers.getAddresses(),
     isCoordinator: () => lease.isHeld(),
@@ -396,35 +345,7 @@
   metrics.addGauge("followed_state", "1 while the coordinator's changes replace a watch", "prefix", () =>
     distribution.getFollowed(),
   );
-  const exclusionWatcher = createWatcher(
-    paths.exclusions,
-    CONFIGURATION_BATCH_PAUSE_MS,
-    routing.exclusions,
-    EXCLUSION_WATCH_WAIT_MS,
-  );
-  const exclusions = createExclusionExchange({
-    getListedVersion: () => exclusionWatcher.getVersion(),
-    apply: (dataCentres) => {
-      directory.setExcluded(dataCentres);
-    },
-    logger,
-  });
-  const watchers = [
-    createWatcher(paths.configuration, CONFIGURATION_BATCH_PAUSE_MS, routing.configurations),
-    createWatcher(paths.servers, SERVER_BATCH_PAUSE_MS, {
-      onList: (listed) => {
-        directory.replaceAll(listed);
-      },
-      onChange: (changed, removed) => {
-        directory.applyChanges(changed, removed);
-      },
-      onStoreRecovered: () => {
-        directory.recordStoreRecovery();
-      },
-    }),
-    exclusionWatcher,
-    feed,
-  ];
+  const checkedWatchers = [...watchers, feed];
   const coordination = createKeyCoordination({
     listKeyedServices: () =>
       [...(routing.findActive()?.configuration.services.values() ?? [])]
@@ -446,17 +367,15 @@
     isFirstStart: options.isFirstStart,
     getTimeline: () => getTimeline(lease.getVersion()),
     maxGrantMs: limits.maxGrantMs,
-    getCapacities: estimateServerCapacities,
-    areCapacitiesMeasured: (servers) =>
-      servers.filter((server) => performance.find(server.name) !== undefined).length >
-      servers.length * MEASURED_SHARE,
+    getCapacities: (servers) => capacities.estimateServers(servers),
+    areCapacitiesMeasured: (servers) => capacities.areMeasured(servers),
   });
   const freshness = createFreshnessCheck({
     daemon: options.daemon,
     address: options.peers,
     processors: options.processors,
     channel,
-    watchers,
+    watchers: checkedWatchers,
     peers,
     clock,
     isCoordinator: () => lease.isHeld(),
@@ -499,7 +418,7 @@
         admission: priorities,
         isConfiguredMixed: (service) => isMixedService(routing.findActive()?.configuration.routes, service),
         isKeyed: (service) => findPolicy(service)?.isKeyed ?? false,
-        getCapacity: estimateServiceCapacity,
+        getCapacity: (service) => capacities.estimateService(service),
         clock,
         timeOfDay: options.timeOfDay,
         logger,
@@ -509,7 +428,7 @@
     logger,
   });
   watchLoopDelay({ clock, logger, metrics, signal: stop.signal });
-  watchers.forEach((watcher) => void watcher.run(stop.signal));
+  checkedWatchers.forEach((watcher) => void watcher.run(stop.signal));
   void freshness.run(stop.signal);
   void lease.run(stop.signal);
   void loadReporter.run(stop.signal);
@@ -545,55 +464,6 @@
   });
   return { isReady, explain, shutDown };
 
-  function createWatcher(
-    prefix: string,
-    pauseMs: number,
-    listener: PrefixListener,
-    referenceWaitMs?: number,
-  ): PrefixWatcher {
-    return createPrefixWatcher({
-      objects,
-      prefix,
-      pauseMs,
-      isFreshnessChecked: () => freshness.isFreshnessChecked(),
-      isReference: () => lease.isHeld(),
-      referenceWaitMs,
-      follower: distribution.createFollower(prefix),
-      clock,
-      logger,
-      random,
-      ...listener,
-    });
-  }
-
-  function estimateServerCapacities(servers: readonly DiscoveredServer[]): readonly number[] {
-    return estimateCapacities(
-      servers.map((server) => {
-        const shared = performance.find(server.name);
-        return {
-          slots: Math.min(server.slots, shared?.effectiveSlots ?? server.slots),
-          processingMs: loads.getProcessingMs(server.name),
-          answers: shared === undefined ? loads.countAnswers(server.name) : SHARED_ESTIMATE_ANSWERS,
-          maxRequestsPerSecond: findMaxRate(server),
-        };
-      }),
-    );
-  }
-
-  /** Returns the requests of mean work per second that the usable servers of a service can take. */
-  function estimateServiceCapacity(service: ServiceName): number {
-    const capacities = estimateServerCapacities(directory.getUsable(service));
-    return capacities.reduce((total, capacity) => total + capacity, 0) * MILLISECONDS_PER_SECOND;
-  }
-
-  /** Returns the requests per second that a server accepts now; null when it sets no limit. */
-  function findMaxRate(server: DiscoveredServer): number | null {
-    const policy = findPolicy(server.service);
-    const coldRate = directory.isCold(server) ? (policy?.coldRequestsPerSecond ?? null) : null;
-    const rates = [coldRate, rateLimits.find(server.name)].filter((rate) => typeof rate === "number");
-    return rates.length === 0 ? null : Math.min(...rates);
-  }
-
   /**
    * Resigns the lease in favour of a much larger VM, at most once per {@link MIN_RESIGNATION_INTERVAL_MS}: if that VM
    * cannot take the lease, this daemon may get it again and would resign it repeatedly.
@@ -633,7 +503,7 @@
     rateLimits.evict();
     backOff.evict();
     permits.evict();
-    allowances.evict();
+    organisations.evict();
     exclusions.update();
     coldAdmission.retain((name) => {
       const server = directory.get(name);
@@ -646,15 +516,6 @@
     return !isShuttingDown && isInformed;
   }
 
-  async function startReadinessServer(): Promise<void> {
-    const server = createServer((message, response) => {
-      const isProbe = message.url === options.readinessPath;
-      response.statusCode = isProbe ? (isReady() ? 200 : 503) : 404;
-      response.end();
-    });
-    await listen(server, options.readiness);
-  }
-
   async function shutDown(): Promise<void> {
     isShuttingDown = true;
     await shutDownGracefully({
--- a/test/serverLoads.test.ts
+++ b/test/serverLoads.test.ts
@@ -53,7 +53,7 @@
   });
 
   test("a rarely met server counts with the shared estimate, and waits with its effective slots", () => {
-    const estimate = { process: 1, processingMs: 100, answers: 50, effectiveSlots: 2 };
+    const estimate = { process: 1, processingMs: 100, slowness: 1, answers: 50, effectiveSlots: 2 };
     const loads = createServerLoads(createFakeClock(), () => "desk", {
       find: (server) => (server === "shared" ? estimate : undefined),
       recordLoad: () => undefined,
--- a/test/serverPerformance.test.ts
+++ b/test/serverPerformance.test.ts
@@ -232,6 +232,17 @@
     expect(fleet.maxMessageBytes).toBeLessThanOrEqual(MAX_MESSAGE_BYTES);
   });
 
+  // Guards against dividing the speed out of the estimates, which made all servers look alike.
+  test("their speeds are known within seconds also if the slowness that they state contains them", () => {
+    const fleet = createFleet({ servers: 147, statesSpeed: true });
+    fleet.run(10_000);
+    const times = listTimes(fleet);
+    const [slow, usual, fast] = [0, 1, 2].map((position) => mean(ofSpeed(times, position)));
+    // Speeds of 0.6 and 1.4 are 1.67 and 0.71 times the usual time; half of the difference has to show.
+    expect((slow ?? 0) / (usual ?? 1)).toBeGreaterThan(1.33);
+    expect((fast ?? 1) / (usual ?? 1)).toBeLessThan(0.86);
+  });
+
   test("noise of machines that are slow at times: a settled estimate seldom changes", () => {
     const fleet = createFleet({ getSpeed: () => 1 });
     fleet.run(30_000);
--- a/test/support/explainedDaemon.ts
+++ b/test/support/explainedDaemon.ts
@@ -177,7 +177,9 @@
     loads,
     performance: {
       find: (server) =>
-        server === "s2" ? { process: 2, processingMs: 70, answers: 9, effectiveSlots: 3 } : undefined,
+        server === "s2"
+          ? { process: 2, processingMs: 70, slowness: 1, answers: 9, effectiveSlots: 3 }
+          : undefined,
     },
     rateLimits,
     clock,
--- a/test/support/performanceFleet.ts
+++ b/test/support/performanceFleet.ts
@@ -43,6 +43,8 @@
   readonly isShared?: boolean;
   /** Whether machines are slow at times. */
   readonly isNoisy: boolean;
+  /** Whether the slowness that servers state contains their speed; otherwise only that of the moment. */
+  readonly statesSpeed?: boolean;
   /** Returns the initial speed of a server. */
   readonly getSpeed: (index: number) => number;
   /** Returns the number of requests above which a server does no more work; its slots by default. */
@@ -190,7 +192,7 @@
       running: server.running.length,
       waiting: server.queue.length,
       slots: options.slots,
-      slowness: getSlowness(server),
+      slowness: getSlowness(server) / (options.statesSpeed === true ? server.speed : 1),
     };
   }
 
