Repeat a call to the coordinator once when its reply is missing

A call is now repeated after 20 ms, and the coordinator repeats the answer that it has given, so that permits are not granted twice.

--- a/src/gateway/coordination/coordinatorCalls.ts
+++ b/src/gateway/coordination/coordinatorCalls.ts
@@ -2,11 +2,15 @@
 import { z } from "zod";
 import { type DatagramChannel, addressSchema } from "../../membership";
 import { Event, type Logger } from "../../observability";
-import type { Address, Clock } from "../../types";
+import { type Address, type Clock, formatAddress } from "../../types";
 
 /** Several round trips between data centres; a request is not kept waiting longer for a permit. */
 export const REPLY_TIMEOUT_MS = 50;
-/** After a missing reply, the coordinator is not called for this time. */
+/** A call without a reply is sent once more after this time: some datagrams are lost on every network. */
+const REPEAT_DELAY_MS = 20;
+/** The coordinator repeats its answer to a call that it has answered within this time, and computes none. */
+const ANSWER_RETENTION_MS = 200;
+/** After a missing reply to both, the coordinator is not called for this time. */
 export const SILENCE_PAUSE_MS = 500;
 
 /** What the calls need from the daemon. */
@@ -58,6 +62,8 @@
   const requestKind = `${options.name}Request`;
   const replyKind = `${options.name}Reply`;
   const pending = new Map<number, (answer: Answer) => void>();
+  /** Latest answers of this daemon as coordinator, the oldest first, by caller and call. */
+  const answered = new Map<string, { readonly answer: Answer; readonly at: number }>();
   let lastId = 0;
   let silentUntil = Number.NEGATIVE_INFINITY;
   const requestSchema = z.object({ id: z.int(), address: addressSchema }).and(options.questionSchema);
@@ -65,7 +71,7 @@
 
   channel.receive(requestKind, requestSchema, (request) => {
     if (options.isCoordinator()) {
-      channel.send(request.address, replyKind, { id: request.id, ...options.answer(request) });
+      channel.send(request.address, replyKind, { id: request.id, ...answerOnce(request) });
     }
   });
   channel.receive(replyKind, replySchema, (reply) => {
@@ -84,19 +90,38 @@
       return new Promise((resolve) => {
         const settle = (answer: Answer | undefined) => {
           cancel();
+          cancelRepeat();
           pending.delete(id);
           resolve(answer);
         };
+        const send = () => {
+          channel.send(coordinator, requestKind, { id, address: options.address, ...question });
+        };
+        const cancelRepeat = clock.schedule(REPEAT_DELAY_MS, send);
         const cancel = clock.schedule(REPLY_TIMEOUT_MS, () => {
           silentUntil = clock.now() + SILENCE_PAUSE_MS;
           options.logger.log(Event.PermitReplyMissing, { ...subject, coordinator: coordinator.host });
           settle(undefined);
         });
         pending.set(id, settle);
-        channel.send(coordinator, requestKind, { id, address: options.address, ...question });
+        send();
       });
     },
   };
+
+  function answerOnce(request: z.output<typeof requestSchema>): Answer {
+    const now = clock.now();
+    for (const [call, { at }] of answered) {
+      if (now - at < ANSWER_RETENTION_MS) {
+        break;
+      }
+      answered.delete(call);
+    }
+    const call = `${formatAddress(request.address)}/${request.id}`;
+    const answer = answered.get(call)?.answer ?? options.answer(request);
+    answered.set(call, { answer, at: now });
+    return answer;
+  }
 }
 
 /** Keeps state to one term as coordinator: what an earlier term has left must not be used again. */
