End the stop of a daemon that is short of processor time by itself

Cause: the listener closed only after two turns of the event loop without a new connection, or 1,024 turns. Where connections arrive as fast as they are accepted, that takes longer than the grace period, and the daemon is killed. The admission at a stop did not count the time that the daemon itself takes.

Waiting connections are accepted until 0.9 s before the end of the grace period at the latest, and a late daemon ends up to 0.6 s earlier.

--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -3,6 +3,7 @@
 export * from "./performanceEstimates";
 export * from "./performanceSums";
 export * from "./localShares";
+export * from "./ownLateness";
 export * from "./permitPool";
 export * from "./processNumbers";
 export * from "./priorityAdmission";
--- a/src/gateway/admission/stopAdmission.ts
+++ b/src/gateway/admission/stopAdmission.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../types";
 import { RejectionReason } from "../attemptTypes";
 import type { DispatchResult, RoutedRequest } from "../dispatchTypes";
+import { type OwnLateness, createOwnLateness } from "./ownLateness";
 import { createRouteCosts } from "./routeCosts";
 
 /** A refused caller may return at once: it reaches another daemon. */
@@ -11,10 +12,15 @@
 export interface StopAdmission {
   /** Records the time from the dispatch of a request to the end of its answer, in milliseconds. */
   recordAnswer(request: RoutedRequest, durationMs: number): void;
-  /** Starts to refuse requests that may not end by `exitAt`, a local time. */
-  start(exitAt: number): void;
+  /** Starts to refuse requests that may not end by `exitAt`, a local time. Returns the lateness of this daemon. */
+  start(exitAt: number): OwnLateness;
   /** Takes deadlines for the ends of requests from now on: the callers that are left have other daemons to go to. */
   restrictToDeadlines(): void;
+  /**
+   * Does the same at once on a daemon that is short of processor time: it has a backlog of requests, and those that it
+   * refuses leave it time to answer the others.
+   */
+  restrictIfLate(): void;
   /** Returns the refusal of a request; undefined when it ends in time. */
   findRefusal(request: RoutedRequest): DispatchResult | undefined;
 }
@@ -23,24 +29,32 @@
  * Creates the admission of a daemon that is not stopping.
  *
  * @param clock - Clock that deadlines are measured by.
+ * @param countPending - Counts the requests that have been read and not answered.
  * @returns The admission.
  */
-export function createStopAdmission(clock: Clock): StopAdmission {
+export function createStopAdmission(clock: Clock, countPending: () => number): StopAdmission {
   // Unlike the costs of the servers' work, with retries, waits and the transfer of streamed answers.
   const durations = createRouteCosts();
+  const lateness = createOwnLateness(clock);
   let exitAt = Number.POSITIVE_INFINITY;
   let isRestricted = false;
 
   return {
     recordAnswer: ({ route, service }, durationMs) => {
       durations.record(route, service.name, durationMs);
+      lateness.recordAnswer();
     },
     start: (at) => {
       exitAt = at;
+      lateness.start(at);
+      return lateness;
     },
     restrictToDeadlines: () => {
       isRestricted = true;
     },
+    restrictIfLate: () => {
+      isRestricted ||= lateness.getDelayMs() > 0;
+    },
     findRefusal,
   };
 
@@ -48,7 +62,9 @@
     const now = clock.now();
     const remainingMs = deadlineAt - now;
     const usualMs = isRestricted ? undefined : durations.findUsualMs(route, service.name);
-    const expectedMs = Math.min(remainingMs, usualMs ?? remainingMs);
+    // Past its deadline, too, a request is in flight until the daemon gets to answering it.
+    const ownMs = lateness.estimateMs(countPending());
+    const expectedMs = Math.min(remainingMs, usualMs ?? remainingMs) + ownMs;
     const exitInMs = exitAt - now;
     if (expectedMs <= exitInMs) {
       return undefined;
@@ -64,6 +80,7 @@
         loadAgeMs: undefined,
         exitInMs: Math.round(exitInMs),
         expectedMs: Math.round(expectedMs),
+        ownMs: Math.round(ownMs),
       },
     };
   }
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -11,7 +11,7 @@
 import type { CallerFields, CallerProtocol, ServerProtocol } from "../protocols";
 import { type OrganisationAdmission, admitAll, assignOrganisation } from "../organisations";
 import type { ActiveConfiguration, RouteMatcher } from "../routeMatcher";
-import { createStopAdmission } from "../admission";
+import { type OwnLateness, createStopAdmission } from "../admission";
 import {
   type CallerLimits,
   type Route,
@@ -63,16 +63,16 @@
   applyLimits(limits: CallerLimits): void;
   /**
    * Sends `Connection: close` with each further answer, so that callers close their connections, and refuses requests
-   * that may not end by `exitAt`, the local time at which the process exits.
+   * that may not end by `exitAt`, the local time at which the process exits. Returns the lateness of this daemon.
    */
-  drain(exitAt: number): void;
+  drain(exitAt: number): OwnLateness;
   /**
    * Reads what has arrived, then closes the connections on which nothing is pending. Returns their number. After
    * a pause of the process, its timers run before it has read the requests of that time.
    */
   closeIdle(): Promise<number>;
-  /** Accepts the connections that wait, then stops accepting. */
-  close(): Promise<void>;
+  /** Accepts the connections that wait, until the local time `acceptUntil` at the longest, then stops accepting. */
+  close(acceptUntil?: number): Promise<void>;
 }
 
 /**
@@ -87,7 +87,7 @@
   const { counters } = metrics;
   const connections = createCallerConnections(clock);
   const bodies = createRequestBodies();
-  const stopAdmission = createStopAdmission(clock);
+  const stopAdmission = createStopAdmission(clock, () => connections.countPending());
   const answers = createCallerAnswers({ protocol: callerProtocol, clock, logger, counters });
   const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true }, (message, response) => {
     void serve(message, response);
@@ -109,14 +109,15 @@
     },
     drain: (exitAt) => {
       answers.drain();
-      stopAdmission.start(exitAt);
+      return stopAdmission.start(exitAt);
     },
     closeIdle: async () => {
       await readArrived();
       return connections.closeIdle();
     },
-    close: async () => {
-      await acceptArrived(server);
+    close: async (acceptUntil = Number.POSITIVE_INFINITY) => {
+      stopAdmission.restrictIfLate();
+      await acceptArrived(server, () => clock.now() < acceptUntil);
       // The method of the HTTP server would also close connections whose answers are not written in full.
       NetServer.prototype.close.call(server);
       stopAdmission.restrictToDeadlines();
--- a/src/gateway/dispatchTypes.ts
+++ b/src/gateway/dispatchTypes.ts
@@ -38,6 +38,8 @@
   readonly exitInMs?: number;
   /** Time that the request was expected to take, in milliseconds; only for such a request. */
   readonly expectedMs?: number;
+  /** Part of it that this daemon is expected to take itself while it is short of processor time. */
+  readonly ownMs?: number;
 }
 
 /** Result of a request. */
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -1,6 +1,7 @@
 /** Shuts a gateway down without interrupting a request. */
 import { Event, type EventDetail, type Logger } from "../observability";
 import { type Clock, sleep } from "../types";
+import type { OwnLateness } from "./admission";
 import type { CallerListener } from "./callers";
 
 /**
@@ -11,6 +12,13 @@
 const IDLE_CHECK_MS = 50;
 /** Part of the grace period that is reserved for the exit of the process itself. */
 const EXIT_MARGIN_MS = 300;
+/** Timers that run before the exit of the process: that of the last check, and that of the last log lines. */
+const TIMERS_BEFORE_EXIT = 2;
+/**
+ * Maximum time by which a daemon that is short of processor time ends earlier. With the margin above it is less than the
+ * last sixth of a grace period of 6 s, until which answers of backend servers are passed on.
+ */
+const MAX_DELAY_MARGIN_MS = 600;
 /** Maximum log lines about single requests that the exit cuts off. */
 const MAX_CUT_REQUESTS_LOGGED = 20;
 
@@ -35,15 +43,21 @@
   const startedAt = clock.now();
   const exitAt = startedAt + options.gracePeriodMs - EXIT_MARGIN_MS;
   logger.log(Event.ShutdownStarted, describeLoad());
-  callerListener.drain(exitAt);
+  const lateness = callerListener.drain(exitAt);
   void options.resign();
   await sleep(clock, LAME_DUCK_MS);
-  await callerListener.close();
-  logger.log(Event.ShutdownListenerClosed, { ...describeLoad(), afterMs: getElapsedMs() });
-  await waitUntilIdle(options, exitAt);
+  // Where connections arrive as fast as they are accepted, some always wait.
+  await callerListener.close(exitAt - MAX_DELAY_MARGIN_MS);
+  logger.log(Event.ShutdownListenerClosed, {
+    ...describeLoad(),
+    afterMs: getElapsedMs(),
+    delayMs: Math.round(lateness.getDelayMs()),
+  });
+  await waitUntilIdle(options, exitAt, lateness);
   logger.log(callerListener.countPending() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
     ...describeLoad(),
     tookMs: getElapsedMs(),
+    delayMs: Math.round(lateness.getDelayMs()),
   });
   logCutRequests();
 
@@ -74,8 +88,9 @@
 async function waitUntilIdle(
   { callerListener, clock }: GracefulShutdownOptions,
   deadlineAt: number,
+  lateness: OwnLateness,
 ): Promise<void> {
-  while (clock.now() < deadlineAt) {
+  while (clock.now() + getDelayMarginMs(lateness) < deadlineAt) {
     await callerListener.closeIdle();
     if (callerListener.countPending() === 0 && callerListener.countConnections() === 0) {
       return;
@@ -83,3 +98,7 @@
     await sleep(clock, IDLE_CHECK_MS);
   }
 }
+
+function getDelayMarginMs(lateness: OwnLateness): number {
+  return Math.min(MAX_DELAY_MARGIN_MS, TIMERS_BEFORE_EXIT * lateness.getDelayMs());
+}
--- a/src/http/arrivals.ts
+++ b/src/http/arrivals.ts
@@ -20,11 +20,16 @@
  * Runs turns of the event loop until nothing new arrives.
  *
  * @param countArrivals - Counts what has arrived so far, for example accepted connections.
- * @returns A promise that resolves after two turns without an arrival, or after {@link MAX_TURNS} turns.
+ * @param mayContinue - Returns whether another turn may be run.
+ * @returns A promise that resolves after two turns without an arrival, after {@link MAX_TURNS} turns, or when no
+ * further turn may be run.
  */
-export async function readArrivals(countArrivals: () => number): Promise<void> {
+export async function readArrivals(
+  countArrivals: () => number,
+  mayContinue: () => boolean = () => true,
+): Promise<void> {
   let quietTurns = 0;
-  for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS; turn += 1) {
+  for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS && mayContinue(); turn += 1) {
     const before = countArrivals();
     await new Promise((resolve) => setImmediate(resolve));
     quietTurns = countArrivals() === before ? quietTurns + 1 : 0;
@@ -35,14 +40,15 @@
  * Accepts the connections that wait for it.
  *
  * @param server - The listener.
- * @returns A promise that resolves once none waits, or as many as can wait have been accepted.
+ * @param mayContinue - Returns whether further connections may be accepted.
+ * @returns A promise that resolves once none waits, as many as can wait have been accepted, or no more may be accepted.
  */
-export async function acceptArrived(server: Server): Promise<void> {
+export async function acceptArrived(server: Server, mayContinue: () => boolean): Promise<void> {
   let acceptedCount = 0;
   const count = () => {
     acceptedCount += 1;
   };
   server.on("connection", count);
-  await readArrivals(() => acceptedCount);
+  await readArrivals(() => acceptedCount, mayContinue);
   server.removeListener("connection", count);
 }
--- a/test/support/singleDaemon.ts
+++ b/test/support/singleDaemon.ts
@@ -1,6 +1,8 @@
 /** One daemon as a real process, with a store and a backend server that answers when the test says so. */
+import { readFileSync } from "node:fs";
 import { type ServerResponse, createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { join } from "node:path";
 import { request } from "undici";
 import { CONFIGURATION_NAME, StoreKind, WireHeader, WirePath } from "../../platform/wireNames";
 import { createEdgeObjectStore } from "../../standins/edge/objectStore";
@@ -17,31 +19,36 @@
  * are not idempotent. The program must have been built.
  *
  * @param seed - Determines the address of the daemon.
+ * @param limits - Requests that the backend server works on at the same time, and its connections from all daemons.
  * @returns The daemon and its backend server.
  */
-export async function startSingleDaemon(seed: number) {
+export async function startSingleDaemon(seed: number, { capacity = 4, maxConns = 130 } = {}) {
+  const begun = new Set<string>();
   const waiting: { readonly id: string; readonly response: ServerResponse }[] = [];
   const server = createServer((message, response) => {
     message.resume();
-    waiting.push({ id: String(message.headers[WireHeader.RequestId]), response });
+    const id = String(message.headers[WireHeader.RequestId]);
+    begun.add(id);
+    waiting.push({ id, response });
   });
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const store = createEdgeObjectStore(Math.random);
-  store.put(StoreKind.Configuration, CONFIGURATION_NAME, configuration);
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(maxConns));
   store.put(StoreKind.Servers, "desk-0", {
     address: `${HOST}:${port}`,
     born: Date.now(),
-    info: { service: "desk", version: "v1", zone: "a", capacity: 4 },
+    info: { service: "desk", version: "v1", zone: "a", capacity },
     status: { state: "ready", seq: 1, warmupLeftS: 0 },
   });
   const endpoint = await store.openEndpoint();
+  const folder = createSoakFolder();
   const daemon = startSoakDaemon({
     name: "d0",
     dataCentre: "a",
     host: `127.0.${seed}.10`,
     storePort: endpoint.port,
-    folder: createSoakFolder(),
+    folder,
   });
   const close = async () => {
     await daemon.close();
@@ -64,6 +71,17 @@
       terminate: () => {
         daemon.terminate();
       },
+      pause: () => {
+        daemon.pause();
+      },
+      resume: () => {
+        daemon.resume();
+      },
+      kill: () => {
+        daemon.kill();
+      },
+      /** Returns what the daemon has logged. */
+      readLog: () => readFileSync(join(folder, "d0.log"), "utf8"),
       /** Waits until readiness probes fail, as they do once a shutdown has begun. */
       waitUntilNotReady: () => poll(async () => !(await daemon.isReady())),
       /** Returns whether the process answers readiness probes, whatever the answer. */
@@ -77,6 +95,8 @@
         }
       },
     },
+    /** Ids of the requests that the backend server has begun. */
+    begun,
     /** Waits until a request is at the backend server. */
     waitUntilAtServer: () => poll(() => Promise.resolve(waiting.length > 0)),
     /** Answers all requests that are at the backend server. */
@@ -100,7 +120,7 @@
   throw new Error("the daemon process did not get to the expected state");
 }
 
-const configuration = {
+const createConfiguration = (maxConns: number) => ({
   version: "00000001",
   resources: [
     {
@@ -117,11 +137,11 @@
         attempts: 1,
       },
     },
-    { type: "services", metadata: { name: "desk" }, spec: { maxConns: 130, warmupS: 0, sharded: false } },
+    { type: "services", metadata: { name: "desk" }, spec: { maxConns, warmupS: 0, sharded: false } },
     {
       type: "limits",
       metadata: {},
       spec: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutS: 3, idleTimeoutS: 15 },
     },
   ],
-};
+});
