--- a/test/lateStopProcess.test.ts
+++ b/test/lateStopProcess.test.ts
@@ -19,11 +19,13 @@
 const PROCESS_TIMEOUT_MS = 120_000;
 /** Events that a shutdown ends with. */
 const SHUTDOWN_ENDED = /"event":100[45],/;
+/** Promises that the request has not run. */
+const REFUSAL = "HTTP/1.1 503";
 
 const wait = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 // Guards against a daemon short of processor time that accepts connections until it is killed at the end of the grace
-// period, and against answers that are cut by its exit.
+// period, against answers that are cut by its exit, and against requests that run although they were refused.
 test.each([
   { pausedMs: 150, runningMs: 20 },
   { pausedMs: 300, runningMs: 30 },
@@ -33,6 +35,7 @@
     const limits = { capacity: CAPACITY, maxConns: MAX_CONNECTIONS };
     const { daemon, begun, answer, close } = await startSingleDaemon(PROCESS_SEED, limits);
     const answered = new Set<string>();
+    const refused = new Set<string>();
     let sent = 0;
     let isLoaded = true;
     let isPaced = true;
@@ -47,6 +50,9 @@
         if (caller.getHead() !== "") {
           answered.add(id);
         }
+        if (caller.getHead().startsWith(REFUSAL)) {
+          refused.add(id);
+        }
       });
     };
     const load = setInterval(() => {
@@ -74,7 +80,9 @@
       daemon.kill();
       await paused;
       const cut = [...begun].filter((id) => !answered.has(id));
-      expect({ cut, hasEnded: SHUTDOWN_ENDED.test(daemon.readLog()) }).toEqual({ cut: [], hasEnded: true });
+      const runRefused = [...refused].filter((id) => begun.has(id));
+      const hasEnded = SHUTDOWN_ENDED.test(daemon.readLog());
+      expect({ cut, runRefused, hasEnded }).toEqual({ cut: [], runRefused: [], hasEnded: true });
       expect(answered.size).toBeGreaterThan(0);
     } finally {
       clearInterval(load);
