--- a/test/support/singleDaemon.ts
+++ b/test/support/singleDaemon.ts
@@ -1,6 +1,8 @@
 /** One daemon as a real process, with a store and a backend server that answers when the test says so. */
+import { readFileSync } from "node:fs";
 import { type ServerResponse, createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { join } from "node:path";
 import { request } from "undici";
 import { CONFIGURATION_NAME, StoreKind, WireHeader, WirePath } from "../../platform/wireNames";
 import { createEdgeObjectStore } from "../../standins/edge/objectStore";
@@ -18,6 +20,10 @@
   readonly limits?: { readonly memoryMb: number; readonly maxFds: number };
   /** Limit of the configuration on request bodies. */
   readonly maxBodyBytes?: number;
+  /** Requests that the backend server works on at the same time; 4 by default. */
+  readonly capacity?: number;
+  /** Connections that it accepts from all daemons; 130 by default. */
+  readonly maxConns?: number;
   /** Whether the backend server answers a request as soon as its body has arrived, with the length of the body. */
   readonly answersAtOnce?: boolean;
 }
@@ -31,9 +37,11 @@
  * @returns The daemon and its backend server.
  */
 export async function startSingleDaemon(seed: number, options: SingleDaemonOptions = {}) {
+  const begun = new Set<string>();
   const waiting: { readonly id: string; readonly response: ServerResponse }[] = [];
   const server = createServer((message, response) => {
     const id = String(message.headers[WireHeader.RequestId]);
+    begun.add(id);
     let bytes = 0;
     message.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
@@ -49,20 +57,21 @@
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const store = createEdgeObjectStore(Math.random);
-  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(options.maxBodyBytes));
+  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(options));
   store.put(StoreKind.Servers, "desk-0", {
     address: `${HOST}:${port}`,
     born: Date.now(),
-    info: { service: "desk", version: "v1", zone: "a", capacity: 4 },
+    info: { service: "desk", version: "v1", zone: "a", capacity: options.capacity ?? 4 },
     status: { state: "ready", seq: 1, warmupLeftS: 0 },
   });
   const endpoint = await store.openEndpoint();
+  const folder = createSoakFolder();
   const daemon = startSoakDaemon({
     name: "d0",
     dataCentre: "a",
     host: `127.0.${seed}.10`,
     storePort: endpoint.port,
-    folder: createSoakFolder(),
+    folder,
     limits: options.limits,
   });
   const close = async () => {
@@ -87,6 +96,17 @@
       terminate: () => {
         daemon.terminate();
       },
+      pause: () => {
+        daemon.pause();
+      },
+      resume: () => {
+        daemon.resume();
+      },
+      kill: () => {
+        daemon.kill();
+      },
+      /** Returns what the daemon has logged. */
+      readLog: () => readFileSync(join(folder, "d0.log"), "utf8"),
       /** Waits until readiness probes fail, as they do once a shutdown has begun. */
       waitUntilNotReady: () => poll(async () => !(await daemon.isReady())),
       /** Returns whether the process answers readiness probes, whatever the answer. */
@@ -100,6 +120,8 @@
         }
       },
     },
+    /** Ids of the requests that the backend server has begun. */
+    begun,
     /** Waits until a request is at the backend server. */
     waitUntilAtServer: () => poll(() => Promise.resolve(waiting.length > 0)),
     /** Answers all requests that are at the backend server. */
@@ -128,7 +150,10 @@
 }
 
 /** Creates a configuration with one route to one service. */
-export function createConfiguration(maxBodyBytes = 1_048_576) {
+export function createConfiguration({
+  maxBodyBytes = 1_048_576,
+  maxConns = 130,
+}: Pick<SingleDaemonOptions, "maxBodyBytes" | "maxConns"> = {}) {
   return {
     version: "00000001",
     resources: [
@@ -146,7 +171,7 @@
           attempts: 1,
         },
       },
-      { type: "services", metadata: { name: "desk" }, spec: { maxConns: 130, warmupS: 0, sharded: false } },
+      { type: "services", metadata: { name: "desk" }, spec: { maxConns, warmupS: 0, sharded: false } },
       {
         type: "limits",
         metadata: {},
