--- a/src/gateway/admission/index.ts
+++ b/src/gateway/admission/index.ts
@@ -3,7 +3,7 @@
 export * from "./performanceEstimates";
 export * from "./performanceSums";
 export * from "./localShares";
-export * from "./ownLateness";
+export * from "./processDelay";
 export * from "./permitPool";
 export * from "./processNumbers";
 export * from "./priorityAdmission";
--- a/src/gateway/admission/ownLateness.ts
+++ b/src/gateway/admission/processDelay.ts
@@ -1,4 +1,4 @@
-/** Measures from the stop signal on how late a daemon is itself, and how fast it answers what it has read. */
+/** Measures, from the stop signal on, by how much the process is delayed and how fast it answers what it has read. */
 import type { Clock } from "../../types";
 
 const PROBE_INTERVAL_MS = 50;
@@ -9,8 +9,8 @@
 /** Times that a request waits for its daemon: to be sent, for its answer to be read, and for that to be written. */
 const WAITS_PER_REQUEST = 3;
 
-/** Lateness of a stopping daemon. */
-export interface OwnLateness {
+/** Delay of a stopping daemon. */
+export interface ProcessDelay {
   /** Starts to measure. The measurement ends at `endAt`, a local time. */
   start(endAt: number): void;
   /** Records an answer that has been written. */
@@ -33,12 +33,12 @@
 }
 
 /**
- * Creates the lateness of a daemon that is not stopping.
+ * Creates the measurement of a daemon that is not stopping.
  *
  * @param clock - Clock that delays are measured by, and whose timers are.
- * @returns The lateness.
+ * @returns The measurement.
  */
-export function createOwnLateness(clock: Clock): OwnLateness {
+export function createProcessDelay(clock: Clock): ProcessDelay {
   let previous = createWindow(clock.now());
   let current = previous;
   /** Local time at which the next probe is due; undefined while nothing is measured. */
--- a/src/gateway/admission/stopAdmission.ts
+++ b/src/gateway/admission/stopAdmission.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../../types";
 import { RejectionReason } from "../attemptTypes";
 import type { DispatchResult, RoutedRequest } from "../dispatchTypes";
-import { type OwnLateness, createOwnLateness } from "./ownLateness";
+import { type ProcessDelay, createProcessDelay } from "./processDelay";
 import { createRouteCosts } from "./routeCosts";
 
 /** A refused caller may return at once: it reaches another daemon. */
@@ -12,8 +12,8 @@
 export interface StopAdmission {
   /** Records the time from the dispatch of a request to the end of its answer, in milliseconds. */
   recordAnswer(request: RoutedRequest, durationMs: number): void;
-  /** Starts to refuse requests that may not end by `exitAt`, a local time. Returns the lateness of this daemon. */
-  start(exitAt: number): OwnLateness;
+  /** Starts to refuse requests that may not end by `exitAt`, a local time. Returns the delay of this process. */
+  start(exitAt: number): ProcessDelay;
   /** Takes deadlines for the ends of requests from now on: the callers that are left have other daemons to go to. */
   restrictToDeadlines(): void;
   /**
@@ -35,25 +35,25 @@
 export function createStopAdmission(clock: Clock, countPending: () => number): StopAdmission {
   // Unlike the costs of the servers' work, with retries, waits and the transfer of streamed answers.
   const durations = createRouteCosts();
-  const lateness = createOwnLateness(clock);
+  const processDelay = createProcessDelay(clock);
   let exitAt = Number.POSITIVE_INFINITY;
   let isRestricted = false;
 
   return {
     recordAnswer: ({ route, service }, durationMs) => {
       durations.record(route, service.name, durationMs);
-      lateness.recordAnswer();
+      processDelay.recordAnswer();
     },
     start: (at) => {
       exitAt = at;
-      lateness.start(at);
-      return lateness;
+      processDelay.start(at);
+      return processDelay;
     },
     restrictToDeadlines: () => {
       isRestricted = true;
     },
     restrictIfLate: () => {
-      isRestricted ||= lateness.getDelayMs() > 0;
+      isRestricted ||= processDelay.getDelayMs() > 0;
     },
     findRefusal,
   };
@@ -63,7 +63,7 @@
     const remainingMs = deadlineAt - now;
     const usualMs = isRestricted ? undefined : durations.findUsualMs(route, service.name);
     // Past its deadline, too, a request is in flight until the daemon gets to answering it.
-    const ownMs = lateness.estimateMs(countPending());
+    const ownMs = processDelay.estimateMs(countPending());
     const expectedMs = Math.min(remainingMs, usualMs ?? remainingMs) + ownMs;
     const exitInMs = exitAt - now;
     if (expectedMs <= exitInMs) {
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -11,7 +11,7 @@
 import type { CallerFields, CallerProtocol, ServerProtocol } from "../protocols";
 import { type OrganisationAdmission, admitAll, assignOrganisation } from "../organisations";
 import { type ActiveConfiguration, getServicePolicy } from "../routeMatcher";
-import { type OwnLateness, createStopAdmission } from "../admission";
+import { type ProcessDelay, createStopAdmission } from "../admission";
 import { type CallerLimits, type Route, RouteKind, type ServicePolicy } from "../types";
 import { type PendingAnswer, Status, createCallerAnswers } from "./callerAnswers";
 import { createCallerConnections } from "./callerConnections";
@@ -64,9 +64,9 @@
   applyLimits(limits: CallerLimits): void;
   /**
    * Sends `Connection: close` with each further answer, so that callers close their connections, and refuses requests
-   * that may not end by `exitAt`, the local time at which the process exits. Returns the lateness of this daemon.
+   * that may not end by `exitAt`, the local time at which the process exits. Returns the delay of this process.
    */
-  drain(exitAt: number): OwnLateness;
+  drain(exitAt: number): ProcessDelay;
   /**
    * Reads what has arrived, then closes the connections on which nothing is pending. Returns their number. After
    * a pause of the process, its timers run before it has read the requests of that time.
--- a/src/gateway/gracefulShutdown.ts
+++ b/src/gateway/gracefulShutdown.ts
@@ -1,7 +1,7 @@
 /** Shuts a gateway down without interrupting a request. */
 import { Event, type EventDetail, type Logger } from "../observability";
 import { type Clock, sleep } from "../types";
-import type { OwnLateness } from "./admission";
+import type { ProcessDelay } from "./admission";
 import type { CallerListener } from "./callers";
 
 /**
@@ -43,7 +43,7 @@
   const startedAt = clock.now();
   const exitAt = startedAt + options.gracePeriodMs - EXIT_MARGIN_MS;
   logger.log(Event.ShutdownStarted, describeLoad());
-  const lateness = callerListener.drain(exitAt);
+  const processDelay = callerListener.drain(exitAt);
   void options.resign();
   await sleep(clock, LAME_DUCK_MS);
   // Where connections arrive as fast as they are accepted, some always wait.
@@ -51,13 +51,13 @@
   logger.log(Event.ShutdownListenerClosed, {
     ...describeLoad(),
     afterMs: getElapsedMs(),
-    delayMs: Math.round(lateness.getDelayMs()),
+    delayMs: Math.round(processDelay.getDelayMs()),
   });
-  await waitUntilIdle(options, exitAt, lateness);
+  await waitUntilIdle(options, exitAt, processDelay);
   logger.log(callerListener.countPending() === 0 ? Event.ShutdownFinished : Event.ShutdownDeadlineExceeded, {
     ...describeLoad(),
     tookMs: getElapsedMs(),
-    delayMs: Math.round(lateness.getDelayMs()),
+    delayMs: Math.round(processDelay.getDelayMs()),
   });
   logCutRequests();
 
@@ -88,9 +88,9 @@
 async function waitUntilIdle(
   { callerListener, clock }: GracefulShutdownOptions,
   deadlineAt: number,
-  lateness: OwnLateness,
+  processDelay: ProcessDelay,
 ): Promise<void> {
-  while (clock.now() + getDelayMarginMs(lateness) < deadlineAt) {
+  while (clock.now() + getDelayMarginMs(processDelay) < deadlineAt) {
     await callerListener.closeIdle();
     if (callerListener.countPending() === 0 && callerListener.countConnections() === 0) {
       return;
@@ -99,6 +99,6 @@
   }
 }
 
-function getDelayMarginMs(lateness: OwnLateness): number {
-  return Math.min(MAX_DELAY_MARGIN_MS, TIMERS_BEFORE_EXIT * lateness.getDelayMs());
+function getDelayMarginMs(processDelay: ProcessDelay): number {
+  return Math.min(MAX_DELAY_MARGIN_MS, TIMERS_BEFORE_EXIT * processDelay.getDelayMs());
 }
