Limit shares to services for which priorities compete, and to refusals for lack of capacity

Each refusal counted as lack of capacity, and the few requests that only test the configuration have another priority, so the service counted as mixed: the admitted share fell, which lowered what was served, and so on. Refusals by a server that reports room no longer count, and a service counts as mixed only if 2% of its usual work has another priority than most.

--- a/src/gateway/admission/priorityAdmission.ts
+++ b/src/gateway/admission/priorityAdmission.ts
@@ -9,6 +9,7 @@
   MIN_RELATIVE_SHARE,
   type PriorityDemand,
   computeFloor,
+  areCompeting,
   computePriorityShares,
 } from "./priorityShares";
 import { Urgency } from "./returnTimes";
@@ -295,7 +296,7 @@
   const unserved = refused + sum("withheld");
   const isShort = unserved > MIN_LOCAL_REFUSALS && unserved > MIN_LOCAL_REFUSED_SHARE * offered;
   const [highest] = demands;
-  if (highest === undefined || demands.length < 2 || !isShort) {
+  if (highest === undefined || !areCompeting(demands) || !isShort) {
     return undefined;
   }
   const served = Math.max(0, offered - unserved);
--- a/src/gateway/admission/priorityShares.ts
+++ b/src/gateway/admission/priorityShares.ts
@@ -18,6 +18,24 @@
  */
 export const MIN_RELATIVE_SHARE = 0.3;
 
+/**
+ * Part of the offered work that must have another priority than most of it. Less cannot be what makes a service short,
+ * and most of it would be refused for the rest: requests that only test which configuration is in force, for example.
+ */
+const MIN_COMPETING_SHARE = 0.02;
+
+/**
+ * Returns whether requests of different priorities compete for a service.
+ *
+ * @param demands - Offered work of each priority.
+ * @returns Whether more than a trace of the work has another priority than most of it.
+ */
+export function areCompeting(demands: readonly Pick<PriorityDemand, "offered">[]): boolean {
+  const offered = demands.reduce((total, demand) => total + demand.offered, 0);
+  const most = Math.max(0, ...demands.map((demand) => demand.offered));
+  return offered - most > MIN_COMPETING_SHARE * offered;
+}
+
 /**
  * Computes the share of the requests of each priority that is admitted: the lower bound for each, then what is left
  * for the most urgent first.
--- a/src/gateway/coordination/priorityExchange.ts
+++ b/src/gateway/coordination/priorityExchange.ts
@@ -14,6 +14,7 @@
   type PriorityDemands,
   ROUND_MS,
   type ReportedWork,
+  areCompeting,
   createPriorityController,
 } from "../admission";
 import { type StateChannel, bindState } from "./stateExchange";
@@ -37,6 +38,8 @@
 const MAX_DAEMON_SHARE = 0.5;
 /** With fewer daemons, the refusals of one of them may be all that there are. */
 const MIN_CONFIRMING_DAEMONS = 3;
+/** Weight of an interval of 400 ms in the usual work of a priority. */
+const USUAL_WORK_WEIGHT = 0.1;
 const MILLISECONDS_PER_SECOND = 1000;
 
 const workSchema = z.number().nonnegative().max(MAX_WORK);
@@ -100,6 +103,8 @@
   const reports = new Map<DaemonName, Report & { readonly receivedAt: number }>();
   const seenAt = new Map<ServiceName, Map<number, number>>();
   const controllers = new Map<ServiceName, PriorityController>();
+  /** Work per second of each priority, averaged over some seconds. */
+  const usualWork = new Map<ServiceName, ReadonlyMap<number, number>>();
   let reportedAt = clock.now();
   let updatedAt = Number.NEGATIVE_INFINITY;
   let restrictedAt = Number.NEGATIVE_INFINITY;
@@ -173,10 +178,14 @@
     if (capacity <= 0) {
       return [];
     }
+    const summed = sumDemands(service, priorities, capacity);
+    if (!areCompeting(updateUsual(service, summed))) {
+      controllers.delete(service);
+      return [];
+    }
     const controller = controllers.get(service) ?? createPriorityController(admission.isAnnounced(service));
     controllers.set(service, controller);
     const wasShort = controller.isShort();
-    const summed = sumDemands(service, priorities, capacity);
     const decision = controller.update({ demands: summed, capacity, isKeyed: options.isKeyed(service) });
     if (controller.isShort() !== wasShort) {
       logger.log(wasShort ? Event.PriorityShortageEnded : Event.PriorityShortageStarted, {
@@ -192,6 +201,22 @@
     return [{ service, floor: decision.floor, shares }];
   }
 
+  /** Returns the usual work of each priority: in a single interval a few requests are a part of a hundred by chance. */
+  function updateUsual(
+    service: ServiceName,
+    summed: readonly PriorityDemand[],
+  ): readonly { readonly offered: number }[] {
+    const known = usualWork.get(service);
+    const usual = new Map(
+      summed.map(({ priority, offered }) => {
+        const before = known === undefined ? offered : (known.get(priority) ?? 0);
+        return [priority, before + (offered - before) * USUAL_WORK_WEIGHT] as const;
+      }),
+    );
+    usualWork.set(service, usual);
+    return [...usual.values()].map((offered) => ({ offered }));
+  }
+
   /** Adds up the last reports of all daemons, each bounded, so that none decides for all. */
   function sumDemands(
     service: ServiceName,
@@ -242,6 +267,7 @@
       if (priorities.size === 0) {
         seenAt.delete(service);
         controllers.delete(service);
+        usualWork.delete(service);
       }
     }
   }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -303,7 +303,10 @@
   ): DispatchResult {
     const { reason } = obstacle;
     const inputs = getDecisionInputs(request, server);
-    options.priorities.recordRefusal(request, reason);
+    const hasRoom = reason === RejectionReason.Shed && server !== undefined && loads.hasReportedRoom(server);
+    if (!hasRoom) {
+      options.priorities.recordRefusal(request, reason);
+    }
     const retryAfterMs = retryTimes.choose(request, obstacle, inputs);
     return { kind: "notRun", reason, retryAfterMs, inputs };
   }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -27,6 +27,7 @@
   createRequest,
   createRoute,
   createTestDispatcher,
+  createTestPriorities,
   createTestServer,
   formatAnswer,
   policy,
@@ -698,6 +699,28 @@
     expect((await dispatch(createRequest(RouteKind.Unsafe, keyed))).kind).toBe(expected);
   });
 
+  // Guards against lowering the admitted shares of a service whose servers refuse at random and have room.
+  test.each([
+    { load: "0,0,4", counted: 0 },
+    { load: "4,8,4", counted: 1 },
+  ])("a refusal with the load $load counts $counted times as lack of capacity", async ({ load, counted }) => {
+    const refusal = `Not-Executed: 1\r\nInstance-Load: ${load}`;
+    server.setBehaviour((socket, request) =>
+      socket.write(createFramedAnswer("503 Service Unavailable", "", refusal)(request)),
+    );
+    let refusals = 0;
+    const servers = [createServer("s1")];
+    const priorities = {
+      ...createTestPriorities(systemClock),
+      recordRefusal: () => {
+        refusals += 1;
+      },
+    };
+    const dispatch = createTestDispatcher(servers, systemClock, undefined, priorities);
+    await dispatch(createRequest(RouteKind.Safe));
+    expect(refusals).toBe(counted);
+  });
+
   test("an owner that does not hold the key gets the request again only under a new assignment", async () => {
     server.setBehaviour((socket, request) => socket.write(createMisdirectedAnswer("s1")(request)));
     const before = server.receivedRequests.length;
--- a/test/priorityLoad.test.ts
+++ b/test/priorityLoad.test.ts
@@ -197,6 +197,13 @@
     expect(run.samples.some(({ shares }) => shares.some(isRestricted))).toBe(false);
   });
 
+  // Guards against refusing nearly all requests for a trace of others, such as those that test the configuration.
+  test.each(SEEDS)("while one request in a hundred has another priority (seed %i)", async (seed) => {
+    const kinds = [kind(0, constant(3)), kind(1, constant(300))];
+    const run = await playPriorityLoad({ kinds, seed, durationMs: 6000 });
+    expect(run.samples.some(({ shares }) => shares.some(isRestricted))).toBe(false);
+  });
+
   test.each(SEEDS)(
     "while one daemon of eight reports work and refusals that no other sees (seed %i)",
     async (seed) => {
