Repeat coordinator calls until they time out, and pause only after 300 ms without any reply

Change: a call is repeated every 20 ms until its time limit, which is 120 ms for permits of organisations; the coordinator counts as silent when no call has been answered for 300 ms.

--- a/src/gateway/coordination/allowanceExchange.ts
+++ b/src/gateway/coordination/allowanceExchange.ts
@@ -9,13 +9,13 @@
 import { type Permit, createLocalShares } from "../admission";
 import { type AllowanceLedger, type PermitCall, createPermitStock } from "../organisations";
 import type { OrganisationAllowance } from "../types";
-import {
-  type CoordinatorAccess,
-  REPLY_TIMEOUT_MS,
-  createCoordinatorCalls,
-  createCoordinatorTerm,
-} from "./coordinatorCalls";
+import { type CoordinatorAccess, createCoordinatorCalls, createCoordinatorTerm } from "./coordinatorCalls";
 
+/**
+ * A request is not kept waiting longer for a permit: a fraction of the objectives of callers, and longer than large
+ * answers fill the link of a small VM.
+ */
+const PERMIT_TIMEOUT_MS = 120;
 /** Limits what one daemon with a wrong view can ask for. */
 const MAX_COUNT = 100_000;
 
@@ -50,7 +50,7 @@
 
 /** Gets permits for the requests of organisations. */
 export interface AllowanceExchange {
-  /** Takes a permit; waits for {@link REPLY_TIMEOUT_MS} at most. */
+  /** Takes a permit; waits for {@link PERMIT_TIMEOUT_MS} at most. */
   acquire(organisation: string, allowance: OrganisationAllowance): Promise<Permit>;
   /** Removes the state of organisations without an allowance. */
   evict(): void;
@@ -78,6 +78,7 @@
   const calls = createCoordinatorCalls({
     ...options,
     name: "allowance",
+    timeoutMs: PERMIT_TIMEOUT_MS,
     questionSchema,
     answerSchema,
     answer: ({ daemon, calls: asked }) => {
@@ -161,7 +162,7 @@
         resolve(permit);
       };
       const waiter = { allowance, settle };
-      const cancel = clock.schedule(REPLY_TIMEOUT_MS, () => {
+      const cancel = clock.schedule(PERMIT_TIMEOUT_MS, () => {
         settle(takeLocally(organisation, allowance));
       });
       waiters.add(waiter);
--- a/src/gateway/coordination/coordinatorCalls.ts
+++ b/src/gateway/coordination/coordinatorCalls.ts
@@ -6,11 +6,16 @@
 
 /** Several round trips between data centres; a request is not kept waiting longer for a permit. */
 export const REPLY_TIMEOUT_MS = 50;
-/** A call without a reply is sent once more after this time: some datagrams are lost on every network. */
-const REPEAT_DELAY_MS = 20;
+/** A call without a reply is sent again at this interval: some datagrams are lost on every network. */
+const REPEAT_INTERVAL_MS = 20;
 /** The coordinator repeats its answer to a call that it has answered within this time, and computes none. */
 const ANSWER_RETENTION_MS = 200;
-/** After a missing reply to both, the coordinator is not called for this time. */
+/**
+ * The coordinator counts as silent when no call has been answered for this time. A single call may get no reply because
+ * large answers fill the link of a small VM for some 100 ms.
+ */
+const SILENCE_MS = 300;
+/** A silent coordinator is not called for this time. */
 export const SILENCE_PAUSE_MS = 500;
 
 /** What the calls need from the daemon. */
@@ -31,6 +36,8 @@
   readonly name: string;
   readonly questionSchema: z.ZodType<Question>;
   readonly answerSchema: z.ZodType<Answer>;
+  /** Time within which a reply is waited for; {@link REPLY_TIMEOUT_MS} unless set. */
+  readonly timeoutMs?: number;
   /** Answers a call of another daemon. Called only on the coordinator. */
   readonly answer: (question: Question) => Answer;
 }
@@ -44,7 +51,7 @@
    *
    * @param question - Content of the call.
    * @param subject - What the call is about, for the log.
-   * @returns The answer; undefined when none came within {@link REPLY_TIMEOUT_MS}.
+   * @returns The answer; undefined when none came in time.
    */
   call(question: Question, subject: Readonly<Record<string, string>>): Promise<Answer | undefined>;
 }
@@ -58,13 +65,15 @@
 export function createCoordinatorCalls<Question extends object, Answer extends object>(
   options: CoordinatorCallsOptions<Question, Answer>,
 ): CoordinatorCalls<Question, Answer> {
-  const { channel, clock } = options;
+  const { channel, clock, timeoutMs = REPLY_TIMEOUT_MS } = options;
   const requestKind = `${options.name}Request`;
   const replyKind = `${options.name}Reply`;
   const pending = new Map<number, (answer: Answer) => void>();
   /** Latest answers of this daemon as coordinator, the oldest first, by caller and call. */
   const answered = new Map<string, { readonly answer: Answer; readonly at: number }>();
   let lastId = 0;
+  /** Start of the first call that got no reply since the last one that did; undefined when there is none. */
+  let unansweredSince: number | undefined;
   let silentUntil = Number.NEGATIVE_INFINITY;
   const requestSchema = z.object({ id: z.int(), address: addressSchema }).and(options.questionSchema);
   const replySchema = z.object({ id: z.int() }).and(options.answerSchema);
@@ -75,6 +84,7 @@
     }
   });
   channel.receive(replyKind, replySchema, (reply) => {
+    unansweredSince = undefined;
     pending.get(reply.id)?.(reply);
   });
 
@@ -97,9 +107,17 @@
         const send = () => {
           channel.send(coordinator, requestKind, { id, address: options.address, ...question });
         };
-        const cancelRepeat = clock.schedule(REPEAT_DELAY_MS, send);
-        const cancel = clock.schedule(REPLY_TIMEOUT_MS, () => {
-          silentUntil = clock.now() + SILENCE_PAUSE_MS;
+        const startedAt = clock.now();
+        let cancelRepeat = clock.schedule(REPEAT_INTERVAL_MS, repeat);
+        function repeat(): void {
+          send();
+          cancelRepeat = clock.schedule(REPEAT_INTERVAL_MS, repeat);
+        }
+        const cancel = clock.schedule(timeoutMs, () => {
+          unansweredSince ??= startedAt;
+          if (clock.now() - unansweredSince >= SILENCE_MS) {
+            silentUntil = clock.now() + SILENCE_PAUSE_MS;
+          }
           options.logger.log(Event.PermitReplyMissing, { ...subject, coordinator: coordinator.host });
           settle(undefined);
         });
