--- /dev/null
+++ b/test/support/keyCoordinator.ts
@@ -0,0 +1,232 @@
+/** The key coordinator with fake backend servers that enforce grants, and a record of every key that two of them held. */
+import { type DiscoveredServer, createServerDirectory } from "../../src/discovery";
+import {
+  KEY_COUNT,
+  type KeyControl,
+  type KeyGrant,
+  type KeyRange,
+  type OwnedRange,
+  type ReleaseResult,
+  coordinateKeys,
+  createKeyLoad,
+  createOwnerTable,
+} from "../../src/keyRanges";
+import { silentLogger } from "../../src/observability";
+import { createFakeClock } from "./fakeClock";
+import { createFakeObjectStore, createPlatformAccess } from "./fakePlatform";
+import { createTestServer } from "./gateway";
+import { createRestorableTable } from "./restorableTable";
+
+/** The keyed service. */
+export const SERVICE = "desk";
+const MAX_GRANT_MS = 10_000;
+/** Delay after which a grant that got no answer takes effect at the servers in `late`. */
+const LATE_GRANT_DELAY_MS = 2500;
+export const LAST_KEY = KEY_COUNT - 1;
+
+/** A server process's hold on a range of keys, until its grant expires. */
+interface FakeHold extends KeyRange {
+  readonly server: string;
+  readonly bornAt: number;
+  until: number;
+}
+
+/**
+ * Creates the coordinator's dependencies with fake backend servers that enforce grants, and records every key
+ * that two of them held at once.
+ */
+export function createHarness(names: readonly string[]) {
+  const clock = { ...createFakeClock(), waitUntilRunning: () => Promise.resolve(), pause: () => undefined };
+  const holds: FakeHold[] = [];
+  const conflicts: string[] = [];
+  const grants: (KeyGrant & { readonly server: string })[] = [];
+  /** Servers that do not answer calls. */
+  const silent = new Set<string>();
+  /** Servers whose grants get no answer and take effect after {@link LATE_GRANT_DELAY_MS}. */
+  const late = new Set<string>();
+  /** Servers that refuse connections. */
+  const refusing = new Set<string>();
+  /** Servers that answer releases after a time, in milliseconds. */
+  const slowReleases = new Map<string, number>();
+  /** Servers whose address now belongs to another server. */
+  const replaced = new Set<string>();
+  /** Start times of restarted processes whose directory entries still have the old one. */
+  const actualBornAt = new Map<string, number>();
+  const released: (KeyRange & { readonly server: string; readonly token: number })[] = [];
+  const directory = createServerDirectory({
+    clock,
+    logger: silentLogger,
+    decode: (_name, value) => value as DiscoveredServer,
+    getColdMs: () => 0,
+  });
+  const owners = createOwnerTable(clock, silentLogger);
+  const load = createKeyLoad(clock);
+  const storeFaults = createPlatformAccess();
+  const table = createRestorableTable();
+  const objects = createFakeObjectStore(table, storeFaults, clock as never);
+  const control: KeyControl = {
+    grant: (server, grant) => {
+      grants.push({ ...grant, server: server.name });
+      if (silent.has(server.name)) {
+        return Promise.resolve({ kind: "unanswered", detail: "silent" });
+      }
+      if (refusing.has(server.name)) {
+        return Promise.resolve({ kind: "notSent", detail: "refused" });
+      }
+      if (replaced.has(server.name)) {
+        return Promise.resolve({ kind: "misdirected" });
+      }
+      if (late.has(server.name)) {
+        clock.schedule(LATE_GRANT_DELAY_MS, () => {
+          applyGrant(server, grant);
+        });
+        return Promise.resolve({ kind: "unanswered", detail: "late" });
+      }
+      return Promise.resolve({ kind: applyGrant(server, grant) });
+    },
+    release: (server, range, token): Promise<ReleaseResult> => {
+      if (silent.has(server.name) || refusing.has(server.name)) {
+        return Promise.resolve({ kind: "unanswered", detail: "silent" });
+      }
+      if (replaced.has(server.name)) {
+        return Promise.resolve({ kind: "misdirected" });
+      }
+      const slowMs = slowReleases.get(server.name);
+      if (slowMs !== undefined) {
+        return new Promise((resolve) => {
+          clock.schedule(slowMs, () => {
+            resolve(applyRelease(server, range, token));
+          });
+        });
+      }
+      return Promise.resolve(applyRelease(server, range, token));
+    },
+  };
+  function applyRelease(server: DiscoveredServer, range: KeyRange, token: number): ReleaseResult {
+    const now = clock.now();
+    const kept = holds.flatMap((hold) =>
+      hold.server === server.name && hold.until > now
+        ? [
+            { ...hold, to: Math.min(hold.to, range.from - 1) },
+            { ...hold, from: Math.max(hold.from, range.to + 1) },
+          ].filter((part) => part.from <= part.to)
+        : [hold],
+    );
+    holds.splice(0, holds.length, ...kept);
+    released.push({ ...range, server: server.name, token });
+    return { kind: "released", handover: `from ${server.name}` };
+  }
+
+  /** Applies a grant, unless the server has released any of the granted keys under a higher fencing token. */
+  function applyGrant(server: DiscoveredServer, grant: KeyGrant): "granted" | "fenced" {
+    const isFenced = released.some(
+      (each) =>
+        each.server === server.name &&
+        each.token > grant.token &&
+        each.from <= grant.to &&
+        each.to >= grant.from,
+    );
+    if (isFenced) {
+      return "fenced";
+    }
+    const now = clock.now();
+    const bornAt = actualBornAt.get(server.name) ?? server.bornAt;
+    const isOvertaken = grants.some(
+      (each) =>
+        each.server !== server.name &&
+        each.token >= grant.token &&
+        each.from <= grant.to &&
+        each.to >= grant.from,
+    );
+    if (isOvertaken) {
+      conflicts.push(
+        `${server.name}: ${grant.from}-${grant.to} under token ${grant.token}, which is not the highest`,
+      );
+    }
+    for (const hold of holds) {
+      const isOtherProcess = hold.server !== server.name || hold.bornAt !== bornAt;
+      if (isOtherProcess && hold.until > now && hold.from <= grant.to && hold.to >= grant.from) {
+        conflicts.push(
+          `${hold.server} and ${server.name}: ${hold.from}-${hold.to}, ${grant.from}-${grant.to}`,
+        );
+      }
+    }
+    const { from, to, durationMs } = grant;
+    holds.push({ from, to, server: server.name, bornAt, until: now + durationMs });
+    return "granted";
+  }
+
+  const stop = new AbortController();
+  const harness = {
+    clock,
+    directory,
+    owners,
+    load,
+    control,
+    objects,
+    storeFaults,
+    table,
+    conflicts,
+    grants,
+    silent,
+    late,
+    refusing,
+    replaced,
+    slowReleases,
+    stop,
+    isCoordinator: true,
+    getCapacity: (server: DiscoveredServer): number => server.slots,
+    areCapacitiesMeasured: false,
+    /** Ends a server's process, and with it all its holds. */
+    endProcess: (name: string) => {
+      const rest = holds.filter((hold) => hold.server !== name);
+      holds.splice(0, holds.length, ...rest);
+    },
+    /** Restarts a server under the same name without a change to its directory entry. */
+    restart: (name: string, bornAt: number) => {
+      harness.endProcess(name);
+      actualBornAt.set(name, bornAt);
+      released.splice(0, released.length, ...released.filter((each) => each.server !== name));
+    },
+    start: (ownersOfDaemon = owners, signal = stop.signal, isFirstStart = true) =>
+      coordinateKeys(
+        {
+          service: SERVICE,
+          objects,
+          directory,
+          owners: ownersOfDaemon,
+          control,
+          load,
+          publish: () => undefined,
+          clock,
+          logger: silentLogger,
+          isCoordinator: () => harness.isCoordinator,
+          getStoreSilenceMs: () => 0,
+          isFirstStart,
+          getTimeline: () => table.countRestores(),
+          maxGrantMs: MAX_GRANT_MS,
+          getCapacities: (servers) => servers.map((server) => harness.getCapacity(server)),
+          areCapacitiesMeasured: () => harness.areCapacitiesMeasured,
+        },
+        signal,
+      ),
+    put: (server: DiscoveredServer) => {
+      directory.applyChanges([{ path: `servers/${server.name}`, version: 1, value: server }], []);
+    },
+    findOwners: (keys: readonly number[]) => keys.map((key) => owners.findOwner(SERVICE, key)),
+  };
+  directory.replaceAll([]);
+  names.forEach((name) => {
+    harness.put(createServer(name));
+  });
+  return harness;
+}
+
+/** Creates the entry of a backend server of the service. */
+export const createServer = (name: string, change: Partial<DiscoveredServer> = {}) =>
+  createTestServer(name, 1, { service: SERVICE, ...change });
+
+/** Creates a range that a server owns. */
+export function createRange(from: number, to: number, server: string, token = 1): OwnedRange {
+  return { from, to, server, bornAt: 1, token };
+}
