Log what showed that the last owner of keys had stopped, and grants that took long

Event 1824 now names for each freed range its last owner and why it counted as stopped, and the new event 1830 names grants that took over 250 ms, the time that the record of grants allows. No decision changes.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -19,6 +19,7 @@
 import { getAssignmentPath, parseRangeAssignment } from "./assignmentDocument";
 import { createGrantLedger } from "./grantLedger";
 import {
+  FreedBy,
   type FreedRange,
   type Holding,
   HoldingPhase,
@@ -41,7 +42,7 @@
   sum,
 } from "./rangePlanner";
 import { createPrecautionaryRelease } from "./precautionaryRelease";
-import { type ReclaimOptions, reclaimKeys } from "./reclaim";
+import { type ReclaimOptions, type ReclaimedKeys, reclaimKeys } from "./reclaim";
 import { groupAdjacentMoves, planRebalance } from "./rebalancing";
 import { continueAssignment, replaceAssignment } from "./restoredAssignment";
 import { type KeyRange, type OwnedRange, type RangeAssignment, contains, overlaps } from "./types";
@@ -291,11 +292,11 @@
       case RenewalResult.Fenced:
         // An earlier coordinator released these keys but stored no new owner; the owner can get them again.
         allocateTokens(FENCED_TOKEN_STEP);
-        free(holding, null, [holding.range]);
+        free(holding, { by: FreedBy.Refusal, handover: null }, [holding.range]);
         return;
       case RenewalResult.ServerEnded:
         ledger.clear(holding.range, holding.range.server);
-        free(holding, null, []);
+        free(holding, { by: FreedBy.ProcessEnd, handover: null }, []);
         return;
       default:
         result satisfies never;
@@ -396,7 +397,7 @@
     holding.phase = HoldingPhase.Leaving;
     const reclaimed = await reclaimKeys(holding, reclaimOptions, signal);
     if (reclaimed !== undefined) {
-      free(holding, reclaimed.handover, targets);
+      free(holding, reclaimed, targets);
     }
   }
 
@@ -412,10 +413,10 @@
     assignment = { ...next, nextToken: Math.max(next.nextToken, assignment.nextToken) };
   }
 
-  function free(holding: Holding, handover: string | null, targets: readonly Placement[]): void {
-    const { from, to, token } = holding.range;
+  function free(holding: Holding, { by, handover }: ReclaimedKeys, targets: readonly Placement[]): void {
+    const { from, to, token, server } = holding.range;
     holdings = holdings.filter((each) => each !== holding);
-    freed.push({ from, to, token, handover, targets });
+    freed.push({ from, to, token, server, by, handover, targets });
   }
 
   async function placeUnowned(): Promise<void> {
@@ -449,6 +450,7 @@
       service,
       version,
       ranges: placements.map((each) => `${each.from}-${each.to}:${each.server}`).join(" "),
+      freed: freedToPlace.map((each) => `${each.from}-${each.to}:${each.server}:${each.by}`).join(" "),
     });
   }
 
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -1,10 +1,11 @@
 /** Holdings: the owned ranges of one service with the state of the grants that the coordinator renews. */
 import type { DiscoveredServer } from "../discovery";
 import { Event, type Logger } from "../observability";
-import type { Clock } from "../types";
+import type { Clock, ServerName } from "../types";
 import type { GrantLedger } from "./grantLedger";
 import type { Placement } from "./rangePlanner";
 import {
+  type GrantResult,
   type KeyControl,
   type KeyRange,
   type OwnedRange,
@@ -22,6 +23,8 @@
  * longest duration to outlast it.
  */
 const OUTAGE_THRESHOLD_MS = 1100;
+/** A grant that took longer than this is logged. */
+const SLOW_GRANT_MS = 250;
 /** Pause before a grant that was not sent or not answered is sent again. */
 const RETRY_DELAY_MS = 400;
 
@@ -44,8 +47,23 @@
   handover: string | null;
 }
 
+/** What shows that the last owner of keys has stopped work on them. */
+export const FreedBy = {
+  /** It answered a release. */
+  Release: "release",
+  /** Every grant that may have reached it has expired. */
+  Expiry: "expiry",
+  /** Another server has its address, so its process has ended. */
+  ProcessEnd: "process-end",
+  /** It refused a renewal, since it has seen a higher fencing token on some of the keys. */
+  Refusal: "refusal",
+} as const;
+export type FreedBy = (typeof FreedBy)[keyof typeof FreedBy];
+
 /** Keys whose last owner has provably stopped work on them and that have no new owner yet. */
 export interface FreedRange extends KeyRange {
+  readonly server: ServerName;
+  readonly by: FreedBy;
   /** Fencing token under which the last owner held the keys. */
   readonly token: number;
   readonly handover: string | null;
@@ -132,6 +150,7 @@
   const result = await options.control.grant(server, grant).finally(() => {
     holding.isGrantInFlight = false;
   });
+  logSlowGrant(holding, options, clock.now() - now, result);
   switch (result.kind) {
     case "granted":
       holding.handover = null;
@@ -164,6 +183,20 @@
   return isDue && !holding.isGrantInFlight && holding.phase === HoldingPhase.Held;
 }
 
+/** A grant counts from its arrival at the server, which may be as late as its answer. */
+function logSlowGrant(
+  { range }: Holding,
+  options: RenewalOptions,
+  tookMs: number,
+  { kind }: GrantResult,
+): void {
+  if (tookMs >= SLOW_GRANT_MS) {
+    const { server, from, to, token } = range;
+    const isCoordinator = options.isCoordinator();
+    options.logger.log(Event.GrantSlow, { server, from, to, token, tookMs, result: kind, isCoordinator });
+  }
+}
+
 function logFailure(holding: Holding, options: RenewalOptions, detail: string): void {
   const { server, from, to, token } = holding.range;
   options.logger.log(Event.GrantFailed, { step: "grant", server, from, to, token, detail });
--- a/src/keyRanges/reclaim.ts
+++ b/src/keyRanges/reclaim.ts
@@ -3,7 +3,7 @@
 import { Event, type Logger } from "../observability";
 import { type Clock, type ServiceName, sleep } from "../types";
 import type { GrantLedger } from "./grantLedger";
-import type { Holding } from "./holdings";
+import { FreedBy, type Holding } from "./holdings";
 import type { KeyControl } from "./types";
 
 /** Pause before an unanswered release is sent again. */
@@ -27,6 +27,7 @@
 
 /** Result of reclaiming keys that no server holds any more. */
 export interface ReclaimedKeys {
+  readonly by: FreedBy;
   /** Data that the owner left for the next one; null if there is none. */
   readonly handover: string | null;
 }
@@ -49,7 +50,7 @@
   while (!signal.aborted && options.isReclaimNeeded(holding)) {
     const heldUntil = ledger.getFreeAt(range, undefined);
     if (heldUntil <= clock.now()) {
-      return { handover: null };
+      return { by: FreedBy.Expiry, handover: null };
     }
     // A process restarted under the same name gets the release too, since it may have received a renewal.
     const reclaimed = await release(holding, options.findServer(holding), options);
@@ -79,10 +80,10 @@
   const detail = { service, server: server.name, from, to, token };
   switch (result.kind) {
     case "misdirected":
-      return { handover: null };
+      return { by: FreedBy.ProcessEnd, handover: null };
     case "released":
       logger.log(Event.RangesReleased, detail);
-      return { handover: result.handover };
+      return { by: FreedBy.Release, handover: result.handover };
     case "unanswered":
       logger.log(Event.GrantFailed, { step: "release", ...detail, detail: result.detail });
       return undefined;
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -147,6 +147,7 @@
     Severity.Warn,
     "stored key assignment was older than the grants, since the object store was restored; it has been replaced",
   ),
+  GrantSlow: defineEvent(1830, Severity.Warn, "grant took long; it may have reached its server late"),
   RequestRefused: defineEvent(1831, Severity.Info, "request refused; it has not run"),
   RequestOutcomeUnknown: defineEvent(1832, Severity.Warn, "request ended without an answer; it may have run"),
   RequestRetried: defineEvent(1833, Severity.Info, "request retried"),
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, test } from "vitest";
 import { ServerPhase } from "../src/discovery";
 import {
+  FreedBy,
   type FreedRange,
   KEY_COUNT,
   type KeyRange,
@@ -442,6 +443,8 @@
     from,
     to,
     token,
+    server: "s1",
+    by: FreedBy.Release,
     handover: null,
     targets: [],
   });
@@ -576,7 +579,9 @@
     ]);
     expect(groups.map((group) => group.map(({ from }) => from))).toEqual([[10, 20], [40], [1000]]);
     const [first = []] = groups;
-    const freed = [{ from: 10, to: 29, token: 3, handover: "h", targets: first }];
+    const freed = [
+      { from: 10, to: 29, token: 3, server: "s1", by: FreedBy.Release, handover: "h", targets: first },
+    ];
     const { added } = planHoldings([], first, freed, {
       service: SERVICE,
       timeline: 0,
