Count a grant from the end of its call, not from its start

Callers' requests ran on two backend servers that held the same keys. A server counts a grant from its arrival, the coordinator's record counted it from the start of the call and allowed 250 ms between them. A call may take 700 ms and be answered; and the calls of one round are written only after all of them have been recorded, so with hundreds of ranges on a small VM the round itself takes part of that time. When the owner then fell silent and left the directory, its keys were given away while it held them.

While a call is in progress the server now counts as holding the keys without limit, and afterwards from the end of the call, by which the grant has arrived, or arrives within the margin, or never does. A new coordinator adds the longest duration of a call to what its predecessor may have sent. A call that is never answered costs up to 450 ms: the keys of an owner that goes silent on an open connection are free that much later. For owners that answer or refuse connections nothing changes by more than the round trip.

test/keyOwnership.test.ts failed before: with grants of 600 ms (not with 100 and 300 ms) and with a successor of a coordinator whose last grant took 650 ms, two conflicts each. The check of the ledger in test/keyRanges.test.ts now ends the call before it checks the same times, and checks in addition that nothing is free before.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -263,7 +263,7 @@
     if (isFirst) {
       // The previous coordinator may have renewed these grants until just now, for the longest duration.
       for (const { range } of holdings) {
-        ledger.record(range, range.server, options.maxGrantMs);
+        ledger.recordEarlier(range, range.server, options.maxGrantMs);
       }
     }
   }
--- a/src/keyRanges/grantLedger.ts
+++ b/src/keyRanges/grantLedger.ts
@@ -4,25 +4,35 @@
  * a grant that was meant for its predecessor.
  */
 import type { Clock, ServerName } from "../types";
-import { type KeyRange, overlaps } from "./types";
+import { type KeyRange, MAX_GRANT_CALL_MS, overlaps } from "./types";
 
 /** A server's clock, which measures the duration of a grant, may run slow by up to this fraction. */
 const MAX_CLOCK_DRIFT = 0.02;
-/** Covers the transit time of a grant to the server. */
+/** Covers the transit of a grant that was still on its way to the server when its call ended. */
 const ARRIVAL_MARGIN_MS = 250;
+/** Entries that have expired have no effect; they are removed at this interval. */
+const EXPIRY_INTERVAL_MS = 1000;
 
 interface Entry extends KeyRange {
   readonly server: ServerName;
-  until: number;
+  /** Shared by the parts of an entry from which keys were cleared. */
+  readonly grant: { until: number };
+}
+
+/** The record of a grant call in progress. While it is, the server may hold the keys for an unlimited time. */
+export interface GrantRecord {
+  /** Records that the call has ended, so the grant has reached the server by now, or will at once or never. */
+  end(): void;
+  /** Removes the record of a grant that was certainly not sent. */
+  cancel(): void;
 }
 
 /** The latest times until which grants may let backend servers hold keys. */
 export interface GrantLedger {
-  /**
-   * Records a grant that is being sent. The returned function reverts the record; call it only if the grant
-   * was certainly not sent.
-   */
-  record(range: KeyRange, server: ServerName, durationMs: number): () => void;
+  /** Records a grant call that starts now. */
+  begin(range: KeyRange, server: ServerName, durationMs: number): GrantRecord;
+  /** Records that another coordinator may have started a grant call until now. */
+  recordEarlier(range: KeyRange, server: ServerName, durationMs: number): void;
   /** Records that a server has provably stopped work on keys. */
   clear(range: KeyRange, server: ServerName): void;
   /**
@@ -40,21 +50,32 @@
  */
 export function createGrantLedger(clock: Clock): GrantLedger {
   let entries: Entry[] = [];
+  let expiredAt = clock.now();
 
   return {
-    record: (range, server, durationMs) => {
-      const until = clock.now() + durationMs * (1 + MAX_CLOCK_DRIFT) + ARRIVAL_MARGIN_MS;
+    begin: (range, server, durationMs) => {
+      removeExpired();
+      // One entry for each range of a server, however often its grant is renewed.
       const known = entries.find(
-        (entry) => entry.server === server && entry.from === range.from && entry.to === range.to,
+        (entry) => isFor(entry, range, server) && entry.grant.until !== Number.POSITIVE_INFINITY,
       );
-      const entry = known ?? { from: range.from, to: range.to, server, until: 0 };
-      const before = entry.until;
-      entry.until = Math.max(before, until);
-      entries = [...entries.filter((each) => each !== entry && each.until > clock.now()), entry];
-      return () => {
-        entry.until = before;
+      const before = known?.grant.until ?? Number.NEGATIVE_INFINITY;
+      const grant = { until: Number.POSITIVE_INFINITY };
+      entries = entries.filter((entry) => entry !== known);
+      entries.push({ from: range.from, to: range.to, server, grant });
+      return {
+        end: () => {
+          grant.until = Math.max(before, computeExpiry(clock.now(), durationMs));
+        },
+        cancel: () => {
+          grant.until = before;
+        },
       };
     },
+    recordEarlier: (range, server, durationMs) => {
+      const until = computeExpiry(clock.now() + MAX_GRANT_CALL_MS, durationMs);
+      entries.push({ from: range.from, to: range.to, server, grant: { until } });
+    },
     clear: (range, server) => {
       entries = entries.flatMap((entry) => (entry.server === server ? subtract(entry, range) : [entry]));
     },
@@ -62,12 +83,28 @@
       let at = Number.NEGATIVE_INFINITY;
       for (const entry of entries) {
         if (entry.server !== server && overlaps(entry, range)) {
-          at = Math.max(at, entry.until);
+          at = Math.max(at, entry.grant.until);
         }
       }
       return at;
     },
   };
+
+  function removeExpired(): void {
+    if (clock.now() - expiredAt >= EXPIRY_INTERVAL_MS) {
+      expiredAt = clock.now();
+      entries = entries.filter((entry) => entry.grant.until > clock.now());
+    }
+  }
+}
+
+/** Returns the latest time at which a grant expires whose call ended at a time. */
+function computeExpiry(endedAt: number, durationMs: number): number {
+  return endedAt + durationMs * (1 + MAX_CLOCK_DRIFT) + ARRIVAL_MARGIN_MS;
+}
+
+function isFor(entry: Entry, range: KeyRange, server: ServerName): boolean {
+  return entry.server === server && entry.from === range.from && entry.to === range.to;
 }
 
 /** Returns the parts of an entry that lie outside a range. */
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -140,7 +140,7 @@
     return RenewalResult.Continues;
   }
   const durationMs = isOutage ? options.maxGrantMs : Math.min(GRANT_DURATION_MS, options.maxGrantMs);
-  const undo = ledger.record(range, range.server, durationMs);
+  const record = ledger.begin(range, range.server, durationMs);
   holding.sentAt = now;
   holding.retryAt = Number.POSITIVE_INFINITY;
   holding.isGrantInFlight = true;
@@ -150,6 +150,11 @@
   const result = await options.control.grant(server, grant).finally(() => {
     holding.isGrantInFlight = false;
   });
+  if (result.kind === "notSent") {
+    record.cancel();
+  } else {
+    record.end();
+  }
   logSlowGrant(holding, options, clock.now() - now, result);
   switch (result.kind) {
     case "granted":
@@ -162,7 +167,6 @@
       logFailure(holding, options, result.kind);
       return RenewalResult.ServerEnded;
     case "notSent":
-      undo();
       holding.retryAt = clock.now() + RETRY_DELAY_MS;
       logFailure(holding, options, result.detail);
       return RenewalResult.Continues;
--- a/src/keyRanges/precautionaryRelease.ts
+++ b/src/keyRanges/precautionaryRelease.ts
@@ -47,7 +47,7 @@
       const { name, bornAt } = server;
       const own = ranges.filter((range) => range.server === name && range.bornAt === bornAt);
       for (const keys of subtractRanges(ALL_KEYS, own)) {
-        ledger.record(keys, name, options.maxGrantMs);
+        ledger.recordEarlier(keys, name, options.maxGrantMs);
         addPending(name, 1);
         void release(server, keys).finally(() => {
           addPending(name, -1);
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -94,9 +94,12 @@
   | { readonly kind: "misdirected" }
   | { readonly kind: "unanswered"; readonly detail: string };
 
+/** Time after which a grant call ends in any case. Nothing of it is sent afterwards. */
+export const MAX_GRANT_CALL_MS = 700;
+
 /** Control calls to backend servers that enforce key ownership. They never throw; failures are results. */
 export interface KeyControl {
-  /** Grants keys or renews a grant. */
+  /** Grants keys or renews a grant, within {@link MAX_GRANT_CALL_MS}. */
   grant(server: DiscoveredServer, grant: KeyGrant): Promise<GrantResult>;
   /** Reclaims keys; the server answers once the work that ran on them has ended. */
   release(server: DiscoveredServer, range: KeyRange, token: number): Promise<ReleaseResult>;
--- /dev/null
+++ b/test/keyOwnership.test.ts
@@ -0,0 +1,50 @@
+/** No key is held by two servers, whatever is late: calls, answers, the work of a server, or a change of coordinator. */
+import { describe, expect, test } from "vitest";
+import { createOwnerTable } from "../src/keyRanges";
+import { silentLogger } from "../src/observability";
+import { createHarness } from "./support/keyCoordinator";
+
+const SLOWEST_SERVER_CLOCK = 1.02;
+
+describe("grants that arrive late", () => {
+  // Guards against counting a grant from its call, though the server counts it from its arrival.
+  test.each([100, 300, 600])(
+    "keys of a silent server are not given away while it holds them by a grant that took %i ms",
+    async (transitMs) => {
+      const harness = createHarness(["s1", "s2", "s3"]);
+      harness.serverClockRate = SLOWEST_SERVER_CLOCK;
+      harness.slowGrants.set("s1", transitMs);
+      void harness.start();
+      await harness.clock.advance(6000);
+      harness.silent.add("s1");
+      harness.directory.applyChanges([], ["servers/s1"]);
+      await harness.clock.advance(6000);
+      expect(harness.conflicts).toEqual([]);
+      expect(harness.findOwners([0, 20_000, 40_000, 60_000])).not.toContain("s1");
+      expect(harness.findOwners([0, 20_000, 40_000, 60_000])).not.toContain(undefined);
+      harness.stop.abort();
+    },
+  );
+
+  test("a successor does not give keys away while a server holds them by its predecessor's last grant", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    harness.serverClockRate = SLOWEST_SERVER_CLOCK;
+    const firstTerm = new AbortController();
+    harness.storeSilenceMs = 2000;
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    harness.slowGrants.set("s1", 650);
+    const sent = harness.grants.length;
+    while (!harness.grants.slice(sent).some(({ server }) => server === "s1")) {
+      await harness.clock.advance(10);
+    }
+    firstTerm.abort();
+    harness.silent.add("s1");
+    harness.storeSilenceMs = 0;
+    harness.directory.applyChanges([], ["servers/s1"]);
+    void harness.start(createOwnerTable(harness.clock, silentLogger));
+    await harness.clock.advance(12_000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+});
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -497,7 +497,9 @@
   test("keys are free once the longest grant to another server has expired, even if that server's clock is slow", async () => {
     const clock = createFakeClock();
     const ledger = createGrantLedger(clock);
-    ledger.record({ from: 0, to: 99 }, "s1", 5000);
+    const record = ledger.begin({ from: 0, to: 99 }, "s1", 5000);
+    expect(ledger.getFreeAt({ from: 99, to: 200 }, "s2")).toBe(Number.POSITIVE_INFINITY);
+    record.end();
     // 5000 ms, 2 % of it for clock drift, and 250 ms for the transit of the grant.
     expect(ledger.getFreeAt({ from: 99, to: 200 }, "s2")).toBe(clock.now() + 5350);
     expect(ledger.getFreeAt({ from: 100, to: 200 }, "s2")).toBe(Number.NEGATIVE_INFINITY);
--- a/test/support/keyCoordinator.ts
+++ b/test/support/keyCoordinator.ts
@@ -46,8 +46,12 @@
   const late = new Set<string>();
   /** Servers that refuse connections. */
   const refusing = new Set<string>();
+  /** Servers that get grants, and answer them, after a time in milliseconds. */
+  const slowGrants = new Map<string, number>();
   /** Servers that answer releases after a time, in milliseconds. */
   const slowReleases = new Map<string, number>();
+  /** Servers that take no new work on released keys, and answer when the running work ends after a time in milliseconds. */
+  const runningWork = new Map<string, number>();
   /** Servers whose address now belongs to another server. */
   const replaced = new Set<string>();
   /** Start times of restarted processes whose directory entries still have the old one. */
@@ -82,7 +86,7 @@
         });
         return Promise.resolve({ kind: "unanswered", detail: "late" });
       }
-      return Promise.resolve({ kind: applyGrant(server, grant) });
+      return waitFor(slowGrants.get(server.name), () => ({ kind: applyGrant(server, grant) }));
     },
     release: (server, range, token): Promise<ReleaseResult> => {
       if (silent.has(server.name) || refusing.has(server.name)) {
@@ -91,17 +95,23 @@
       if (replaced.has(server.name)) {
         return Promise.resolve({ kind: "misdirected" });
       }
-      const slowMs = slowReleases.get(server.name);
-      if (slowMs !== undefined) {
-        return new Promise((resolve) => {
-          clock.schedule(slowMs, () => {
-            resolve(applyRelease(server, range, token));
-          });
-        });
+      const workMs = runningWork.get(server.name);
+      if (workMs !== undefined) {
+        released.push({ ...range, server: server.name, token });
       }
-      return Promise.resolve(applyRelease(server, range, token));
+      return waitFor(workMs ?? slowReleases.get(server.name), () => applyRelease(server, range, token));
     },
   };
+  function waitFor<Value>(delayMs: number | undefined, act: () => Value): Promise<Value> {
+    if (delayMs === undefined) {
+      return Promise.resolve(act());
+    }
+    return new Promise((resolve) => {
+      clock.schedule(delayMs, () => {
+        resolve(act());
+      });
+    });
+  }
   function applyRelease(server: DiscoveredServer, range: KeyRange, token: number): ReleaseResult {
     const now = clock.now();
     const kept = holds.flatMap((hold) =>
@@ -152,7 +162,7 @@
       }
     }
     const { from, to, durationMs } = grant;
-    holds.push({ from, to, server: server.name, bornAt, until: now + durationMs });
+    holds.push({ from, to, server: server.name, bornAt, until: now + durationMs * harness.serverClockRate });
     return "granted";
   }
 
@@ -172,9 +182,14 @@
     late,
     refusing,
     replaced,
+    slowGrants,
     slowReleases,
+    runningWork,
     stop,
     isCoordinator: true,
+    storeSilenceMs: 0,
+    /** Time that passes while a server's clock counts one unit of it. */
+    serverClockRate: 1,
     getCapacity: (server: DiscoveredServer): number => server.slots,
     areCapacitiesMeasured: false,
     /** Ends a server's process, and with it all its holds. */
@@ -201,7 +216,7 @@
           clock,
           logger: silentLogger,
           isCoordinator: () => harness.isCoordinator,
-          getStoreSilenceMs: () => 0,
+          getStoreSilenceMs: () => harness.storeSilenceMs,
           isFirstStart,
           getTimeline: () => table.countRestores(),
           maxGrantMs: MAX_GRANT_MS,
