Keep keys with their owner when it refuses a renewal

Callers' requests ran on two backend servers that held the same keys. A server refuses a renewal (409) when it has seen a higher fencing token on one of the keys; it may hold the others, and while a release is in progress it still works on them. The coordinator took the refusal as the end of the whole range. It meant to give the range back to the same server, but when that one could not be chosen (draining, or unreachable) it stored another owner. The record of grants made that coordinator wait; a successor knows only the stored owners and granted the keys at once. Also without a change of coordinator nobody asked the former owner to release them, so they were not served for up to ten seconds.

A refused range now stays with its owner, and gets a new fencing token in the next round; if the owner must give it up, it is reclaimed like any other. A refusal during a release changes nothing: the answer to the release decides. So whatever is stored, no server but the stored owner may hold a key.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -26,6 +26,7 @@
   RenewalResult,
   type RenewalOptions,
   adoptHoldings,
+  placeAgain,
   planHoldings,
   renewGrant,
   sortHoldings,
@@ -179,7 +180,7 @@
       await endProvisionalAssignment();
     }
     startMoves();
-    await placeUnowned();
+    await placeRanges();
   }
 
   /**
@@ -290,9 +291,11 @@
       case RenewalResult.Continues:
         return;
       case RenewalResult.Fenced:
-        // An earlier coordinator released these keys but stored no new owner; the owner can get them again.
-        allocateTokens(FENCED_TOKEN_STEP);
-        free(holding, { by: FreedBy.Refusal, handover: null }, [holding.range]);
+        // A release in progress explains the refusal; otherwise an earlier coordinator sent one and stored no new owner.
+        if (holding.phase === HoldingPhase.Held) {
+          allocateTokens(FENCED_TOKEN_STEP);
+          holding.phase = HoldingPhase.Refused;
+        }
         return;
       case RenewalResult.ServerEnded:
         ledger.clear(holding.range, holding.range.server);
@@ -318,7 +321,7 @@
     for (const holding of holdings) {
       const server = findRunningOwner(holding);
       const mustLeave = server === undefined || !directory.isUsable(server) || hasExpired(holding);
-      if (holding.phase === HoldingPhase.Held && mustLeave) {
+      if (holding.phase !== HoldingPhase.Leaving && mustLeave) {
         void reclaim(holding, []);
       }
     }
@@ -419,27 +422,27 @@
     freed.push({ from, to, token, server, by, handover, targets });
   }
 
-  async function placeUnowned(): Promise<void> {
-    const unowned = findUnowned(holdings.map((holding) => holding.range));
-    if (unowned.length === 0) {
-      return;
-    }
-    const servers = getCandidates();
-    if (servers.length === 0 || !isPlacementDue()) {
+  /** Stores owners of the keys that have none, and new fencing tokens of the ranges whose owners refuse renewals. */
+  async function placeRanges(): Promise<void> {
+    const refused = holdings.filter((holding) => holding.phase === HoldingPhase.Refused);
+    const isAnyUnowned = findUnowned(holdings.map((holding) => holding.range)).length > 0;
+    const servers = isAnyUnowned ? getCandidates() : [];
+    const isPlaceable = servers.length > 0 && isPlacementDue();
+    // Further keys may be freed while the assignment is written; they are placed in the next round.
+    const freedToPlace = isPlaceable ? [...freed] : [];
+    const chosen = isPlaceable ? choosePlacements(freedToPlace, servers) : [];
+    const placements = [...chosen, ...refused.map(placeAgain)];
+    if (placements.length === 0) {
       return;
     }
-    // Further keys may be freed while the assignment is written; they are placed in the next round.
-    const freedToPlace = [...freed];
-    const placements = choosePlacements(freedToPlace, servers);
-    const change = planHoldings(holdings, placements, freedToPlace, assignment);
+    const kept = holdings.filter((holding) => !refused.includes(holding));
+    const change = planHoldings(kept, placements, freedToPlace, assignment);
     const before = assignment;
     const baseVersion = stored?.version ?? 0;
     const version = await write(change.assignment);
+    const dropped = new Set([...refused, ...change.dropped]);
     freed = freed.filter((range) => !freedToPlace.includes(range));
-    holdings = sortHoldings([
-      ...holdings.filter((holding) => !change.dropped.includes(holding)),
-      ...change.added,
-    ]);
+    holdings = sortHoldings([...holdings.filter((holding) => !dropped.has(holding)), ...change.added]);
     await Promise.race([
       Promise.all(change.added.map(sendFirstGrant)),
       sleep(clock, FIRST_GRANT_WAIT_MS, signal),
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -28,8 +28,18 @@
 /** Pause before a grant that was not sent or not answered is sent again. */
 const RETRY_DELAY_MS = 400;
 
-/** Whether a range stays with its owner or is being reclaimed from it. */
-export const HoldingPhase = { Held: "held", Leaving: "leaving" } as const;
+/** State of an owned range. */
+export const HoldingPhase = {
+  /** The owner's grants are renewed. */
+  Held: "held",
+  /**
+   * The owner has seen a higher fencing token on some of the keys and refuses renewals. It may hold the others, so
+   * they stay with it, under a new token.
+   */
+  Refused: "refused",
+  /** The range is being reclaimed from its owner. */
+  Leaving: "leaving",
+} as const;
 export type HoldingPhase = (typeof HoldingPhase)[keyof typeof HoldingPhase];
 
 /** An owned range with the state of its grants. */
@@ -55,8 +65,6 @@
   Expiry: "expiry",
   /** Another server has its address, so its process has ended. */
   ProcessEnd: "process-end",
-  /** It refused a renewal, since it has seen a higher fencing token on some of the keys. */
-  Refusal: "refusal",
 } as const;
 export type FreedBy = (typeof FreedBy)[keyof typeof FreedBy];
 
@@ -274,6 +282,16 @@
   return rest;
 }
 
+/**
+ * Gives the range of a holding to its owner once more, so that it gets a new fencing token.
+ *
+ * @param holding - A holding whose owner refuses renewals.
+ * @returns The placement.
+ */
+export function placeAgain({ range: { from, to, server, bornAt } }: Holding): Placement {
+  return { from, to, server, bornAt };
+}
+
 /** Changes to the assignment and the holdings when keys get new owners. */
 export interface HoldingChange {
   readonly assignment: RangeAssignment;
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -1,8 +1,9 @@
 /** No key is held by two servers, whatever is late: calls, answers, the work of a server, or a change of coordinator. */
 import { describe, expect, test } from "vitest";
+import { ServerPhase } from "../src/discovery";
 import { createOwnerTable } from "../src/keyRanges";
 import { silentLogger } from "../src/observability";
-import { createHarness } from "./support/keyCoordinator";
+import { createHarness, createServer } from "./support/keyCoordinator";
 
 const SLOWEST_SERVER_CLOCK = 1.02;
 
@@ -48,3 +49,26 @@
     harness.stop.abort();
   });
 });
+
+describe("renewals that a server refuses", () => {
+  // Guards against a successor that grants keys at once because its predecessor stored their new owner too early.
+  test("keys whose renewal was refused during their release are given away only once the release was answered", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    const firstTerm = new AbortController();
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    harness.slowGrants.set("s1", 200);
+    harness.runningWork.set("s1", 2000);
+    const sent = harness.grants.length;
+    while (!harness.grants.slice(sent).some(({ server }) => server === "s1")) {
+      await harness.clock.advance(10);
+    }
+    harness.put(createServer("s1", { phase: ServerPhase.Draining }));
+    await harness.clock.advance(700);
+    firstTerm.abort();
+    void harness.start(createOwnerTable(harness.clock, silentLogger));
+    await harness.clock.advance(10_000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+});
