Ask for the right to grant keys again when the grant is sent

A daemon asked whether it was still the coordinator before there was a connection to the server, which takes up to 400 ms. A coordinator whose lease ended in between sent the grant all the same, after the first calls of its successor. The same holds for calls that outlast a term of this daemon: when it was elected again, its earlier term was taken for the present one, with a record of grants that is no longer kept.

The right is asked again when the connection exists; a call that is no longer permitted counts as not sent. A term that has ended grants and releases nothing.

test/adapter.test.ts: a grant that was not permitted any more was sent before. The two cases of test/keyOwnership.test.ts fail when the right is not asked again, the second one also when only the lease is asked. Other tests pass the new parameter and check what they did before.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -128,10 +128,13 @@
   const { service, objects, directory, clock, logger } = options;
   const path = getAssignmentPath(service);
   const ledger = createGrantLedger(clock);
-  const renewalOptions: RenewalOptions = { ...options, ledger };
+  // Calls may outlast this term, and this daemon may be elected again.
+  const isCoordinator = () => !signal.aborted && options.isCoordinator();
+  const renewalOptions: RenewalOptions = { ...options, ledger, isCoordinator };
   const reclaimOptions: ReclaimOptions = {
     ...options,
     ledger,
+    isCoordinator,
     findServer: ({ range }) => directory.get(range.server) ?? lastSeen.get(range.server),
     allocateToken: () => allocateTokens(1),
     isReclaimNeeded: (holding) => holdings.includes(holding),
@@ -166,7 +169,7 @@
   }
 
   async function reconcile(): Promise<void> {
-    if (!options.isCoordinator() || !directory.hasList()) {
+    if (!isCoordinator() || !directory.hasList()) {
       return;
     }
     const isCopy = stored !== undefined && options.getTimeline() > assignment.timeline;
--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -155,7 +155,7 @@
   holding.isOutageGrant = isOutage;
   const { from, to, token } = range;
   const grant = { from, to, token, durationMs, handover: holding.handover };
-  const result = await options.control.grant(server, grant).finally(() => {
+  const result = await options.control.grant(server, grant, options.isCoordinator).finally(() => {
     holding.isGrantInFlight = false;
   });
   if (result.kind === "notSent") {
--- a/src/keyRanges/types.ts
+++ b/src/keyRanges/types.ts
@@ -81,7 +81,7 @@
   | { readonly kind: "fenced" }
   /** Another server has the address now, so the process of the called one has ended. */
   | { readonly kind: "misdirected" }
-  /** No connection could be made, so the grant will never take effect. */
+  /** No connection could be made, or the call was no longer permitted, so the grant will never take effect. */
   | { readonly kind: "notSent"; readonly detail: string }
   /** No answer came; the grant may have taken effect or may still do so. */
   | { readonly kind: "unanswered"; readonly detail: string };
@@ -99,8 +99,11 @@
 
 /** Control calls to backend servers that enforce key ownership. They never throw; failures are results. */
 export interface KeyControl {
-  /** Grants keys or renews a grant, within {@link MAX_GRANT_CALL_MS}. */
-  grant(server: DiscoveredServer, grant: KeyGrant): Promise<GrantResult>;
+  /**
+   * Grants keys or renews a grant, within {@link MAX_GRANT_CALL_MS}. The call is sent only if `isPermitted` returns
+   * true once there is a connection, which takes a time in which the right to grant keys may be lost.
+   */
+  grant(server: DiscoveredServer, grant: KeyGrant, isPermitted: () => boolean): Promise<GrantResult>;
   /** Reclaims keys; the server answers once the work that ran on them has ended. */
   release(server: DiscoveredServer, range: KeyRange, token: number): Promise<ReleaseResult>;
 }
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -657,7 +657,7 @@
       const server = { name: "s1", address: { host: "127.0.0.1", port } } as DiscoveredServer;
       const control = createWireKeyControl();
       const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: "h1" };
-      expect((await control.grant(server, grant)).kind).toBe(granted);
+      expect((await control.grant(server, grant, () => true)).kind).toBe(granted);
       const release = await control.release(server, { from: 1, to: 2 }, 3);
       expect(release.kind).toBe(released);
       expect(release.kind === "released" ? release.handover : "h2").toBe("h2");
@@ -669,6 +669,23 @@
     },
   );
 
+  // Guards against a grant by a daemon that lost the right to send it while the connection was being made.
+  test("a grant is not sent if it is no longer permitted once there is a connection", async () => {
+    const received: unknown[] = [];
+    const port = await startHttpServer((_request, body, response) => {
+      received.push(body);
+      response.end();
+    });
+    const server = { name: "s1", address: { host: "127.0.0.1", port } } as DiscoveredServer;
+    const control = createWireKeyControl();
+    const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: null };
+    expect(await control.grant(server, grant, () => false)).toMatchObject({ kind: "notSent" });
+    expect((await control.grant(server, grant, () => true)).kind).toBe("granted");
+    expect((await control.grant(server, grant, () => false)).kind).toBe("notSent");
+    expect(received).toHaveLength(1);
+    control.close();
+  });
+
   // Guards against a listener that stays on a kept connection after each call over it.
   test("calls over a kept connection leave no listeners on it", async () => {
     const port = await startHttpServer((_request, _body, response) => {
@@ -681,7 +698,7 @@
     const control = createWireKeyControl();
     const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: null };
     for (let call = 0; call < 20; call += 1) {
-      await control.grant(server, grant);
+      await control.grant(server, grant, () => true);
       await flushPromises();
     }
     expect(warnings).toEqual([]);
@@ -697,7 +714,7 @@
     const server = { name: "s1", address: { host: "127.0.0.1", port: rawServer.port } } as DiscoveredServer;
     const control = createWireKeyControl();
     const grant = { from: 1, to: 2, token: 3, durationMs: 4500, handover: null };
-    expect((await control.grant(server, grant)).kind).toBe("granted");
+    expect((await control.grant(server, grant, () => true)).kind).toBe("granted");
     await closed;
     control.close();
     await rawServer.close();
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -117,7 +117,7 @@
     const endless = createEndlessAnswer(head, piece);
     server.setBehaviour(endless.behaviour);
     const control = createWireKeyControl();
-    await control.grant(createTestServer("s1", server.port), grant);
+    await control.grant(createTestServer("s1", server.port), grant, () => true);
     await endless.closed;
     expect(endless.countTaken()).toBeLessThan(MAX_TAKEN_BYTES);
     control.close();
@@ -133,7 +133,9 @@
       };
     });
     const control = createWireKeyControl();
-    expect(await control.grant(createTestServer("s1", server.port), grant)).toEqual({ kind: "granted" });
+    expect(await control.grant(createTestServer("s1", server.port), grant, () => true)).toEqual({
+      kind: "granted",
+    });
     await new Promise(setImmediate);
     begin();
     await endless.closed;
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -72,3 +72,44 @@
     harness.stop.abort();
   });
 });
+
+describe("grants by a coordinator whose term ends", () => {
+  interface EndCase {
+    readonly name: string;
+    readonly end: (harness: ReturnType<typeof createHarness>, term: AbortController) => void;
+  }
+
+  const ends: readonly EndCase[] = [
+    {
+      name: "it loses the lease",
+      end: (harness) => {
+        harness.isCoordinator = false;
+      },
+    },
+    {
+      name: "a later term of the same daemon begins",
+      end: (harness, term) => {
+        term.abort();
+        harness.slowConnections.clear();
+        harness.silent.add("s1");
+      },
+    },
+  ];
+
+  // Guards against a grant that reaches its server after the successor's first calls.
+  test.each(ends)("a grant is not sent if, while its connection is made, $name", async ({ end }) => {
+    const harness = createHarness(["s1", "s2"]);
+    const term = new AbortController();
+    void harness.start(harness.owners, term.signal);
+    await harness.clock.advance(3000);
+    harness.slowConnections.set("s1", 350);
+    while (!harness.connecting.has("s1")) {
+      await harness.clock.advance(10);
+    }
+    const sent = harness.grants.length;
+    end(harness, term);
+    await harness.clock.advance(400);
+    expect(harness.grants.slice(sent).map(({ server }) => server)).not.toContain("s1");
+    harness.stop.abort();
+  });
+});
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -90,7 +90,7 @@
     const control = createWireKeyControl();
     const server = createTestServer("s1", 70_000);
     const grant = { from: 0, to: 9, token: 1, durationMs: 4000, handover: null };
-    expect(await control.grant(server, grant)).toMatchObject({ kind: "notSent" });
+    expect(await control.grant(server, grant, () => true)).toMatchObject({ kind: "notSent" });
     expect(await control.release(server, { from: 0, to: 9 }, 2)).toMatchObject({ kind: "unanswered" });
     control.close();
   });
--- a/test/serverStatements.test.ts
+++ b/test/serverStatements.test.ts
@@ -284,7 +284,7 @@
         socket.write(format("200 OK"));
       }, delayMs);
     });
-    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    expect(await control.grant(target, grant, () => true)).toEqual({ kind: "granted" });
     expect(await control.release(target, { from: 0, to: 4 }, 4)).toMatchObject({ kind: "released" });
     expect(await control.release(target, { from: 5, to: 9 }, 5)).toMatchObject({ kind: "released" });
     expect(hasFinished).toBe(true);
@@ -299,10 +299,10 @@
       socket.write(format(answered.has(socket) ? status : "200 OK"));
       answered.add(socket);
     });
-    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    expect(await control.grant(target, grant, () => true)).toEqual({ kind: "granted" });
     await new Promise(setImmediate);
-    expect(await control.grant(target, grant)).toMatchObject({ kind: "unanswered" });
-    expect(await control.grant(target, grant)).toEqual({ kind: "granted" });
+    expect(await control.grant(target, grant, () => true)).toMatchObject({ kind: "unanswered" });
+    expect(await control.grant(target, grant, () => true)).toEqual({ kind: "granted" });
     control.close();
   });
 });
--- a/test/support/keyCoordinator.ts
+++ b/test/support/keyCoordinator.ts
@@ -46,6 +46,8 @@
   const late = new Set<string>();
   /** Servers that refuse connections. */
   const refusing = new Set<string>();
+  /** Servers to which a connection takes a time, in milliseconds. */
+  const slowConnections = new Map<string, number>();
   /** Servers that get grants, and answer them, after a time in milliseconds. */
   const slowGrants = new Map<string, number>();
   /** Servers that answer releases after a time, in milliseconds. */
@@ -56,6 +58,8 @@
   const replaced = new Set<string>();
   /** Start times of restarted processes whose directory entries still have the old one. */
   const actualBornAt = new Map<string, number>();
+  /** Servers to which a slow connection was started. */
+  const connecting = new Set<string>();
   const released: (KeyRange & { readonly server: string; readonly token: number })[] = [];
   const directory = createServerDirectory({
     clock,
@@ -69,7 +73,15 @@
   const table = createRestorableTable();
   const objects = createFakeObjectStore(table, storeFaults, clock as never);
   const control: KeyControl = {
-    grant: (server, grant) => {
+    grant: async (server, grant, isPermitted) => {
+      const connectMs = slowConnections.get(server.name);
+      if (connectMs !== undefined) {
+        connecting.add(server.name);
+        await waitFor(connectMs, () => undefined);
+      }
+      if (!isPermitted()) {
+        return { kind: "notSent", detail: "not permitted" };
+      }
       grants.push({ ...grant, server: server.name });
       if (silent.has(server.name)) {
         return Promise.resolve({ kind: "unanswered", detail: "silent" });
@@ -182,6 +194,8 @@
     late,
     refusing,
     replaced,
+    slowConnections,
+    connecting,
     slowGrants,
     slowReleases,
     runningWork,
