Test the order of events in which keys were stored with two owners

The refusal freed the range, and at 26.848 it was stored once more over the merged one. From then on both were moved on their own; at 34.2 and 34.7 s the keys 50812 to 50829 belonged to two servers in the store, and after the restart of all daemons the one with the lower fencing token was granted last (OWNER at 48.38, three times).

The fake store of the coordinator's tests now reports stored ranges that overlap.

--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -3,7 +3,7 @@
 import { ServerPhase } from "../src/discovery";
 import { createOwnerTable } from "../src/keyRanges";
 import { silentLogger } from "../src/observability";
-import { createHarness, createServer } from "./support/keyCoordinator";
+import { createHarness, createRange, createServer } from "./support/keyCoordinator";
 
 const SLOWEST_SERVER_CLOCK = 1.02;
 
@@ -51,6 +51,32 @@
 });
 
 describe("renewals that a server refuses", () => {
+  // Guards against storing two owners of keys: a refused range was placed again although a write had just merged it.
+  test("a range whose renewal is refused while it is being merged keeps a single owner", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    harness.store([
+      createRange(0, 9999, "s1"),
+      createRange(10_000, 19_999, "s1"),
+      createRange(20_000, 29_999, "s1"),
+      createRange(30_000, 59_999, "s2", 2),
+    ]);
+    // The earlier coordinator released keys to move them, and could not store their new owner.
+    await harness.control.release(createServer("s1"), { from: 10_000, to: 19_999 }, 500);
+    harness.slowGrants.set("s1", 50);
+    harness.storeFaults.answerDelayMs = 200;
+    void harness.start();
+    await harness.clock.advance(2000);
+    harness.storeFaults.answerDelayMs = 0;
+    for (let step = 0; step < 60; step += 1) {
+      for (let key = 8000; key < 22_000; key += 16) {
+        harness.load.record(key);
+      }
+      await harness.clock.advance(100);
+    }
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
   // Guards against a successor that grants keys at once because its predecessor stored their new owner too early.
   test("keys whose renewal was refused during their release are given away only once the release was answered", async () => {
     const harness = createHarness(["s1", "s2", "s3"]);
--- a/test/support/keyCoordinator.ts
+++ b/test/support/keyCoordinator.ts
@@ -10,6 +10,7 @@
   coordinateKeys,
   createKeyLoad,
   createOwnerTable,
+  getAssignmentPath,
 } from "../../src/keyRanges";
 import { silentLogger } from "../../src/observability";
 import { createFakeClock } from "./fakeClock";
@@ -226,7 +227,13 @@
           owners: ownersOfDaemon,
           control,
           load,
-          publish: () => undefined,
+          publish: (_before, _base, { ranges }) => {
+            ranges.slice(1).forEach((range, index) => {
+              if (range.from <= (ranges[index]?.to ?? -1)) {
+                conflicts.push(`stored twice: ${range.from}-${ranges[index]?.to ?? 0}`);
+              }
+            });
+          },
           clock,
           logger: silentLogger,
           isCoordinator: () => harness.isCoordinator,
@@ -239,6 +246,12 @@
         },
         signal,
       ),
+    /** Stores an assignment as an earlier coordinator left it. */
+    store: (ranges: readonly OwnedRange[]) => {
+      const nextToken = Math.max(...ranges.map(({ token }) => token)) + 1;
+      const value = { service: SERVICE, timeline: 0, isProvisional: false, nextToken, ranges };
+      table.write(getAssignmentPath(SERVICE), { writeId: "earlier", value }, 0);
+    },
     put: (server: DiscoveredServer) => {
       directory.applyChanges([{ path: `servers/${server.name}`, version: 1, value: server }], []);
     },
