Replace a stored assignment that gives keys to two servers

Before ranges that overlap could be stored, and a rolling upgrade leaves that record to the new version.

Such a record is now treated like a copy: the owner with the higher token keeps the keys, under a new token, and every server releases what is not its own before anyone gets grants. Event 1842 says so, and the message of 1829 covers both reasons.

The test of test/keyOwnership.test.ts failed before: keys 5000 to 9999 stayed with the other owner.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -45,7 +45,7 @@
 import { createPrecautionaryRelease } from "./precautionaryRelease";
 import { type ReclaimOptions, type ReclaimedKeys, reclaimKeys } from "./reclaim";
 import { groupAdjacentMoves, planRebalance } from "./rebalancing";
-import { continueAssignment, replaceAssignment } from "./restoredAssignment";
+import { continueAssignment, hasOverlaps, replaceAssignment } from "./restoredAssignment";
 import { type KeyRange, type OwnedRange, type RangeAssignment, contains, overlaps } from "./types";
 
 /** A small fraction of the 2 s within which keys must leave a server. */
@@ -115,7 +115,7 @@
   | { readonly kind: "stored"; readonly assignment: RangeAssignment }
   /** The stored one is a copy; this coordinator's own one is up to date. */
   | { readonly kind: "continued"; readonly assignment: RangeAssignment }
-  /** The stored one is a copy, and servers may hold other keys than this one says. */
+  /** The stored one is a copy or overlapping, and servers may hold other keys than this one says. */
   | { readonly kind: "replaced"; readonly assignment: RangeAssignment };
 
 /**
@@ -230,7 +230,8 @@
     const record = current === undefined ? undefined : parseRangeAssignment(current.value);
     const timeline = current === undefined ? options.getTimeline() : getTimeline(current.version);
     const isFirst = stored === undefined;
-    if (record?.timeline === timeline && !(isFirst && record.isProvisional)) {
+    const isReliable = record !== undefined && !(isFirst && (record.isProvisional || isOverlapping(record)));
+    if (isReliable && record.timeline === timeline) {
       return { kind: "stored", assignment: record };
     }
     if (!isFirst) {
@@ -246,6 +247,15 @@
     return { kind: "replaced", assignment: replaceAssignment(record, { service, ranges }, timeline) };
   }
 
+  /** Earlier versions could store two owners of keys. */
+  function isOverlapping({ ranges }: RangeAssignment): boolean {
+    if (!hasOverlaps(ranges)) {
+      return false;
+    }
+    logger.log(Event.AssignmentOverlapping, { service });
+    return true;
+  }
+
   async function endProvisionalAssignment(): Promise<void> {
     const before = assignment;
     const baseVersion = stored?.version ?? 0;
--- a/src/keyRanges/restoredAssignment.ts
+++ b/src/keyRanges/restoredAssignment.ts
@@ -1,9 +1,10 @@
 /**
- * Continues key ownership on an object store that was restored from a copy. The stored assignment is then older
- * than the grants, so neither its owners nor its fencing tokens can be relied on.
+ * Continues key ownership when the stored assignment cannot be relied on: the object store was restored from a copy,
+ * so the assignment is older than the grants, or it gives keys to two servers.
  */
 import type { Timeline } from "../objectStore";
-import type { OwnedRange, RangeAssignment } from "./types";
+import { subtractRanges } from "./holdings";
+import { type OwnedRange, type RangeAssignment, overlaps } from "./types";
 
 /** Far more than the tokens issued on one timeline, of which the stored assignment may not show the last ones. */
 const TOKENS_PER_TIMELINE = 2 ** 32;
@@ -36,8 +37,9 @@
   timeline: Timeline,
 ): RangeAssignment {
   const storedRanges = stored?.ranges ?? [];
-  const newest =
-    findHighestToken(known.ranges) >= findHighestToken(storedRanges) ? known.ranges : storedRanges;
+  const newest = removeOverlaps(
+    findHighestToken(known.ranges) >= findHighestToken(storedRanges) ? known.ranges : storedRanges,
+  );
   const firstToken = Math.max(
     findHighestToken(newest) + 1,
     stored?.nextToken ?? 1,
@@ -52,6 +54,30 @@
   };
 }
 
+/**
+ * Returns whether any keys are in two ranges.
+ *
+ * @param ranges - Ranges in order of keys.
+ * @returns True if two of them share a key.
+ */
+export function hasOverlaps(ranges: readonly OwnedRange[]): boolean {
+  let last = -1;
+  return ranges.some(({ from, to }) => {
+    const isOverlapping = from <= last;
+    last = Math.max(last, to);
+    return isOverlapping;
+  });
+}
+
+/** Leaves keys that are in two ranges to the one with the higher fencing token. */
+function removeOverlaps(ranges: readonly OwnedRange[]): readonly OwnedRange[] {
+  const kept = ranges.flatMap((range) => {
+    const stronger = ranges.filter((other) => other.token > range.token && overlaps(other, range));
+    return subtractRanges(range, stronger).map(({ from, to }) => ({ ...range, from, to }));
+  });
+  return kept.sort((left, right) => left.from - right.from);
+}
+
 function findHighestToken(ranges: readonly OwnedRange[]): number {
   return ranges.reduce((highest, { token }) => Math.max(highest, token), 0);
 }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -145,7 +145,7 @@
   AssignmentRestored: defineEvent(
     1829,
     Severity.Warn,
-    "stored key assignment was older than the grants, since the object store was restored; it has been replaced",
+    "stored key assignment could not be relied on, since the object store was restored or keys had two owners; it has been replaced",
   ),
   GrantSlow: defineEvent(1830, Severity.Warn, "grant took long; it may have reached its server late"),
   RequestRefused: defineEvent(1831, Severity.Info, "request refused; it has not run"),
@@ -169,6 +169,11 @@
     "too much was held for callers; the largest and slowest connections were refused or closed",
   ),
   LinesSuppressed: defineEvent(1841, Severity.Info, "log lines suppressed to limit the volume"),
+  AssignmentOverlapping: defineEvent(
+    1842,
+    Severity.Error,
+    "stored key assignment gives keys to two servers; all servers must release keys that are not their own",
+  ),
   SettingsReloaded: defineEvent(1851, Severity.Info, "settings reloaded"),
   PerformanceReportDropped: defineEvent(
     1871,
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -3,7 +3,7 @@
 import { ServerPhase } from "../src/discovery";
 import { createOwnerTable } from "../src/keyRanges";
 import { silentLogger } from "../src/observability";
-import { createHarness, createRange, createServer } from "./support/keyCoordinator";
+import { LAST_KEY, createHarness, createRange, createServer } from "./support/keyCoordinator";
 
 const SLOWEST_SERVER_CLOCK = 1.02;
 
@@ -99,6 +99,23 @@
   });
 });
 
+describe("stored ranges that overlap", () => {
+  // Guards against a fencing token that is below that of the other owner, as an earlier version's record led to.
+  test("keys that are stored with two owners get one again, and the other releases them first", async () => {
+    const harness = createHarness(["s1", "s2"]);
+    harness.store([createRange(0, 9999, "s1", 5), createRange(5000, LAST_KEY, "s2", 9)]);
+    const grant = { from: 0, to: 9999, token: 5, durationMs: 10_000, handover: null };
+    await harness.control.grant(createServer("s1"), grant, () => true);
+    void harness.start();
+    await harness.clock.advance(3000);
+    expect(harness.findOwners([0, 4999, 5000, 9999, 20_000])).toEqual(["s1", "s1", "s2", "s2", "s2"]);
+    await harness.clock.advance(15_000);
+    expect(harness.conflicts).toEqual([]);
+    expect(new Set(harness.grants.map(({ server }) => server))).toEqual(new Set(["s1", "s2"]));
+    harness.stop.abort();
+  });
+});
+
 describe("grants by a coordinator whose term ends", () => {
   interface EndCase {
     readonly name: string;
