--- a/test/serverStatements.test.ts
+++ b/test/serverStatements.test.ts
@@ -291,6 +291,34 @@
     control.close();
   });
 
+  test("does not end a release that waited until another one's connection was free", async () => {
+    const control = createWireKeyControl();
+    const target = createTestServer("s1", server.port);
+    const calls = new Map<unknown, number>();
+    let hasFinished = false;
+    server.setBehaviour((socket) => {
+      calls.set(socket, (calls.get(socket) ?? 0) + 1);
+      const callCount = [...calls.values()].reduce((total, count) => total + count);
+      if (callCount <= 3) {
+        setTimeout(() => socket.write(format("200 OK")), 20);
+        setTimeout(() => socket.write(format("200 OK")), 60);
+        return;
+      }
+      setTimeout(() => {
+        hasFinished = true;
+        socket.write(format("200 OK"));
+      }, 300);
+    });
+    const ranges = [0, 10, 20, 30].map((from) => ({ from, to: from + 9 }));
+    const results = await Promise.all(
+      ranges.map((range, index) => control.release(target, range, index + 1)),
+    );
+    expect(results.map(({ kind }) => kind)).toEqual(ranges.map(() => "released"));
+    expect(hasFinished).toBe(true);
+    expect([...calls.values()]).toEqual([1, 1, 1, 1]);
+    control.close();
+  });
+
   test.each(["409 Conflict", "421 Misdirected Request"])("does not end a grant with %s", async (status) => {
     const control = createWireKeyControl();
     const target = createTestServer("s1", server.port);
