--- a/test/serverStatements.test.ts
+++ b/test/serverStatements.test.ts
@@ -319,6 +319,21 @@
     control.close();
   });
 
+  // Guards against counting the wait for another release's running work as a failure to connect.
+  test("releases more ranges at once than it gets connections", async () => {
+    const control = createWireKeyControl();
+    const target = createTestServer("s1", server.port);
+    server.setBehaviour((socket) => {
+      setTimeout(() => socket.write(format("200 OK")), 500);
+    });
+    const ranges = [0, 10, 20, 30, 40].map((from) => ({ from, to: from + 9 }));
+    const results = await Promise.all(
+      ranges.map((range, index) => control.release(target, range, index + 1)),
+    );
+    expect(results.map(({ kind }) => kind)).toEqual(ranges.map(() => "released"));
+    control.close();
+  });
+
   test.each(["409 Conflict", "421 Misdirected Request"])("does not end a grant with %s", async (status) => {
     const control = createWireKeyControl();
     const target = createTestServer("s1", server.port);
