Write no assignment after the end of the coordinator's term

A coordinator asked for its lease before it resolved a write in doubt, not afterwards. Resolving takes seconds when the store answers late; after a conflict it read what its successor had stored and wrote that back, still counted keys as freed that the successor renews for their owner under the same fencing token, and stored new owners for them. The next coordinator granted the keys at once.

The lease is asked again before each write and after a read.

The test of test/keyOwnership.test.ts failed before, with four conflicts.

--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -176,7 +176,7 @@
     if (isWriteInDoubt || isCopy) {
       await resolveInDoubtWrite();
     }
-    if (isWriteInDoubt) {
+    if (isWriteInDoubt || !isCoordinator()) {
       return;
     }
     if (assignment.isProvisional && !precautionaryRelease.isAnyPending()) {
@@ -194,12 +194,20 @@
   async function resolveInDoubtWrite(): Promise<void> {
     let base: AssignmentBase = { kind: "none" };
     const result = await updateObject(objects, path, CallPriority.Ownership, (current) => {
+      assertCoordinator();
       base = findBase(current);
       return "assignment" in base ? base.assignment : undefined;
     });
     await adoptBase(base, result);
   }
 
+  /** A read or a conflict may take longer than the lease lasts; what a successor has stored must not be written back. */
+  function assertCoordinator(): void {
+    if (!isCoordinator()) {
+      throw new Error("the coordinator lease was lost before the assignment was written");
+    }
+  }
+
   async function adoptBase(base: AssignmentBase, result: UpdateResult): Promise<void> {
     if (base.kind === "unsettled") {
       await sleep(clock, RESTORED_DIRECTORY_DELAY_MS, signal);
@@ -502,6 +510,7 @@
         path,
         CallPriority.Ownership,
         (current) => {
+          assertCoordinator();
           if (current?.version !== base?.version) {
             throw new Error("the assignment was written by another coordinator after it was read");
           }
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -156,3 +156,66 @@
     harness.stop.abort();
   });
 });
+
+describe("a coordinator whose term ends while it resolves an in-doubt write", () => {
+  // Guards against writing back what a successor has stored, with the decisions of the earlier term.
+  test("stores no new owners afterwards", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    const firstTerm = new AbortController();
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    // s1 is cut off: its entry is removed, and its keys are freed by expiry while the store has an outage.
+    harness.silent.add("s1");
+    harness.directory.applyChanges([], ["servers/s1"]);
+    await harness.clock.advance(3500);
+    harness.storeFaults.isDown = true;
+    await harness.clock.advance(3000);
+    const held = holdNextRead(harness);
+    while (!held.isReached()) {
+      await harness.clock.advance(10);
+    }
+    harness.storeFaults.isDown = false;
+    // The first coordinator resigns; s1 is back, and its successor finds it as the stored owner.
+    firstTerm.abort();
+    harness.silent.delete("s1");
+    harness.put(createServer("s1"));
+    const sent = harness.grants.length;
+    const secondTerm = new AbortController();
+    void harness.start(createOwnerTable(harness.clock, silentLogger), secondTerm.signal);
+    await harness.clock.advance(500);
+    expect(harness.grants.slice(sent).map(({ server }) => server)).toContain("s1");
+    // s1 drains with work running when the read of the first coordinator is answered.
+    harness.runningWork.set("s1", 2000);
+    harness.put(createServer("s1", { phase: ServerPhase.Draining }));
+    held.release();
+    await harness.clock.advance(300);
+    secondTerm.abort();
+    void harness.start(createOwnerTable(harness.clock, silentLogger));
+    await harness.clock.advance(6000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+});
+
+/** Holds back the next read of the harness's object store until `release` is called. */
+function holdNextRead(harness: ReturnType<typeof createHarness>) {
+  const { objects } = harness;
+  const read = objects.read.bind(objects);
+  let release: () => void = () => undefined;
+  const gate = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  let isReached = false;
+  objects.read = async (...parameters) => {
+    objects.read = read;
+    isReached = true;
+    await gate;
+    return read(...parameters);
+  };
+  return {
+    release: () => {
+      release();
+    },
+    isReached: () => isReached,
+  };
+}
