Send no grant for keys that were released while its connection was made

A renewal waits up to 400 ms for a connection. If its server starts to leave in that time, the release goes out on another connection, and once it is answered the keys are given to another server; then the renewal was still sent. The server refuses it by its fencing token, but a process that was started again under the same name knows none and took the keys.

The phase of the range is asked once more when the connection exists, like the lease.

--- a/src/keyRanges/holdings.ts
+++ b/src/keyRanges/holdings.ts
@@ -155,7 +155,9 @@
   holding.isOutageGrant = isOutage;
   const { from, to, token } = range;
   const grant = { from, to, token, durationMs, handover: holding.handover };
-  const result = await options.control.grant(server, grant, options.isCoordinator).finally(() => {
+  // The keys may be released, and given to another server, while the connection is being made.
+  const isPermitted = () => options.isCoordinator() && holding.phase === HoldingPhase.Held;
+  const result = await options.control.grant(server, grant, isPermitted).finally(() => {
     holding.isGrantInFlight = false;
   });
   if (result.kind === "notSent") {
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -157,6 +157,42 @@
   });
 });
 
+describe("a grant whose connection takes long", () => {
+  test("is not sent once its keys were released and given to another server", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    void harness.start();
+    await harness.clock.advance(3000);
+    harness.slowConnections.set("s1", 350);
+    while (!harness.connecting.has("s1")) {
+      await harness.clock.advance(10);
+    }
+    const sent = harness.grants.length;
+    harness.put(createServer("s1", { phase: ServerPhase.Draining }));
+    await harness.clock.advance(300);
+    const others = harness.grants.slice(sent).filter(({ server }) => server !== "s1");
+    expect(others.length).toBeGreaterThan(0);
+    await harness.clock.advance(1000);
+    expect(harness.grants.slice(sent).map(({ server }) => server)).not.toContain("s1");
+    harness.stop.abort();
+  });
+
+  test("does not reach a process that was restarted under the same name after the release", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    void harness.start();
+    await harness.clock.advance(3000);
+    harness.slowConnections.set("s1", 350);
+    while (!harness.connecting.has("s1")) {
+      await harness.clock.advance(10);
+    }
+    harness.put(createServer("s1", { phase: ServerPhase.Draining }));
+    await harness.clock.advance(250);
+    harness.restart("s1", 2);
+    await harness.clock.advance(2000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+});
+
 describe("a coordinator whose term ends while it resolves an in-doubt write", () => {
   // Guards against writing back what a successor has stored, with the decisions of the earlier term.
   test("stores no new owners afterwards", async () => {
