Ask servers that have left the directory to release keys after a change of coordinator

A server that is cut from the store leaves the directory and runs on. Its coordinator asked it to release its keys; a new one did not know its address any more and waited until all grants had expired, 11 s in which nobody served the keys. During a rolling restart the coordinator changes every few seconds.

The directory keeps removed entries for a minute; the coordinator takes the address from there, in place of a list of its own that ended with its term.

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -47,6 +47,8 @@
   setExcluded(dataCentres: ReadonlySet<DataCentreName>): void;
   /** Returns a server in any phase; undefined when it is not known. */
   get(name: ServerName): DiscoveredServer | undefined;
+  /** Returns a server as it was last listed, also if it has left the directory lately. */
+  findLast(name: ServerName): DiscoveredServer | undefined;
   /** Returns all servers of a service, in any phase. */
   getByService(service: ServiceName): readonly DiscoveredServer[];
   /** Returns the servers of a service that may get new work. */
@@ -136,6 +138,7 @@
       publish();
     },
     get: (name) => entries.get(name)?.server,
+    findLast: (name) => (entries.get(name) ?? removedEntries.get(name)?.entry)?.server,
     getByService: (service) => byService.get(service) ?? [],
     getUsable: (service) => usableByService.get(service) ?? [],
     isUsable,
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -135,12 +135,11 @@
     ...options,
     ledger,
     isCoordinator,
-    findServer: ({ range }) => directory.get(range.server) ?? lastSeen.get(range.server),
+    // A server that has left the directory may still have to release keys.
+    findServer: ({ range }) => directory.findLast(range.server),
     allocateToken: () => allocateTokens(1),
     isReclaimNeeded: (holding) => holdings.includes(holding),
   };
-  /** Servers as last seen in the directory; one that has left it may still have to release keys. */
-  const lastSeen = new Map<ServerName, DiscoveredServer>();
   const unreachableUntil = new Map<ServerName, number>();
   const precautionaryRelease = createPrecautionaryRelease(
     { ...reclaimOptions, directory, maxGrantMs: options.maxGrantMs },
@@ -291,9 +290,6 @@
   }
 
   function renewAll(): void {
-    for (const server of directory.getByService(service)) {
-      lastSeen.set(server.name, server);
-    }
     for (const holding of holdings) {
       const server = findRunningOwner(holding);
       if (server !== undefined) {
--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -157,6 +157,25 @@
   });
 });
 
+// Guards against keys that nobody serves for eleven seconds since a new coordinator waits for their grants to expire.
+describe("keys of a server that has left the directory", () => {
+  test("are released at the request of a new coordinator, if it is alive", async () => {
+    const harness = createHarness(["s1", "s2", "s3"]);
+    const firstTerm = new AbortController();
+    void harness.start(harness.owners, firstTerm.signal);
+    await harness.clock.advance(3000);
+    harness.directory.applyChanges([], ["servers/s1"]);
+    firstTerm.abort();
+    void harness.start();
+    const startedAt = harness.clock.now();
+    while (harness.findOwners([0]).includes("s1") && harness.clock.now() - startedAt < 20_000) {
+      await harness.clock.advance(100);
+    }
+    expect(harness.clock.now() - startedAt).toBeLessThan(5000);
+    harness.stop.abort();
+  });
+});
+
 describe("a grant whose connection takes long", () => {
   test("is not sent once its keys were released and given to another server", async () => {
     const harness = createHarness(["s1", "s2", "s3"]);
