--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -140,21 +140,25 @@
   ];
 
   // Guards against a grant that reaches its server after the successor's first calls.
-  test.each(ends)("a grant is not sent if, while its connection is made, $name", async ({ end }) => {
-    const harness = createHarness(["s1", "s2"]);
-    const term = new AbortController();
-    void harness.start(harness.owners, term.signal);
-    await harness.clock.advance(3000);
-    harness.slowConnections.set("s1", 350);
-    while (!harness.connecting.has("s1")) {
-      await harness.clock.advance(10);
-    }
-    const sent = harness.grants.length;
-    end(harness, term);
-    await harness.clock.advance(400);
-    expect(harness.grants.slice(sent).map(({ server }) => server)).not.toContain("s1");
-    harness.stop.abort();
-  });
+  const endsByName = ends.map((each) => [each.name, each] as const);
+  test.each(endsByName)(
+    "a grant is not sent if, while its connection is made, %s",
+    async (_name, { end }) => {
+      const harness = createHarness(["s1", "s2"]);
+      const term = new AbortController();
+      void harness.start(harness.owners, term.signal);
+      await harness.clock.advance(3000);
+      harness.slowConnections.set("s1", 350);
+      while (!harness.connecting.has("s1")) {
+        await harness.clock.advance(10);
+      }
+      const sent = harness.grants.length;
+      end(harness, term);
+      await harness.clock.advance(400);
+      expect(harness.grants.slice(sent).map(({ server }) => server)).not.toContain("s1");
+      harness.stop.abort();
+    },
+  );
 });
 
 // Guards against keys that nobody serves for eleven seconds since a new coordinator waits for their grants to expire.
@@ -274,3 +278,56 @@
     isReached: () => isReached,
   };
 }
+
+describe("after the object store was restored from a copy", () => {
+  interface LateCase {
+    readonly name: string;
+    /** What happens to server s2 after the successor has started. */
+    readonly disturb: (harness: ReturnType<typeof createHarness>) => Promise<void>;
+  }
+
+  const cases: readonly LateCase[] = [
+    {
+      name: "does not answer, leaves the directory and runs on",
+      disturb: async (harness) => {
+        harness.silent.add("s2");
+        await harness.clock.advance(1500);
+        harness.directory.applyChanges([], ["servers/s2"]);
+      },
+    },
+    {
+      name: "is not listed and registers again 2.5 s later",
+      disturb: async (harness) => {
+        harness.directory.applyChanges([], ["servers/s2"]);
+        await harness.clock.advance(2500);
+        harness.put(createServer("s2"));
+      },
+    },
+  ];
+
+  // Guards against taking a server that the coordinator does not hear of for one that holds no keys.
+  const casesByName = cases.map((each) => [each.name, each] as const);
+  test.each(casesByName)(
+    "no key gets a second owner if a server that held it %s",
+    async (_name, { disturb }) => {
+      const harness = createHarness(["s1", "s2", "s3", "s4"]);
+      const term = new AbortController();
+      void harness.start(harness.owners, term.signal);
+      await harness.clock.advance(3000);
+      harness.table.copy();
+      for (let step = 0; step < 40; step += 1) {
+        for (let key = 0; key < 2000; key += 16) {
+          harness.load.record(key);
+        }
+        await harness.clock.advance(100);
+      }
+      term.abort();
+      harness.table.restore();
+      void harness.start(createOwnerTable(harness.clock, silentLogger));
+      await disturb(harness);
+      await harness.clock.advance(14_000);
+      expect(harness.conflicts).toEqual([]);
+      harness.stop.abort();
+    },
+  );
+});
