Ask servers that are not listed to release keys after a restore of the store

A new coordinator on a restored store made the listed servers release keys that are not known to be theirs. One whose entry had expired, but that runs on and answers, was not asked; when it registered again, later than the election, others had been given its keys.

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -49,6 +49,8 @@
   get(name: ServerName): DiscoveredServer | undefined;
   /** Returns a server as it was last listed, also if it has left the directory lately. */
   findLast(name: ServerName): DiscoveredServer | undefined;
+  /** Returns the servers of a service as they were last listed, with those that have left the directory lately. */
+  getLastByService(service: ServiceName): readonly DiscoveredServer[];
   /** Returns all servers of a service, in any phase. */
   getByService(service: ServiceName): readonly DiscoveredServer[];
   /** Returns the servers of a service that may get new work. */
@@ -139,6 +141,12 @@
     },
     get: (name) => entries.get(name)?.server,
     findLast: (name) => (entries.get(name) ?? removedEntries.get(name)?.entry)?.server,
+    getLastByService: (service) => {
+      const removed = [...removedEntries]
+        .filter(([name, { entry }]) => !entries.has(name) && entry.server.service === service)
+        .map(([, { entry }]) => entry.server);
+      return [...(byService.get(service) ?? []), ...removed];
+    },
     getByService: (service) => byService.get(service) ?? [],
     getUsable: (service) => usableByService.get(service) ?? [],
     isUsable,
--- a/src/keyRanges/coordinator.ts
+++ b/src/keyRanges/coordinator.ts
@@ -225,7 +225,7 @@
       publishReplacement(result.version);
     }
     if (base.kind === "replaced") {
-      for (const server of directory.getByService(service)) {
+      for (const server of directory.getLastByService(service)) {
         precautionaryRelease.start(server, assignment.ranges);
       }
     }
--- a/src/keyRanges/precautionaryRelease.ts
+++ b/src/keyRanges/precautionaryRelease.ts
@@ -58,10 +58,18 @@
     isAnyPending: () => pending.size > 0,
   };
 
-  /** Ends also when the server's entry has expired: a server that has ended gives no answer. */
+  /**
+   * Ends also when the server's entry has expired: a server that has ended gives no answer. One without an entry is
+   * asked once, since it may run on without contact to the object store.
+   */
   async function release({ name, bornAt }: DiscoveredServer, keys: KeyRange): Promise<void> {
     const holding = createHolding({ ...keys, server: name, bornAt, token: 0 });
-    const isReclaimNeeded = () => directory.get(name) !== undefined;
+    let isAsked = false;
+    const isReclaimNeeded = () => {
+      const isNeeded = !isAsked || directory.get(name) !== undefined;
+      isAsked = true;
+      return isNeeded;
+    };
     await reclaimKeys(holding, { ...options, isReclaimNeeded }, signal);
     ledger.clear(keys, name);
   }
