--- a/test/keyOwnership.test.ts
+++ b/test/keyOwnership.test.ts
@@ -27,6 +27,7 @@
     },
   );
 
+  // Guards against a successor that expects the last grant of its predecessor to have arrived at once.
   test("a successor does not give keys away while a server holds them by its predecessor's last grant", async () => {
     const harness = createHarness(["s1", "s2", "s3"]);
     harness.serverClockRate = SLOWEST_SERVER_CLOCK;
@@ -181,6 +182,7 @@
 });
 
 describe("a grant whose connection takes long", () => {
+  // Guards against a renewal of keys that another server has been given in the meantime.
   test("is not sent once its keys were released and given to another server", async () => {
     const harness = createHarness(["s1", "s2", "s3"]);
     void harness.start();
@@ -199,6 +201,7 @@
     harness.stop.abort();
   });
 
+  // Guards against two owners: the new process knows no fencing token that would make it refuse the renewal.
   test("does not reach a process that was restarted under the same name after the release", async () => {
     const harness = createHarness(["s1", "s2", "s3"]);
     void harness.start();
@@ -229,7 +232,7 @@
     await harness.clock.advance(3500);
     harness.storeFaults.isDown = true;
     await harness.clock.advance(3000);
-    const held = holdNextRead(harness);
+    const held = harness.holdNextRead();
     while (!held.isReached()) {
       await harness.clock.advance(10);
     }
@@ -256,29 +259,6 @@
   });
 });
 
-/** Holds back the next read of the harness's object store until `release` is called. */
-function holdNextRead(harness: ReturnType<typeof createHarness>) {
-  const { objects } = harness;
-  const read = objects.read.bind(objects);
-  let release: () => void = () => undefined;
-  const gate = new Promise<void>((resolve) => {
-    release = resolve;
-  });
-  let isReached = false;
-  objects.read = async (...parameters) => {
-    objects.read = read;
-    isReached = true;
-    await gate;
-    return read(...parameters);
-  };
-  return {
-    release: () => {
-      release();
-    },
-    isReached: () => isReached,
-  };
-}
-
 describe("after the object store was restored from a copy", () => {
   interface LateCase {
     readonly name: string;
--- a/test/support/keyCoordinator.ts
+++ b/test/support/keyCoordinator.ts
@@ -246,6 +246,27 @@
         },
         signal,
       ),
+    /** Holds back the next read of the object store until `release` is called. */
+    holdNextRead: () => {
+      const read = objects.read.bind(objects);
+      let release: () => void = () => undefined;
+      const gate = new Promise<void>((resolve) => {
+        release = resolve;
+      });
+      let isReached = false;
+      objects.read = async (...parameters) => {
+        objects.read = read;
+        isReached = true;
+        await gate;
+        return read(...parameters);
+      };
+      return {
+        isReached: () => isReached,
+        release: () => {
+          release();
+        },
+      };
+    },
     /** Stores an assignment as an earlier coordinator left it. */
     store: (ranges: readonly OwnedRange[]) => {
       const nextToken = Math.max(...ranges.map(({ token }) => token)) + 1;
