Test further kinds of callers outside the limits, alone and during faults, a start and a stop

Cause: the tests had one kind of callers at a time, against a daemon to which nothing else happens, on the smallest VM.

--- a/test/support/singleDaemon.ts
+++ b/test/support/singleDaemon.ts
@@ -1,14 +1,15 @@
-/** One daemon as a real process, with a store and a backend server that answers when the test says so. */
+/** One daemon or several as real processes, with a store and a backend server that answers when the test says so. */
 import { readFileSync } from "node:fs";
 import { type ServerResponse, createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 import { request } from "undici";
 import { CONFIGURATION_NAME, StoreKind, WireHeader, WirePath } from "../../platform/wireNames";
-import { createEdgeObjectStore } from "../../standins/edge/objectStore";
+import { type StoreEndpoint, type StoreFault, createEdgeObjectStore } from "../../standins/edge/objectStore";
 import { HOST } from "../../standins/scenarios/ports";
-import { createSoakFolder, startSoakDaemon } from "../../standins/soak/daemons";
+import { type SoakDaemon, createSoakFolder, startSoakDaemon } from "../../standins/soak/daemons";
 
+const CALLER_PORT = 8000;
 const READINESS_PORT = 8001;
 const POLL_INTERVAL_MS = 20;
 /** Polls until a wait is given up, so that the processes are ended. */
@@ -26,6 +27,18 @@
   readonly maxConns?: number;
   /** Whether the backend server answers a request as soon as its body has arrived, with the length of the body. */
   readonly answersAtOnce?: boolean;
+  /** Length of the answers to GET requests instead, in bytes. */
+  readonly answerBytes?: number;
+  /** Number of further daemons of the same cluster; none by default. */
+  readonly peers?: number;
+  /** Called once the daemon accepts callers, before there is a configuration. */
+  readonly beforeConfiguration?: (address: CallerAddress) => Promise<void>;
+}
+
+/** Address at which a daemon accepts callers. */
+export interface CallerAddress {
+  readonly host: string;
+  readonly port: number;
 }
 
 /**
@@ -39,6 +52,8 @@
 export async function startSingleDaemon(seed: number, options: SingleDaemonOptions = {}) {
   const begun = new Set<string>();
   const waiting: { readonly id: string; readonly response: ServerResponse }[] = [];
+  const largeAnswer = "x".repeat(options.answerBytes ?? 0);
+  let isAnsweringAtOnce = options.answersAtOnce === true;
   const server = createServer((message, response) => {
     const id = String(message.headers[WireHeader.RequestId]);
     begun.add(id);
@@ -46,9 +61,10 @@
     message.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
     });
-    if (options.answersAtOnce === true) {
+    if (isAnsweringAtOnce) {
       message.once("end", () => {
-        respond(response, id, String(bytes));
+        const isLarge = message.method === "GET" && options.answerBytes !== undefined;
+        respond(response, id, isLarge ? largeAnswer : String(bytes));
       });
     } else {
       waiting.push({ id, response });
@@ -57,41 +73,60 @@
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const store = createEdgeObjectStore(Math.random);
-  store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(options));
+  const configure = () => {
+    store.put(StoreKind.Configuration, CONFIGURATION_NAME, createConfiguration(options));
+  };
+  if (options.beforeConfiguration === undefined) {
+    configure();
+  }
   store.put(StoreKind.Servers, "desk-0", {
     address: `${HOST}:${port}`,
     born: Date.now(),
     info: { service: "desk", version: "v1", zone: "a", capacity: options.capacity ?? 4 },
     status: { state: "ready", seq: 1, warmupLeftS: 0 },
   });
-  const endpoint = await store.openEndpoint();
   const folder = createSoakFolder();
-  const daemon = startSoakDaemon({
-    name: "d0",
-    dataCentre: "a",
-    host: `127.0.${seed}.10`,
-    storePort: endpoint.port,
-    folder,
-    limits: options.limits,
-  });
+  const endpoints: StoreEndpoint[] = [];
+  const startDaemon = async (index: number): Promise<SoakDaemon> => {
+    const endpoint = await store.openEndpoint();
+    endpoints.push(endpoint);
+    return startSoakDaemon({
+      name: `d${index}`,
+      dataCentre: "a",
+      host: `127.0.${seed}.${10 + index}`,
+      storePort: endpoint.port,
+      folder,
+      limits: options.limits,
+    });
+  };
+  const daemon = await startDaemon(0);
+  const peers: SoakDaemon[] = [];
   const close = async () => {
-    await daemon.close();
+    await Promise.all([daemon, ...peers].map((each) => each.close()));
     server.closeAllConnections();
     server.close();
     await store.close();
   };
   try {
-    await poll(() => daemon.isReady());
+    for (let index = 1; index <= (options.peers ?? 0); index += 1) {
+      peers.push(await startDaemon(index));
+    }
+    if (options.beforeConfiguration !== undefined) {
+      await poll(() => isAnswering(daemon));
+      await options.beforeConfiguration(getCallerAddress(daemon));
+      configure();
+    }
+    for (const each of [daemon, ...peers]) {
+      await poll(() => each.isReady());
+    }
   } catch (error) {
     await close();
     throw error;
   }
-  const url = new URL(daemon.url);
-
   return {
     daemon: {
-      host: url.hostname,
-      callerPort: Number(url.port),
+      host: daemon.host,
+      callerPort: CALLER_PORT,
       getPid: () => daemon.getPid(),
       terminate: () => {
         daemon.terminate();
@@ -110,15 +145,30 @@
       /** Waits until readiness probes fail, as they do once a shutdown has begun. */
       waitUntilNotReady: () => poll(async () => !(await daemon.isReady())),
       /** Returns whether the process answers readiness probes, whatever the answer. */
-      isAnswering: async () => {
-        try {
-          const answer = await request(`http://${url.hostname}:${READINESS_PORT}${WirePath.Ready}`);
-          await answer.body.dump();
-          return true;
-        } catch {
-          return false;
-        }
-      },
+      isAnswering: () => isAnswering(daemon),
+      /** Waits until the daemon is ready, after a restart or a fault. */
+      waitUntilReady: () => poll(() => daemon.isReady()),
+    },
+    /** All daemons: their addresses and processes. */
+    daemons: [daemon, ...peers].map((each) => ({
+      address: getCallerAddress(each),
+      getPid: () => each.getPid(),
+    })),
+    /** Sets a fault of the store for all daemons. */
+    setStoreFault: (fault: StoreFault) => {
+      endpoints.forEach((endpoint) => {
+        endpoint.setFault(fault);
+      });
+    },
+    /** Has the backend server answer requests at once from now on, or leave them waiting. */
+    setAnsweringAtOnce: (value: boolean) => {
+      isAnsweringAtOnce = value;
+    },
+    /** Closes the backend server, which refuses connections until the returned function is called. */
+    closeServer: async () => {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+      return () => new Promise<void>((resolve) => server.listen(port, HOST, resolve));
     },
     /** Ids of the requests that the backend server has begun. */
     begun,
@@ -134,6 +184,21 @@
   };
 }
 
+async function isAnswering(daemon: SoakDaemon): Promise<boolean> {
+  try {
+    const { host } = getCallerAddress(daemon);
+    const answer = await request(`http://${host}:${READINESS_PORT}${WirePath.Ready}`);
+    await answer.body.dump();
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function getCallerAddress(daemon: SoakDaemon): CallerAddress {
+  return { host: daemon.host, port: CALLER_PORT };
+}
+
 function respond(response: ServerResponse, id: string, body: string): void {
   response.writeHead(200, { [WireHeader.RequestId]: id, [WireHeader.Signature]: `signed-${id}` });
   response.end(body);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,7 @@
 import { defineConfig } from "vitest/config";
 
 /** Tests that measure the memory of a real process: one at a time, after all others. */
-const MEASURING = ["test/hostileCallers.test.ts"];
+const MEASURING = ["test/hostileCallers.test.ts", "test/hostileCallersAtFaults.test.ts"];
 
 export default defineConfig({
   test: {
