Count requests with an unknown expectation like all others

Callers saw: 1,200 connections that send requests with `Expect: x` ahead and read nothing took the daemon to 210 and 220 MB on a VM of 210 MB. Cause: Node.js answers such a request with 417 by itself, without the request handler. Neither the limit on requests read ahead nor the count of what is held knew of it. Change: the listener handles `checkExpectation` and refuses the request with the same status as one of its own. Result: the new case in test/callerListener.test.ts fails before (no Request-Id and no body in the answer) and passes now.

--- a/src/gateway/callers/callerAnswers.ts
+++ b/src/gateway/callers/callerAnswers.ts
@@ -20,6 +20,7 @@
   Unauthorized: 401,
   NotFound: 404,
   PayloadTooLarge: 413,
+  ExpectationFailed: 417,
   TooManyRequests: 429,
   HeadersTooLarge: 431,
   BadGateway: 502,
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -96,6 +96,7 @@
   server.on("connection", (socket: Socket) => {
     connections.open(socket);
   });
+  server.on("checkExpectation", refuseExpectation);
   server.on("clientError", refuseMalformedRequest);
   await listen(server, options.address);
 
@@ -146,6 +147,15 @@
     }
   }
 
+  /** Refuses as Node.js does by itself, but as one of the requests that are counted and whose number is limited. */
+  function refuseExpectation(message: IncomingMessage, response: ServerResponse): void {
+    counters.increment("callers.requests");
+    const fields = callerProtocol.read(message.headers);
+    const place = connections.add(message, response, fields.requestId);
+    const detail = "the expectation is unknown";
+    answers.refuse({ response, fields, place }, { status: Status.ExpectationFailed, detail });
+  }
+
   async function answer(message: IncomingMessage, pending: PendingAnswer, arrivedAt: number): Promise<void> {
     counters.increment("callers.requests");
     const caller = watchCaller(message, pending.response);
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -125,6 +125,21 @@
   },
 );
 
+// Guards against requests that Node.js answers by itself, uncounted.
+test("requests with an unknown expectation are refused as the others are", async () => {
+  const { listener, port } = await startListener({ kind: "notRun" } as unknown as DispatchResult);
+  const caller = connect(port, HOST);
+  let received = "";
+  caller.on("data", (chunk) => {
+    received += chunk.toString();
+  });
+  caller.write("GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\nExpect: x\r\n\r\n".repeat(3));
+  expect(await comesTrue(() => received.split("HTTP/1.1 417 ").length === 4)).toBe(true);
+  expect(received).toMatch(/request-id: q1[^]*the expectation is unknown/i);
+  caller.destroy();
+  await listener.close();
+});
+
 const LARGE_PIECE = "x".repeat(65_536);
 const tooLargeBodies = [
   ["announced", "Content-Length: 67108864\r\n\r\n", LARGE_PIECE],
