Free refused requests with their connections

Callers saw: after the fields of requests were counted, 1,200 callers whose bodies stop short still took the daemon to 205 to 220 MB of 210, and ordinary callers were refused when only 3 MB counted as held: the heap had 137 MB. Cause: what is refused for lack of memory left the count at once, while it stayed in memory: its connection is open for another second so that the refusal can be read, and the timer of that second kept a request whose connection had ended before. Change: the timer ends with the connection (the same for malformed requests), and refused requests that linger are counted; the oldest are closed when they and the others exceed the limit. A closed connection promises nothing, and the refused request never runs. Result: the new test of the count fails before.

--- a/src/gateway/callers/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -186,9 +186,11 @@
         // A close with unread bytes resets the connection, and the refusal could be lost.
         socket.destroySoon = () => {
           socket.end();
-          clock.schedule(REFUSAL_LINGER_MS, () => {
+          const cancel = clock.schedule(REFUSAL_LINGER_MS, () => {
             socket.destroy();
           });
+          // The timer would keep the request in memory.
+          socket.once("close", cancel);
         };
       },
     };
--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -346,9 +346,10 @@
           `HTTP/1.1 ${formatParserErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
         );
         // A close at once would reset the connection if bytes are unread, and the answer could be lost.
-        clock.schedule(MALFORMED_LINGER_MS, () => {
+        const cancel = clock.schedule(MALFORMED_LINGER_MS, () => {
           socket.destroy();
         });
+        socket.once("close", cancel);
       }
     });
   }
--- a/src/gateway/callers/callerMemory.ts
+++ b/src/gateway/callers/callerMemory.ts
@@ -75,6 +75,8 @@
   close: () => void;
   /** Whether it was closed to free its memory; the connection may stay open until its refusal has been read. */
   isEnded: boolean;
+  /** What its requests hold until then, in bytes. */
+  lingeringBytes: number;
 }
 
 /**
@@ -88,6 +90,7 @@
   const accounts = new Set<Account>();
   let requests = 0;
   let fieldBytes = 0;
+  let lingeringBytes = 0;
   /** Header fields that were dropped since the size of the heap was last checked, in bytes. */
   let droppedFieldBytes = 0;
   let bytes = 0;
@@ -126,10 +129,13 @@
       progressAt: clock.now(),
       close: destroy,
       isEnded: false,
+      lingeringBytes: 0,
     };
     accounts.add(account);
     socket.once("close", () => {
       end(account);
+      lingeringBytes -= account.lingeringBytes;
+      account.lingeringBytes = 0;
       accounts.delete(account);
     });
     socket.on("drain", () => {
@@ -204,6 +210,8 @@
       return;
     }
     account.isEnded = true;
+    account.lingeringBytes = account.requests * REQUEST_BYTES + account.fieldBytes;
+    lingeringBytes += account.lingeringBytes;
     requests -= account.requests;
     fieldBytes -= account.fieldBytes;
     recordDroppedFields(account.fieldBytes);
@@ -235,11 +243,28 @@
   }
 
   function checkState(): void {
+    if (countState() + lingeringBytes > budget.stateBytes) {
+      destroyLingering(countState() + lingeringBytes - budget.stateBytes);
+    }
     if (countState() > budget.stateBytes) {
       close(countState(), budget.stateBytes, "requests");
     }
   }
 
+  /** Ends the time to read a refusal for as many connections as are needed to free a number of bytes, oldest first. */
+  function destroyLingering(excessBytes: number): void {
+    let freedBytes = 0;
+    for (const { connection, lingeringBytes: each } of accounts) {
+      if (freedBytes >= excessBytes) {
+        break;
+      }
+      if (each > 0) {
+        freedBytes += each;
+        connection.socket.destroy();
+      }
+    }
+  }
+
   function checkTotal(): void {
     if (countHeld() + uncollectedBytes <= totalBytes) {
       return;
--- a/test/callerMemory.test.ts
+++ b/test/callerMemory.test.ts
@@ -142,4 +142,15 @@
     expect(opened.filter(({ socket }) => !socket.isDestroyed)).toHaveLength(6);
     expect(opened.at(-1)?.socket.isDestroyed).toBe(false);
   });
+
+  // Guards against refused callers that keep their requests in memory by not reading the refusal.
+  test("closes refused callers first when requests hold too much again", () => {
+    const { memory } = start();
+    const [refused, served] = [open(memory), open(memory)];
+    refused.account.onClose(() => undefined);
+    refused.account.addFieldBytes(45 * MB);
+    expect(refused.socket.isDestroyed).toBe(false);
+    served.account.addFieldBytes(10 * MB);
+    expect([refused.socket.isDestroyed, served.socket.isDestroyed]).toEqual([true, false]);
+  });
 });
