Give the room for one largest body to a single caller, not to many

Callers saw: all kinds of callers at once took the daemon to 219 to 258 MB on a VM of 210 MB, alone, with the backend server or the store away, on three daemons and at a stop. Cause: the limit on everything held had a floor of 72 MB, so that one body of 67,108,864 bytes is served on the smallest VM. With a heap above 40 MB the floor held for any number of callers, and heap, held bytes, fragments and the process exceeded the VM; requests and connections had a limit of 40 MB on every VM. The fragments were estimated too low: beside heap and buffers the process took up to 88 MB, 80 were reserved. Ruled out: garbage alone (a collection freed little of it). Change: the floor is for a single holder beside whom the others hold 8 MB at most; several share what the heap leaves (0.7 of it, 90 MB reserved, 16 MB at least), requests that are counted are not subtracted a second time, and the limit on requests is lower on small VMs.

--- a/src/gateway/callers/callerMemory.ts
+++ b/src/gateway/callers/callerMemory.ts
@@ -8,6 +8,7 @@
   REQUEST_BYTES,
   chooseConnectionToClose,
   chooseHoldersToClose,
+  isSingleHolder,
 } from "./memoryBudget";
 
 /** Freed bytes after which the garbage collector is asked to free them when memory is short; it takes some 50 ms. */
@@ -113,7 +114,8 @@
   let uncollectedBytes = 0;
   /** Heap and buffers after the garbage collector was last run for their size, or the least since. */
   let collectedBytes = 0;
-  let totalBytes = 0;
+  let sharedBytes = 0;
+  let singleBytes = 0;
   let isCheckScheduled = false;
 
   updateLimits();
@@ -123,7 +125,10 @@
       answerBytes += change;
       recordChange(change);
     },
-    isShort: () => countHeld() >= totalBytes,
+    isShort: () => {
+      const heldBytes = countHeld();
+      return heldBytes >= sharedBytes && !isHeldBySingle(heldBytes);
+    },
     countBytes: countHeld,
   };
 
@@ -284,7 +289,7 @@
   }
 
   function checkTotal(): void {
-    if (countHeld() + uncollectedBytes <= totalBytes) {
+    if (countHeld() + uncollectedBytes <= sharedBytes) {
       return;
     }
     // Node.js may have freed some of them in the meantime.
@@ -293,23 +298,31 @@
       uncollectedBytes,
       Math.max(0, bufferBytes - bytes - unparsedBytes - answerBytes),
     );
-    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > totalBytes) {
+    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > sharedBytes) {
       options.collectGarbage?.();
       uncollectedBytes = 0;
     }
-    if (countHeld() <= totalBytes) {
+    if (countHeld() <= sharedBytes) {
       return;
     }
     collectIfLarge();
     updateLimits();
     const heldBytes = countHeld();
-    if (heldBytes > totalBytes) {
-      close(heldBytes, totalBytes, "memory");
+    if (heldBytes > sharedBytes && !isHeldBySingle(heldBytes)) {
+      close(heldBytes, sharedBytes, "memory");
     }
   }
 
+  function isHeldBySingle(heldBytes: number): boolean {
+    const largestBytes = [...accounts].reduce((largest, account) => Math.max(largest, account.bytes), 0);
+    return largestBytes <= singleBytes && isSingleHolder(largestBytes, heldBytes);
+  }
+
   function updateLimits(): void {
-    totalBytes = budget.getTotalBytes(options.measureHeap());
+    // What is held for requests and connections is a part of the heap.
+    const heapBytes = Math.max(0, options.measureHeap() - countState());
+    singleBytes = budget.getTotalBytes(heapBytes);
+    sharedBytes = budget.getSharedBytes(heapBytes);
   }
 
   /** Runs the garbage collector when the process is larger than what is held explains. */
@@ -369,7 +382,7 @@
       return;
     }
     isCheckScheduled = true;
-    const isPressed = countHeld() + uncollectedBytes > totalBytes / 2;
+    const isPressed = countHeld() + uncollectedBytes > sharedBytes / 2;
     clock.schedule(isPressed ? PRESSED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS, () => {
       isCheckScheduled = false;
       collectIfLarge();
--- a/src/gateway/callers/memoryBudget.ts
+++ b/src/gateway/callers/memoryBudget.ts
@@ -6,15 +6,21 @@
 export const DEFAULT_MAX_DESCRIPTORS = 4100;
 const BYTES_PER_MB = 1_000_000;
 /** Memory of the process beside its JavaScript heap and what is held for callers, in MB. */
-const RESERVE_MB = 80;
+const RESERVE_MB = 90;
 /** The rest of what is left goes to the fragments and the garbage that holding it leaves behind. */
-const HELD_SHARE = 0.8;
-/** Limit on small VMs: one body of the largest size, 67,108,864 bytes, with its bookkeeping. */
-const MIN_HELD_MB = 72;
-/** Heap and buffers beyond this part are collected. */
+const HELD_SHARE = 0.7;
+/** The garbage collector is run before it has taken all of that. */
 const COLLECT_SHARE = 0.8;
+/** Limit with a heap that leaves less, so that its garbage alone closes no connection. */
+const MIN_SHARED_MB = 16;
+/** Limit for a single holder: one body of the largest size, 67,108,864 bytes, with its bookkeeping. */
+const SINGLE_MB = 72;
+/** Maximum of all others together with which a holder counts as a single one, in bytes. */
+const MAX_BESIDE_SINGLE_BYTES = 8_000_000;
 /** Requests and connections are objects of the JavaScript heap, which has 160 MB for everything. */
 const MAX_STATE_BYTES = 40_000_000;
+/** Their part of what a small VM has left beside one largest body. */
+const STATE_SHARE = 0.5;
 /** Part of the VM's descriptors for callers; the others are for backend servers, the store and the log. */
 const CONNECTION_SHARE = 0.6;
 /** Added to the time without progress, so that size decides among holders that have just made some. */
@@ -35,7 +41,9 @@
 
 /** Limits on what is held for all callers together. */
 export interface CallerBudget {
-  /** Returns the limit on everything that is held, in bytes, with a JavaScript heap of a size in bytes. */
+  /** Returns the limit on everything that is held, in bytes, with a JavaScript heap of a size in bytes beside it. */
+  readonly getSharedBytes: (heapBytes: number) => number;
+  /** Returns the limit for a single holder, in bytes; it fits one largest body. */
   readonly getTotalBytes: (heapBytes: number) => number;
   /** JavaScript heap and buffers together, in bytes, beyond which what is no longer held is to be freed. */
   readonly collectBytes: number;
@@ -63,17 +71,29 @@
   memoryMb = DEFAULT_MEMORY_MB,
   maxDescriptors = DEFAULT_MAX_DESCRIPTORS,
 ): CallerBudget {
+  const freeBytes = (memoryMb - RESERVE_MB) * BYTES_PER_MB;
+  const getSharedBytes = (heapBytes: number) =>
+    Math.max(MIN_SHARED_MB * BYTES_PER_MB, (freeBytes - heapBytes) * HELD_SHARE);
   return {
-    getTotalBytes: (heapBytes) => {
-      const freeBytes = (memoryMb - RESERVE_MB) * BYTES_PER_MB - heapBytes;
-      return Math.max(MIN_HELD_MB * BYTES_PER_MB, freeBytes * HELD_SHARE);
-    },
-    collectBytes: (memoryMb - RESERVE_MB) * BYTES_PER_MB * COLLECT_SHARE,
-    stateBytes: MAX_STATE_BYTES,
+    getSharedBytes,
+    getTotalBytes: (heapBytes) => Math.max(SINGLE_MB * BYTES_PER_MB, getSharedBytes(heapBytes)),
+    collectBytes: freeBytes * COLLECT_SHARE,
+    stateBytes: Math.min(MAX_STATE_BYTES, Math.max(0, (freeBytes - SINGLE_MB * BYTES_PER_MB) * STATE_SHARE)),
     maxConnections: Math.max(1, Math.floor(maxDescriptors * CONNECTION_SHARE)),
   };
 }
 
+/**
+ * Returns whether one holder has nearly everything: a single largest body is served even if several together may not
+ * hold as much.
+ *
+ * @param largestBytes - What the largest holder has, in bytes.
+ * @param heldBytes - What all hold, in bytes.
+ */
+export function isSingleHolder(largestBytes: number, heldBytes: number): boolean {
+  return heldBytes - largestBytes <= MAX_BESIDE_SINGLE_BYTES;
+}
+
 /**
  * Chooses the holders to close when a limit is exceeded: the largest and slowest first.
  *
--- a/test/callerMemory.test.ts
+++ b/test/callerMemory.test.ts
@@ -144,6 +144,19 @@
     expect(opened.at(-1)?.socket.isDestroyed).toBe(false);
   });
 
+  // Guards against the room for one largest body being given to many callers on a VM that cannot hold as much.
+  test("lets a single caller hold more than several", () => {
+    const [single, several] = [start(), start()];
+    const alone = open(single.memory, false);
+    alone.account.addBytes(LARGEST_BODY_BYTES);
+    expect(alone.socket.isDestroyed).toBe(false);
+    const crowd = Array.from({ length: 8 }, () => open(several.memory, false));
+    crowd.forEach(({ account }) => {
+      account.addBytes(LARGEST_BODY_BYTES / 8);
+    });
+    expect(several.memory.countBytes()).toBeLessThan(LARGEST_BODY_BYTES);
+  });
+
   // Guards against refused callers that keep their requests in memory by not reading the refusal.
   test("closes refused callers first when requests hold too much again", () => {
     const { memory } = start();
