--- a/src/gateway/callers/callerMemory.ts
+++ b/src/gateway/callers/callerMemory.ts
@@ -8,12 +8,18 @@
   REQUEST_BYTES,
   chooseConnectionToClose,
   chooseHoldersToClose,
+  isSingleHolder,
 } from "./memoryBudget";
 
 /** Freed bytes after which the garbage collector is asked to free them when memory is short; it takes some 50 ms. */
 const MIN_COLLECTED_BYTES = 8_000_000;
-/** Interval at which the unread answers are counted, in milliseconds. */
+/** Interval at which the buffers of sockets are counted, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
+/** The same while over half of the limit is held. */
+const PRESSED_CHECK_INTERVAL_MS = 10;
+
+/** Maximum of one read of a socket; Node.js reads once more before a pause takes effect. */
+const READ_BYTES = 65_536;
 
 /** What is held for one connection. */
 export interface CallerAccount {
@@ -21,8 +27,10 @@
   readonly addRequests: (change: number) => void;
   /** Changes the number of bytes of bodies. */
   readonly addBytes: (change: number) => void;
-  /** Changes the number of bytes of input that has been read ahead, which the garbage collector frees soon. */
-  readonly addInput: (change: number) => void;
+  /** Changes the estimate for header fields, in bytes. */
+  readonly addFieldBytes: (change: number) => void;
+  /** Records that the socket was paused because its input waits to be parsed. */
+  readonly recordPause: () => void;
   /** Records that the caller has sent or read something. */
   readonly recordProgress: () => void;
   /** Sets how the connection is closed to free its memory: with a refusal, or at once when undefined. */
@@ -67,11 +75,18 @@
 interface Account {
   readonly connection: AccountedConnection;
   requests: number;
+  fieldBytes: number;
   bytes: number;
+  /** What its socket has read and not passed on. */
+  unparsedBytes: number;
+  /** What its socket has not written. */
+  unreadBytes: number;
   progressAt: number;
   close: () => void;
   /** Whether it was closed to free its memory; the connection may stay open until its refusal has been read. */
   isEnded: boolean;
+  /** What its requests hold until then, in bytes. */
+  lingeringBytes: number;
 }
 
 /**
@@ -84,21 +99,36 @@
   const { budget, clock, logger, counters } = options;
   const accounts = new Set<Account>();
   let requests = 0;
+  let fieldBytes = 0;
+  let lingeringBytes = 0;
+  /** What connections held that were closed since the garbage collector was last run, in bytes. */
+  let closedBytes = 0;
+  /** Header fields that were dropped since the size of the heap was last checked, in bytes. */
+  let droppedFieldBytes = 0;
   let bytes = 0;
   let answerBytes = 0;
   /** What sockets had not written at the last check; most of it is in `answerBytes`, too. */
   let unreadBytes = 0;
+  /** What sockets had read and not passed on at the last check, and what they may have read since after a pause. */
+  let unparsedBytes = 0;
   let uncollectedBytes = 0;
-  let totalBytes = budget.getTotalBytes(options.measureHeap());
+  /** Heap and buffers after the garbage collector was last run for their size, or the least since. */
+  let collectedBytes = 0;
+  let sharedBytes = 0;
+  let singleBytes = 0;
   let isCheckScheduled = false;
 
+  updateLimits();
   return {
     open,
     addAnswerBytes: (change) => {
       answerBytes += change;
       recordChange(change);
     },
-    isShort: () => countHeld() >= totalBytes,
+    isShort: () => {
+      const heldBytes = countHeld();
+      return heldBytes >= sharedBytes && !isHeldBySingle(heldBytes);
+    },
     countBytes: countHeld,
   };
 
@@ -113,14 +143,21 @@
     const account: Account = {
       connection,
       requests: 0,
+      fieldBytes: 0,
       bytes: 0,
+      unparsedBytes: 0,
+      unreadBytes: 0,
       progressAt: clock.now(),
       close: destroy,
       isEnded: false,
+      lingeringBytes: 0,
     };
     accounts.add(account);
     socket.once("close", () => {
       end(account);
+      closedBytes += account.bytes + account.unparsedBytes + account.lingeringBytes;
+      lingeringBytes -= account.lingeringBytes;
+      account.lingeringBytes = 0;
       accounts.delete(account);
     });
     socket.on("drain", () => {
@@ -147,13 +184,24 @@
         bytes += change;
         recordChange(change);
       },
-      addInput: (change) => {
+      addFieldBytes: (change) => {
         if (account.isEnded) {
           return;
         }
-        account.bytes += change;
-        bytes += change;
-        recordChange(Math.max(0, change));
+        account.fieldBytes += change;
+        fieldBytes += change;
+        if (change > 0) {
+          checkState();
+        } else {
+          recordDroppedFields(-change);
+        }
+      },
+      recordPause: () => {
+        if (!account.isEnded && account.unparsedBytes < READ_BYTES) {
+          unparsedBytes += READ_BYTES - account.unparsedBytes;
+          account.unparsedBytes = READ_BYTES;
+          checkTotal();
+        }
       },
       recordProgress: () => {
         account.progressAt = clock.now();
@@ -183,9 +231,15 @@
       return;
     }
     account.isEnded = true;
+    account.lingeringBytes = account.requests * REQUEST_BYTES + account.fieldBytes;
+    lingeringBytes += account.lingeringBytes;
     requests -= account.requests;
+    fieldBytes -= account.fieldBytes;
+    recordDroppedFields(account.fieldBytes);
     bytes -= account.bytes;
-    uncollectedBytes += account.bytes;
+    unreadBytes -= account.unreadBytes;
+    unparsedBytes -= account.unparsedBytes;
+    uncollectedBytes += account.bytes + account.unparsedBytes;
   }
 
   function recordChange(change: number): void {
@@ -196,33 +250,94 @@
     }
   }
 
+  function recordDroppedFields(dropped: number): void {
+    droppedFieldBytes += dropped;
+    if (droppedFieldBytes >= MIN_COLLECTED_BYTES) {
+      collectIfLarge();
+    }
+  }
+
   function countState(): number {
-    return accounts.size * CONNECTION_BYTES + requests * REQUEST_BYTES;
+    return accounts.size * CONNECTION_BYTES + requests * REQUEST_BYTES + fieldBytes;
   }
 
   function countHeld(): number {
-    return countState() + bytes + Math.max(answerBytes, unreadBytes);
+    return countState() + bytes + unparsedBytes + Math.max(answerBytes, unreadBytes);
   }
 
   function checkState(): void {
+    if (countState() + lingeringBytes > budget.stateBytes) {
+      destroyLingering(countState() + lingeringBytes - budget.stateBytes);
+    }
     if (countState() > budget.stateBytes) {
       close(countState(), budget.stateBytes, "requests");
     }
   }
 
+  /** Ends the time to read a refusal for as many connections as are needed to free a number of bytes, oldest first. */
+  function destroyLingering(excessBytes: number): void {
+    let freedBytes = 0;
+    for (const { connection, lingeringBytes: each } of accounts) {
+      if (freedBytes >= excessBytes) {
+        break;
+      }
+      if (each > 0) {
+        freedBytes += each;
+        connection.socket.destroy();
+      }
+    }
+  }
+
   function checkTotal(): void {
-    if (countHeld() + uncollectedBytes <= totalBytes) {
+    if (countHeld() + uncollectedBytes <= sharedBytes) {
       return;
     }
     // Node.js may have freed some of them in the meantime.
     const bufferBytes = options.measureBuffers?.() ?? Number.POSITIVE_INFINITY;
-    uncollectedBytes = Math.min(uncollectedBytes, Math.max(0, bufferBytes - bytes - answerBytes));
-    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > totalBytes) {
+    uncollectedBytes = Math.min(
+      uncollectedBytes,
+      Math.max(0, bufferBytes - bytes - unparsedBytes - answerBytes),
+    );
+    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > sharedBytes) {
       options.collectGarbage?.();
       uncollectedBytes = 0;
     }
-    if (countHeld() > totalBytes) {
-      close(countHeld(), totalBytes, "memory");
+    if (countHeld() <= sharedBytes) {
+      return;
+    }
+    collectIfLarge();
+    updateLimits();
+    const heldBytes = countHeld();
+    if (heldBytes > sharedBytes && !isHeldBySingle(heldBytes)) {
+      close(heldBytes, sharedBytes, "memory");
+    }
+  }
+
+  function isHeldBySingle(heldBytes: number): boolean {
+    const largestBytes = [...accounts].reduce((largest, account) => Math.max(largest, account.bytes), 0);
+    return largestBytes <= singleBytes && isSingleHolder(largestBytes, heldBytes);
+  }
+
+  function updateLimits(): void {
+    // What is held for requests and connections is a part of the heap.
+    const heapBytes = Math.max(0, options.measureHeap() - countState());
+    singleBytes = budget.getTotalBytes(heapBytes);
+    sharedBytes = budget.getSharedBytes(heapBytes);
+  }
+
+  /** Runs the garbage collector when the process is larger than what is held explains. */
+  function collectIfLarge(): void {
+    droppedFieldBytes = 0;
+    const measure = () => options.measureHeap() + (options.measureBuffers?.() ?? 0);
+    const measuredBytes = measure();
+    collectedBytes = Math.min(collectedBytes, measuredBytes);
+    const isMuchToFree =
+      measuredBytes >= collectedBytes + MIN_COLLECTED_BYTES || closedBytes >= MIN_COLLECTED_BYTES;
+    if (measuredBytes > budget.collectBytes && isMuchToFree) {
+      options.collectGarbage?.();
+      uncollectedBytes = 0;
+      closedBytes = 0;
+      collectedBytes = measure();
     }
   }
 
@@ -233,7 +348,9 @@
       bytes:
         CONNECTION_BYTES +
         account.requests * REQUEST_BYTES +
+        account.fieldBytes +
         account.bytes +
+        account.unparsedBytes +
         account.connection.socket.writableLength,
       stalledMs: measureStall(account),
     }));
@@ -265,17 +382,29 @@
       return;
     }
     isCheckScheduled = true;
-    clock.schedule(CHECK_INTERVAL_MS, () => {
+    const isPressed = countHeld() + uncollectedBytes > sharedBytes / 2;
+    clock.schedule(isPressed ? PRESSED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS, () => {
       isCheckScheduled = false;
-      totalBytes = budget.getTotalBytes(options.measureHeap());
-      unreadBytes = 0;
-      for (const { connection } of accounts) {
-        unreadBytes += connection.socket.writableLength;
-      }
+      collectIfLarge();
+      updateLimits();
+      countSocketBuffers();
       checkTotal();
       if (accounts.size > 0) {
         scheduleCheck();
       }
     });
   }
+
+  function countSocketBuffers(): void {
+    unreadBytes = 0;
+    unparsedBytes = 0;
+    for (const account of accounts) {
+      if (!account.isEnded) {
+        account.unreadBytes = account.connection.socket.writableLength;
+        account.unparsedBytes = account.connection.socket.readableLength;
+        unreadBytes += account.unreadBytes;
+        unparsedBytes += account.unparsedBytes;
+      }
+    }
+  }
 }
--- a/test/callerMemory.test.ts
+++ b/test/callerMemory.test.ts
@@ -84,6 +84,7 @@
 
   function open(memory: CallerMemory, isWaitingForCaller = true) {
     const socket = Object.assign(new EventEmitter(), {
+      readableLength: 0,
       writableLength: 0,
       isDestroyed: false,
       destroy: () => {
@@ -142,4 +143,28 @@
     expect(opened.filter(({ socket }) => !socket.isDestroyed)).toHaveLength(6);
     expect(opened.at(-1)?.socket.isDestroyed).toBe(false);
   });
+
+  // Guards against the room for one largest body being given to many callers on a VM that cannot hold as much.
+  test("lets a single caller hold more than several", () => {
+    const [single, several] = [start(), start()];
+    const alone = open(single.memory, false);
+    alone.account.addBytes(LARGEST_BODY_BYTES);
+    expect(alone.socket.isDestroyed).toBe(false);
+    const crowd = Array.from({ length: 8 }, () => open(several.memory, false));
+    crowd.forEach(({ account }) => {
+      account.addBytes(LARGEST_BODY_BYTES / 8);
+    });
+    expect(several.memory.countBytes()).toBeLessThan(LARGEST_BODY_BYTES);
+  });
+
+  // Guards against refused callers that keep their requests in memory by not reading the refusal.
+  test("closes refused callers first when requests hold too much again", () => {
+    const { memory } = start();
+    const [refused, served] = [open(memory), open(memory)];
+    refused.account.onClose(() => undefined);
+    refused.account.addFieldBytes(45 * MB);
+    expect(refused.socket.isDestroyed).toBe(false);
+    served.account.addFieldBytes(10 * MB);
+    expect([refused.socket.isDestroyed, served.socket.isDestroyed]).toEqual([true, false]);
+  });
 });
