Release the keys of servers whose entry cannot be read any more

An entry that can no longer be read left the directory without being recorded there, so its server got no release, and its keys waited until its grants had expired. Found when reading the diff.

Such an entry is recorded like a removed one; the record is now a file of its own (removedServers.ts).

The new row of the table in test/keyRanges.test.ts failed before.

--- a/src/discovery/serverDirectory.ts
+++ b/src/discovery/serverDirectory.ts
@@ -6,6 +6,7 @@
 import type { CancelTimer, Clock, DataCentreName, ServerName, ServiceName, Version } from "../types";
 import { createColdServers } from "./coldServers";
 import { type ServerProcess, createLeavingServers } from "./leavingServers";
+import { type ServerEntry, createRemovedServers } from "./removedServers";
 import {
   type DiscoveredServer,
   type ServerDecoder,
@@ -21,8 +22,6 @@
  * delay of the report.
  */
 const ENTRY_EXPIRY_MS = 4000;
-/** Exceeds the age of the copies that a store is restored from. */
-const REMOVED_ENTRY_RETENTION_MS = 60_000;
 
 /** Options for {@link createServerDirectory}. */
 export interface ServerDirectoryOptions {
@@ -81,16 +80,6 @@
   hasList(): boolean;
 }
 
-interface Entry {
-  readonly server: DiscoveredServer;
-  readonly version: Version;
-}
-
-interface RemovedEntry {
-  readonly entry: Entry;
-  readonly removedAt: number;
-}
-
 /**
  * Creates an empty directory.
  *
@@ -100,8 +89,8 @@
 export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
   const { clock, logger } = options;
   const events = new Emittery<{ changed: undefined }>();
-  const entries = new Map<ServerName, Entry>();
-  const removedEntries = new Map<ServerName, RemovedEntry>();
+  const entries = new Map<ServerName, ServerEntry>();
+  const removedServers = createRemovedServers(clock);
   /** Cancels the acceptance of an entry that may be older than the server's removal. */
   const pendingEntries = new Map<ServerName, CancelTimer>();
   const cold = createColdServers(clock);
@@ -140,13 +129,11 @@
       publish();
     },
     get: (name) => entries.get(name)?.server,
-    findLast: (name) => (entries.get(name) ?? removedEntries.get(name)?.entry)?.server,
-    getLastByService: (service) => {
-      const removed = [...removedEntries]
-        .filter(([name, { entry }]) => !entries.has(name) && entry.server.service === service)
-        .map(([, { entry }]) => entry.server);
-      return [...(byService.get(service) ?? []), ...removed];
-    },
+    findLast: (name) => (entries.get(name) ?? removedServers.find(name))?.server,
+    getLastByService: (service) => [
+      ...(byService.get(service) ?? []),
+      ...removedServers.getByService(service),
+    ],
     getByService: (service) => byService.get(service) ?? [],
     getUsable: (service) => usableByService.get(service) ?? [],
     isUsable,
@@ -216,17 +203,20 @@
   function applyEntry(object: StoredObject): void {
     const name = getObjectName(object.path);
     const server = decode(name, object);
+    const known = entries.get(name);
     cancelPending(name);
     if (server === undefined) {
       logger.log(Event.ServerEntryInvalid, { server: name, version: object.version });
-      entries.delete(name);
+      if (known !== undefined) {
+        entries.delete(name);
+        removedServers.add(known);
+      }
       return;
     }
-    const known = entries.get(name);
     if (known !== undefined && isRestored(object.version, known) && isNewer(known.server, server)) {
       return;
     }
-    const removed = removedEntries.get(name)?.entry;
+    const removed = removedServers.find(name);
     if (removed !== undefined && isRestored(object.version, removed) && !isNewer(server, removed.server)) {
       acceptUnlessRemoved(server, object.version);
       return;
@@ -249,7 +239,7 @@
   }
 
   /** Returns whether a version is on a later timeline than an entry, so that its object may be the older one. */
-  function isRestored(version: Version, entry: Entry): boolean {
+  function isRestored(version: Version, entry: ServerEntry): boolean {
     return getTimeline(version) > getTimeline(entry.version);
   }
 
@@ -272,7 +262,7 @@
     const { name } = server;
     const known = entries.get(name);
     const isSameProcess = known?.server.bornAt === server.bornAt;
-    removedEntries.delete(name);
+    removedServers.delete(name);
     entries.set(name, { server, version });
     if (!isSameProcess) {
       cold.replace(name, server.coldForMs);
@@ -295,21 +285,11 @@
     const entry = entries.get(name);
     if (entry !== undefined) {
       entries.delete(name);
-      rememberRemoved(name, entry);
+      removedServers.add(entry);
       logger.log(Event.ServerEntryRemoved, { server: name });
     }
   }
 
-  function rememberRemoved(name: ServerName, entry: Entry): void {
-    const now = clock.now();
-    for (const [other, { removedAt }] of removedEntries) {
-      if (now - removedAt > REMOVED_ENTRY_RETENTION_MS) {
-        removedEntries.delete(other);
-      }
-    }
-    removedEntries.set(name, { entry, removedAt: now });
-  }
-
   function removeAll(names: readonly ServerName[]): void {
     names.forEach(cancelPending);
     const graceMs = graceUntil - clock.now();
--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -63,6 +63,14 @@
       withinMs: 500,
       expected: "moved",
     },
+    {
+      name: "a server whose entry cannot be read releases its keys if it still answers",
+      trigger: (harness) => {
+        harness.directory.applyChanges([{ path: "servers/s1", version: 2, value: undefined }], []);
+      },
+      withinMs: 500,
+      expected: "moved",
+    },
     {
       name: "a server in an excluded data centre releases its keys",
       trigger: (harness) => {
