--- a/test/keyRanges.test.ts
+++ b/test/keyRanges.test.ts
@@ -23,7 +23,14 @@
 import { createFakeClock } from "./support/fakeClock";
 import { createRandom } from "../standins/scenarios/callers";
 import { SEED } from "./support/gateway";
-import { LAST_KEY, SERVICE, createHarness, createRange, createServer } from "./support/keyCoordinator";
+import {
+  LAST_KEY,
+  SERVICE,
+  createHarness,
+  createRange,
+  createServer,
+  startHarness,
+} from "./support/keyCoordinator";
 
 describe("coordinator", () => {
   const sampleKeys = [0, 9000, 20_000, 40_000, 60_000, LAST_KEY];
@@ -286,23 +293,10 @@
 describe("coordinator after the object store was restored from a copy", () => {
   const sampleKeys = Array.from({ length: 64 }, (_, index) => index * 1024);
 
-  /** Makes keys 0 to 2000 busy, so that parts of them are moved to other servers. */
-  async function moveBusyKeys(harness: ReturnType<typeof createHarness>): Promise<void> {
-    for (let step = 0; step < 40; step += 1) {
-      for (let key = 0; key < 2000; key += 16) {
-        harness.load.record(key);
-      }
-      await harness.clock.advance(100);
-    }
-  }
-
   async function startAndMoveKeys() {
-    const harness = createHarness(["s1", "s2", "s3", "s4"]);
-    const firstTerm = new AbortController();
-    void harness.start(harness.owners, firstTerm.signal);
-    await harness.clock.advance(3000);
+    const { harness, term: firstTerm } = await startHarness(["s1", "s2", "s3", "s4"]);
     harness.table.copy();
-    await moveBusyKeys(harness);
+    await harness.addBusyKeys(0, 2000, 4000);
     return { harness, firstTerm };
   }
 
@@ -368,6 +362,40 @@
     harness.stop.abort();
   });
 
+  const hiddenServers: readonly (readonly [
+    name: string,
+    hide: (harness: ReturnType<typeof createHarness>) => Promise<void>,
+  ])[] = [
+    [
+      "does not answer, leaves the directory and runs on",
+      async (harness) => {
+        harness.silent.add("s2");
+        await harness.clock.advance(1500);
+        harness.directory.applyChanges([], ["servers/s2"]);
+      },
+    ],
+    [
+      "is not listed and registers again 2.5 s later",
+      async (harness) => {
+        harness.directory.applyChanges([], ["servers/s2"]);
+        await harness.clock.advance(2500);
+        harness.put(createServer("s2"));
+      },
+    ],
+  ];
+
+  // Guards against taking a server that the coordinator does not hear of for one that holds no keys.
+  test.each(hiddenServers)("no key gets a second owner if a server that held it %s", async (_name, hide) => {
+    const { harness, firstTerm } = await startAndMoveKeys();
+    firstTerm.abort();
+    harness.table.restore();
+    harness.startSuccessor();
+    await hide(harness);
+    await harness.clock.advance(14_000);
+    expect(harness.conflicts).toEqual([]);
+    harness.stop.abort();
+  });
+
   // Guards against keys that nobody serves for ten seconds since a server that has ended gives no answer.
   test("a server that has ended holds up the grants of a successor only until its entry has expired", async () => {
     const { harness, firstTerm } = await startAndMoveKeys();
@@ -396,7 +424,7 @@
     const firstTerm = new AbortController();
     void harness.start(harness.owners, firstTerm.signal);
     await harness.clock.advance(3000);
-    await moveBusyKeys(harness);
+    await harness.addBusyKeys(0, 2000, 4000);
     firstTerm.abort();
     harness.table.restore();
     const owners = isRestarted ? createOwnerTable(harness.clock, silentLogger) : harness.owners;
--- a/test/support/keyCoordinator.ts
+++ b/test/support/keyCoordinator.ts
@@ -246,6 +246,29 @@
         },
         signal,
       ),
+    /** Advances the clock until a condition holds. */
+    advanceUntil: async (condition: () => boolean) => {
+      while (!condition()) {
+        await clock.advance(10);
+      }
+    },
+    /** Advances the clock until a further grant is sent to a server. */
+    advanceUntilGrant: (name: string) => {
+      const sent = grants.length;
+      return harness.advanceUntil(() => grants.slice(sent).some(({ server }) => server === name));
+    },
+    /** Records requests for every 16th key of a range, in steps of 100 ms. */
+    addBusyKeys: async (from: number, to: number, ms: number) => {
+      for (let step = 0; step < ms / 100; step += 1) {
+        for (let key = from; key < to; key += 16) {
+          load.record(key);
+        }
+        await clock.advance(100);
+      }
+    },
+    /** Starts another coordinator in a daemon that knows no assignment. */
+    startSuccessor: (signal = stop.signal) =>
+      void harness.start(createOwnerTable(clock, silentLogger), signal),
     /** Holds back the next read of the object store until `release` is called. */
     holdNextRead: () => {
       const read = objects.read.bind(objects);
@@ -293,3 +316,17 @@
 export function createRange(from: number, to: number, server: string, token = 1): OwnedRange {
   return { from, to, server, bornAt: 1, token };
 }
+
+/**
+ * Creates a harness whose coordinator has placed all keys.
+ *
+ * @param names - Names of the servers.
+ * @returns The harness, and the controller that ends the coordinator's term.
+ */
+export async function startHarness(names: readonly string[]) {
+  const harness = createHarness(names);
+  const term = new AbortController();
+  void harness.start(harness.owners, term.signal);
+  await harness.clock.advance(3000);
+  return { harness, term };
+}
