Split the count of what callers hold into count, account and garbage

callerMemory.ts had three jobs in 410 lines: the count with its limits, the state of one connection's account, and when the garbage collector is run. The latter two are files of their own now, callerAccount.ts and callerGarbage.ts.

What a socket has buffered is called readableBytes and writableBytes, as Node.js does: "unparsed" also named the input that waits in pacedInput.ts. Behaviour is unchanged.

--- a/src/gateway/callers/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -6,7 +6,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../types";
-import type { CallerAccount, CallerMemory } from "./callerMemory";
+import type { CallerAccount } from "./callerAccount";
+import type { CallerMemory } from "./callerMemory";
 import { type PendingRequest, type RequestPlace, Turn } from "./requestPlace";
 import { createHeadEstimate } from "./headEstimate";
 import { estimateFieldBytes } from "./memoryBudget";
--- a/src/gateway/callers/callerMemory.ts
+++ b/src/gateway/callers/callerMemory.ts
@@ -2,6 +2,16 @@
 import type { Socket } from "node:net";
 import { type Counters, Event, type Logger } from "../../observability";
 import type { Clock } from "../../types";
+import {
+  type AccountState,
+  type AccountedConnection,
+  type CallerAccount,
+  countRequestBytes,
+  createAccountState,
+  describeHolder,
+  measureStall,
+} from "./callerAccount";
+import { type CallerGarbageOptions, createCallerGarbage } from "./callerGarbage";
 import {
   type CallerBudget,
   CONNECTION_BYTES,
@@ -11,41 +21,13 @@
   isSingleHolder,
 } from "./memoryBudget";
 
-/** Freed bytes after which the garbage collector is asked to free them when memory is short; it takes some 50 ms. */
-const MIN_COLLECTED_BYTES = 8_000_000;
 /** Interval at which the buffers of sockets are counted, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 /** The same while over half of the limit is held. */
 const PRESSED_CHECK_INTERVAL_MS = 10;
-
-/** Maximum of one read of a socket; Node.js reads once more before a pause takes effect. */
+/** Maximum of one read of a socket, in bytes; Node.js reads once more before a pause takes effect. */
 const READ_BYTES = 65_536;
 
-/** What is held for one connection. */
-export interface CallerAccount {
-  /** Changes the number of requests that are not answered. */
-  readonly addRequests: (change: number) => void;
-  /** Changes the number of bytes of bodies. */
-  readonly addBytes: (change: number) => void;
-  /** Changes the estimate for header fields, in bytes. */
-  readonly addFieldBytes: (change: number) => void;
-  /** Records that the socket was paused because its input waits to be parsed. */
-  readonly recordPause: () => void;
-  /** Records that the caller has sent or read something. */
-  readonly recordProgress: () => void;
-  /** Sets how the connection is closed to free its memory: with a refusal, or at once when undefined. */
-  readonly onClose: (close: (() => void) | undefined) => void;
-}
-
-/** What the account needs to know of a connection. */
-export interface AccountedConnection {
-  readonly socket: Socket;
-  /** Returns whether the daemon waits for the caller: for the rest of a request, or to read an answer. */
-  isWaitingForCaller(): boolean;
-  /** Returns whether the connection carries no request. */
-  isIdle(): boolean;
-}
-
 /** Count of what is held for all callers. */
 export interface CallerMemory {
   /** Opens the account of a connection, which ends with it; closes another one if there are too many. */
@@ -59,34 +41,11 @@
 }
 
 /** Options for {@link createCallerMemory}. */
-export interface CallerMemoryOptions {
+export interface CallerMemoryOptions extends Omit<CallerGarbageOptions, "collectBytes"> {
   readonly budget: CallerBudget;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly counters: Pick<Counters, "increment">;
-  /** Returns the size of the JavaScript heap in bytes. */
-  readonly measureHeap: () => number;
-  /** Returns the memory of all buffers in bytes, those that are not freed yet included. */
-  readonly measureBuffers?: () => number;
-  /** Frees the memory of what is no longer held; without it, Node.js does so when it sees fit. */
-  readonly collectGarbage?: () => void;
-}
-
-interface Account {
-  readonly connection: AccountedConnection;
-  requests: number;
-  fieldBytes: number;
-  bytes: number;
-  /** What its socket has read and not passed on. */
-  unparsedBytes: number;
-  /** What its socket has not written. */
-  unreadBytes: number;
-  progressAt: number;
-  close: () => void;
-  /** Whether it was closed to free its memory; the connection may stay open until its refusal has been read. */
-  isEnded: boolean;
-  /** What its requests hold until then, in bytes. */
-  lingeringBytes: number;
 }
 
 /**
@@ -97,23 +56,18 @@
  */
 export function createCallerMemory(options: CallerMemoryOptions): CallerMemory {
   const { budget, clock, logger, counters } = options;
-  const accounts = new Set<Account>();
+  const accounts = new Set<AccountState>();
+  const garbage = createCallerGarbage({ ...options, collectBytes: budget.collectBytes });
   let requests = 0;
   let fieldBytes = 0;
-  let lingeringBytes = 0;
-  /** What connections held that were closed since the garbage collector was last run, in bytes. */
-  let closedBytes = 0;
-  /** Header fields that were dropped since the size of the heap was last checked, in bytes. */
-  let droppedFieldBytes = 0;
   let bytes = 0;
   let answerBytes = 0;
-  /** What sockets had not written at the last check; most of it is in `answerBytes`, too. */
-  let unreadBytes = 0;
   /** What sockets had read and not passed on at the last check, and what they may have read since after a pause. */
-  let unparsedBytes = 0;
-  let uncollectedBytes = 0;
-  /** Heap and buffers after the garbage collector was last run for their size, or the least since. */
-  let collectedBytes = 0;
+  let readableBytes = 0;
+  /** What sockets had not written at the last check; most of it is in `answerBytes`, too. */
+  let writableBytes = 0;
+  /** What the requests of ended accounts hold until their connections are closed. */
+  let lingeringBytes = 0;
   let sharedBytes = 0;
   let singleBytes = 0;
   let isCheckScheduled = false;
@@ -140,22 +94,11 @@
     const destroy = () => {
       socket.destroy();
     };
-    const account: Account = {
-      connection,
-      requests: 0,
-      fieldBytes: 0,
-      bytes: 0,
-      unparsedBytes: 0,
-      unreadBytes: 0,
-      progressAt: clock.now(),
-      close: destroy,
-      isEnded: false,
-      lingeringBytes: 0,
-    };
+    const account = createAccountState(connection, destroy, clock.now());
     accounts.add(account);
     socket.once("close", () => {
       end(account);
-      closedBytes += account.bytes + account.unparsedBytes + account.lingeringBytes;
+      garbage.addClosed(account.bytes + account.readableBytes + account.lingeringBytes);
       lingeringBytes -= account.lingeringBytes;
       account.lingeringBytes = 0;
       accounts.delete(account);
@@ -193,13 +136,13 @@
         if (change > 0) {
           checkState();
         } else {
-          recordDroppedFields(-change);
+          garbage.addDroppedFields(-change);
         }
       },
       recordPause: () => {
-        if (!account.isEnded && account.unparsedBytes < READ_BYTES) {
-          unparsedBytes += READ_BYTES - account.unparsedBytes;
-          account.unparsedBytes = READ_BYTES;
+        if (!account.isEnded && account.readableBytes < READ_BYTES) {
+          readableBytes += READ_BYTES - account.readableBytes;
+          account.readableBytes = READ_BYTES;
           checkTotal();
         }
       },
@@ -226,43 +169,36 @@
   }
 
   /** Takes what an account holds out of the count; its later changes have no effect. */
-  function end(account: Account): void {
+  function end(account: AccountState): void {
     if (account.isEnded) {
       return;
     }
     account.isEnded = true;
-    account.lingeringBytes = account.requests * REQUEST_BYTES + account.fieldBytes;
+    account.lingeringBytes = countRequestBytes(account);
     lingeringBytes += account.lingeringBytes;
     requests -= account.requests;
     fieldBytes -= account.fieldBytes;
-    recordDroppedFields(account.fieldBytes);
+    garbage.addDroppedFields(account.fieldBytes);
     bytes -= account.bytes;
-    unreadBytes -= account.unreadBytes;
-    unparsedBytes -= account.unparsedBytes;
-    uncollectedBytes += account.bytes + account.unparsedBytes;
+    writableBytes -= account.writableBytes;
+    readableBytes -= account.readableBytes;
+    garbage.addDropped(account.bytes + account.readableBytes);
   }
 
   function recordChange(change: number): void {
     if (change < 0) {
-      uncollectedBytes -= change;
+      garbage.addDropped(-change);
     } else {
       checkTotal();
     }
   }
 
-  function recordDroppedFields(dropped: number): void {
-    droppedFieldBytes += dropped;
-    if (droppedFieldBytes >= MIN_COLLECTED_BYTES) {
-      collectIfLarge();
-    }
-  }
-
   function countState(): number {
     return accounts.size * CONNECTION_BYTES + requests * REQUEST_BYTES + fieldBytes;
   }
 
   function countHeld(): number {
-    return countState() + bytes + unparsedBytes + Math.max(answerBytes, unreadBytes);
+    return countState() + bytes + readableBytes + Math.max(answerBytes, writableBytes);
   }
 
   function checkState(): void {
@@ -289,23 +225,11 @@
   }
 
   function checkTotal(): void {
-    if (countHeld() + uncollectedBytes <= sharedBytes) {
-      return;
-    }
-    // Node.js may have freed some of them in the meantime.
-    const bufferBytes = options.measureBuffers?.() ?? Number.POSITIVE_INFINITY;
-    uncollectedBytes = Math.min(
-      uncollectedBytes,
-      Math.max(0, bufferBytes - bytes - unparsedBytes - answerBytes),
-    );
-    if (uncollectedBytes >= MIN_COLLECTED_BYTES && countHeld() + uncollectedBytes > sharedBytes) {
-      options.collectGarbage?.();
-      uncollectedBytes = 0;
-    }
+    garbage.collectDropped(countHeld(), bytes + readableBytes + answerBytes, sharedBytes);
     if (countHeld() <= sharedBytes) {
       return;
     }
-    collectIfLarge();
+    garbage.collectIfLarge();
     updateLimits();
     const heldBytes = countHeld();
     if (heldBytes > sharedBytes && !isHeldBySingle(heldBytes)) {
@@ -325,35 +249,9 @@
     sharedBytes = budget.getSharedBytes(heapBytes);
   }
 
-  /** Runs the garbage collector when the process is larger than what is held explains. */
-  function collectIfLarge(): void {
-    droppedFieldBytes = 0;
-    const measure = () => options.measureHeap() + (options.measureBuffers?.() ?? 0);
-    const measuredBytes = measure();
-    collectedBytes = Math.min(collectedBytes, measuredBytes);
-    const isMuchToFree =
-      measuredBytes >= collectedBytes + MIN_COLLECTED_BYTES || closedBytes >= MIN_COLLECTED_BYTES;
-    if (measuredBytes > budget.collectBytes && isMuchToFree) {
-      options.collectGarbage?.();
-      uncollectedBytes = 0;
-      closedBytes = 0;
-      collectedBytes = measure();
-    }
-  }
-
   function close(heldBytes: number, limitBytes: number, limit: string): void {
     const open = [...accounts].filter((account) => !account.isEnded);
-    const holders = open.map((account) => ({
-      account,
-      bytes:
-        CONNECTION_BYTES +
-        account.requests * REQUEST_BYTES +
-        account.fieldBytes +
-        account.bytes +
-        account.unparsedBytes +
-        account.connection.socket.writableLength,
-      stalledMs: measureStall(account),
-    }));
+    const holders = open.map((account) => describeHolder(account, clock.now()));
     const chosen = chooseHoldersToClose(holders, heldBytes, limitBytes);
     logger.log(Event.CallersClosed, { limit, heldBytes, limitBytes, connections: chosen.length });
     for (const { account } of chosen) {
@@ -363,29 +261,25 @@
     }
   }
 
-  function measureStall({ connection, progressAt }: Account): number {
-    return connection.isWaitingForCaller() ? clock.now() - progressAt : 0;
-  }
-
   function* listConnections() {
     for (const account of accounts) {
       const isIdle = account.isEnded || account.connection.isIdle();
       // An idle connection that was just used may carry the next request already.
-      const stalledMs = isIdle ? clock.now() - account.progressAt : measureStall(account);
+      const stalledMs = isIdle ? clock.now() - account.progressAt : measureStall(account, clock.now());
       yield { account, isIdle, stalledMs };
     }
   }
 
-  /** Counts unread answers and adjusts the limit while there are connections. */
+  /** Counts the buffers of sockets and adjusts the limits while there are connections. */
   function scheduleCheck(): void {
     if (isCheckScheduled) {
       return;
     }
     isCheckScheduled = true;
-    const isPressed = countHeld() + uncollectedBytes > sharedBytes / 2;
+    const isPressed = countHeld() + garbage.countDropped() > sharedBytes / 2;
     clock.schedule(isPressed ? PRESSED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS, () => {
       isCheckScheduled = false;
-      collectIfLarge();
+      garbage.collectIfLarge();
       updateLimits();
       countSocketBuffers();
       checkTotal();
@@ -396,14 +290,14 @@
   }
 
   function countSocketBuffers(): void {
-    unreadBytes = 0;
-    unparsedBytes = 0;
+    writableBytes = 0;
+    readableBytes = 0;
     for (const account of accounts) {
       if (!account.isEnded) {
-        account.unreadBytes = account.connection.socket.writableLength;
-        account.unparsedBytes = account.connection.socket.readableLength;
-        unreadBytes += account.unreadBytes;
-        unparsedBytes += account.unparsedBytes;
+        account.writableBytes = account.connection.socket.writableLength;
+        account.readableBytes = account.connection.socket.readableLength;
+        writableBytes += account.writableBytes;
+        readableBytes += account.readableBytes;
       }
     }
   }
--- a/src/gateway/callers/index.ts
+++ b/src/gateway/callers/index.ts
@@ -1,4 +1,5 @@
 /** Connections and requests of callers. */
+export * from "./callerAccount";
 export * from "./callerAnswers";
 export * from "./callerConnections";
 export * from "./callerListener";
--- a/src/gateway/callers/requestPlace.ts
+++ b/src/gateway/callers/requestPlace.ts
@@ -1,5 +1,5 @@
 /** What callers' requests see of their place on a connection. */
-import type { CallerAccount } from "./callerMemory";
+import type { CallerAccount } from "./callerAccount";
 
 /** Whether a request may be sent to a backend server. */
 export const Turn = {
