Split callers' connections into order, places and input

The functions on the requests of one connection are in connectionPlaces.ts, and what is counted for its input in connectionInput.ts. The "events" of the head estimate are the requests that connections count, and are called so. Behaviour is unchanged.

--- a/src/gateway/callers/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -8,10 +8,19 @@
 import type { Clock } from "../../types";
 import type { CallerAccount } from "./callerAccount";
 import type { CallerMemory } from "./callerMemory";
-import { type PendingRequest, type RequestPlace, Turn } from "./requestPlace";
-import { createHeadEstimate } from "./headEstimate";
-import { estimateFieldBytes } from "./memoryBudget";
+import { openConnectionInput } from "./connectionInput";
+import {
+  type ConnectionPlaces,
+  type Place,
+  countFieldBytes,
+  hasWorkBehind,
+  isBehindClose,
+  isBodyArriving,
+  isWaitingForCaller,
+  listBehind,
+} from "./connectionPlaces";
 import { type PacedInput, createPacedInputs } from "./pacedInput";
+import { type PendingRequest, type RequestPlace, Turn } from "./requestPlace";
 
 /** Maximum requests of one connection that are at backend servers at the same time. */
 const MAX_DISPATCHED_PER_CONNECTION = 8;
@@ -48,32 +57,17 @@
   whenAnswered(socket: Socket, callback: () => void): void;
 }
 
-interface Place {
-  readonly message: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly requestId: string | undefined;
-  readonly arrivedAt: number;
-  readonly fieldBytes: number;
-  isDispatched: boolean;
-  /** Whether it had been read when the connection was first to be closed: its caller knows nothing of that yet. */
-  isOwed: boolean;
-  /** Checks whether the request may be sent to a backend server now; undefined when it does not wait. */
-  check: (() => void) | undefined;
-}
-
-interface Connection {
+interface Connection extends ConnectionPlaces {
   readonly openedAt: number;
   readonly account: CallerAccount;
   readonly input: PacedInput;
+  /** Counts the bytes that the body of the latest request still lacks; 0 when it is not known. */
   countBodyRest: () => number;
-  readonly places: Place[];
   /** Requests that were read so far. */
   requestCount: number;
   /** Bytes that had been read from the connection at the end of the last request; more are a part of the next one. */
   bytesAtRest: number;
   isCloseWanted: boolean;
-  /** The request whose answer closes the connection; those behind it are dropped. */
-  closingPlace: Place | undefined;
   onAnswered: (() => void) | undefined;
 }
 
@@ -141,7 +135,7 @@
       response,
       requestId,
       arrivedAt,
-      fieldBytes: estimateFieldBytes(message.rawHeaders.length / 2, countText(message.rawHeaders)),
+      fieldBytes: countFieldBytes(message),
       isDispatched: false,
       isOwed: false,
       check: undefined,
@@ -208,27 +202,11 @@
       isWaitingForCaller: () => isWaitingForCaller(socket, places),
       isIdle: () => isIdle(socket, connection),
     });
-    let inputBytes = 0;
-    /** Counts the input as held until all of it is parsed: its parts share one buffer. */
-    const recordWaiting = (change: number) => {
-      const isParsed = change < 0 && input.countWaiting() === 0;
-      const heldChange = isParsed ? -inputBytes : Math.max(0, change);
-      inputBytes += heldChange;
-      account.addBytes(heldChange);
-      if (change > 0) {
-        account.recordPause();
-      }
-    };
-    const input = inputs.open(socket, {
+    const input = openConnectionInput(inputs, socket, {
+      account,
       mayRead: () => places.length < MAX_READ_AHEAD,
+      countRequests: () => connection.requestCount,
       countBodyRest: () => connection.countBodyRest(),
-      onWaiting: recordWaiting,
-      onParsing: createHeadEstimate({
-        countEvents: () => connection.requestCount,
-        countBodyRest: () => connection.countBodyRest(),
-        onChange: account.addFieldBytes,
-      }),
-      onData: account.recordProgress,
     });
     const connection: Connection = {
       openedAt: clock.now(),
@@ -346,31 +324,3 @@
     listBehind(connection, place).forEach((waiting) => waiting.check?.());
   }
 }
-
-/** Returns whether the daemon waits for a request, for the rest of one, or for its caller to read an answer. */
-function isWaitingForCaller(socket: Socket, places: readonly Place[]): boolean {
-  const latest = places.at(-1);
-  return latest === undefined || isBodyArriving(latest.message) || socket.writableLength > 0;
-}
-
-/** Returns whether a part of a body is missing. A request without a body is complete only after its head was handled. */
-function isBodyArriving({ complete, headers }: IncomingMessage): boolean {
-  const hasBody = headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
-  return hasBody && !complete;
-}
-
-function listBehind(connection: Connection, place: Place): readonly Place[] {
-  return connection.places.slice(connection.places.indexOf(place) + 1);
-}
-
-function isBehindClose({ places, closingPlace }: Connection, place: Place): boolean {
-  return closingPlace !== undefined && places.indexOf(closingPlace) < places.indexOf(place);
-}
-
-function hasWorkBehind(connection: Connection, place: Place): boolean {
-  return listBehind(connection, place).some((each) => each.isDispatched);
-}
-
-function countText(parts: readonly string[]): number {
-  return parts.reduce((total, part) => total + part.length, 0);
-}
--- a/src/gateway/callers/headEstimate.ts
+++ b/src/gateway/callers/headEstimate.ts
@@ -9,7 +9,7 @@
 /** Options for {@link createHeadEstimate}. */
 export interface HeadEstimateOptions {
   /** Counts the requests whose heads are complete. */
-  readonly countEvents: () => number;
+  readonly countRequests: () => number;
   /** Returns a number that changes with each part of a body. */
   readonly countBodyRest: () => number;
   /** Called with the change of the estimate, in bytes. */
@@ -28,10 +28,10 @@
   let estimate = 0;
 
   return (piece) => {
-    const events = options.countEvents();
+    const requests = options.countRequests();
     const bodyRest = options.countBodyRest();
     return () => {
-      if (options.countEvents() !== events || options.countBodyRest() !== bodyRest) {
+      if (options.countRequests() !== requests || options.countBodyRest() !== bodyRest) {
         fields = 0;
         textBytes = 0;
       } else {
--- a/src/gateway/callers/pacedInput.ts
+++ b/src/gateway/callers/pacedInput.ts
@@ -36,7 +36,7 @@
   readonly countBodyRest: () => number;
   /** Called with the change of the number of bytes that wait. */
   readonly onWaiting: (change: number) => void;
-  /** Called before and after a piece beyond a known body is given to the parser. */
+  /** Called before a piece beyond a known body is parsed; the function that it returns is called afterwards. */
   readonly onParsing?: (piece: Buffer) => () => void;
   /** Called when data has arrived. */
   readonly onData: () => void;
--- a/test/headEstimate.test.ts
+++ b/test/headEstimate.test.ts
@@ -5,9 +5,9 @@
 const FIELDS = "a:\r\n".repeat(256);
 
 function start() {
-  const state = { events: 0, bodyRest: 0, estimate: 0 };
+  const state = { requests: 0, bodyRest: 0, estimate: 0 };
   const follow = createHeadEstimate({
-    countEvents: () => state.events,
+    countRequests: () => state.requests,
     countBodyRest: () => state.bodyRest,
     onChange: (change) => {
       state.estimate += change;
@@ -33,7 +33,7 @@
 });
 
 test.each([
-  ["a request", (state: { events: number }) => (state.events += 1)],
+  ["a request", (state: { requests: number }) => (state.requests += 1)],
   ["a part of a body", (state: { bodyRest: number }) => (state.bodyRest -= 1)],
 ] as const)("counts nothing of what has become %s", (_name, change) => {
   const { state, parse } = start();
