Move the answers to malformed requests out of the listener for callers

It is in malformedRequests.ts. Behaviour is unchanged.

Types, lint and format are clean; callerMemory, callerConnections, callerListener, headEstimate, pacedInput, gateway and documents tests pass (118).

--- a/src/gateway/callers/callerListener.ts
+++ b/src/gateway/callers/callerListener.ts
@@ -1,7 +1,6 @@
 /** HTTP/1.1 listener for callers: passes requests to the dispatcher and returns answers or refusals. */
 import { type IncomingMessage, type ServerResponse, createServer } from "node:http";
-import { Server as NetServer, Socket } from "node:net";
-import type { Duplex } from "node:stream";
+import { Server as NetServer, type Socket } from "node:net";
 import { describeError } from "../../errors";
 import { type CallerWatch, acceptArrived, listen, readArrived, watchCaller } from "../../http";
 import { Event, type Logger, type Metrics } from "../../observability";
@@ -17,6 +16,7 @@
 import { createCallerConnections } from "./callerConnections";
 import { selectForwardedHeaders } from "./forwardedHeaders";
 import { type CallerMemory, createCallerMemory } from "./callerMemory";
+import { createMalformedRequestRefusal } from "./malformedRequests";
 import { createCallerBudget } from "./memoryBudget";
 import { type BodyReadResult, readBody } from "./requestBody";
 import { type PendingRequest, Turn } from "./requestPlace";
@@ -29,11 +29,8 @@
 const IDLE_MARGIN_MS = 1000;
 /** Retry-after time of requests refused before dispatch, for example before the first configuration. */
 const EARLY_REFUSAL_RETRY_AFTER_MS = 300;
-
 /** Up to this rest of a body that is too large is discarded, so that its connection can be used again. */
 const MAX_DISCARDED_BYTES = 65_536;
-/** Time for which the answer to a malformed request may be read before its connection is closed, in milliseconds. */
-const MALFORMED_LINGER_MS = 1000;
 
 /** Options for {@link createCallerListener}. */
 export interface CallerListenerOptions {
@@ -97,7 +94,7 @@
     connections.open(socket);
   });
   server.on("checkExpectation", refuseExpectation);
-  server.on("clientError", refuseMalformedRequest);
+  server.on("clientError", createMalformedRequestRefusal({ connections, clock, counters }));
   await listen(server, options.address);
 
   return {
@@ -332,34 +329,6 @@
       leftMs: Math.round(request.deadlineAt - clock.now()),
     });
   }
-
-  /** Handles requests that the HTTP parser rejects; they are never routed. Those ahead are answered first. */
-  function refuseMalformedRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
-    counters.increment("callers.refused", `parser:${error.code ?? "unknown"}`);
-    if (!(socket instanceof Socket) || !socket.writable || error.code === "ECONNRESET") {
-      socket.destroy();
-      return;
-    }
-    connections.whenAnswered(socket, () => {
-      if (socket.writable) {
-        socket.end(
-          `HTTP/1.1 ${formatParserErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-        );
-        // A close at once would reset the connection if bytes are unread, and the answer could be lost.
-        const cancel = clock.schedule(MALFORMED_LINGER_MS, () => {
-          socket.destroy();
-        });
-        socket.once("close", cancel);
-      }
-    });
-  }
-}
-
-function formatParserErrorStatus(code: string | undefined): string {
-  if (code === "HPE_HEADER_OVERFLOW") {
-    return "431 Request Header Fields Too Large";
-  }
-  return code === "ERR_HTTP_REQUEST_TIMEOUT" ? "408 Request Timeout" : "400 Bad Request";
 }
 
 function countHeaderBytes(message: IncomingMessage): number {
