Name the limits on what callers hold by whom they are for

The limit for a single holder was singleBytes in the count and getTotalBytes in the budget; it is getSingleBytes now, beside getSharedBytes. Comments state what a constant limits, and isSingleHolder its result. Behaviour is unchanged.

Types, lint and format are clean; callerMemory, callerConnections, callerListener, headEstimate, pacedInput, gateway, documents, cutAnswers and endlessAnswers tests pass.

--- a/src/gateway/callers/callerConnections.ts
+++ b/src/gateway/callers/callerConnections.ts
@@ -155,7 +155,7 @@
     // A response that waits for its turn gets no event when the connection is closed.
     socket.once("close", finish);
     message.once("end", () => {
-      // They are not passed on.
+      // Trailer fields are not passed on, and need not be kept until the request is answered.
       message.rawTrailers = [];
       message.trailers = {};
     });
--- a/src/gateway/callers/callerMemory.ts
+++ b/src/gateway/callers/callerMemory.ts
@@ -245,7 +245,7 @@
   function updateLimits(): void {
     // What is held for requests and connections is a part of the heap.
     const heapBytes = Math.max(0, options.measureHeap() - countState());
-    singleBytes = budget.getTotalBytes(heapBytes);
+    singleBytes = budget.getSingleBytes(heapBytes);
     sharedBytes = budget.getSharedBytes(heapBytes);
   }
 
--- a/src/gateway/callers/memoryBudget.ts
+++ b/src/gateway/callers/memoryBudget.ts
@@ -9,17 +9,17 @@
 const RESERVE_MB = 90;
 /** The rest of what is left goes to the fragments and the garbage that holding it leaves behind. */
 const HELD_SHARE = 0.7;
-/** The garbage collector is run before it has taken all of that. */
+/** Part of the VM's memory beside the reserve that heap and buffers may take before garbage is collected. */
 const COLLECT_SHARE = 0.8;
-/** Limit with a heap that leaves less, so that its garbage alone closes no connection. */
+/** Least limit, so that the garbage of a large heap alone closes no connection. */
 const MIN_SHARED_MB = 16;
 /** Limit for a single holder: one body of the largest size, 67,108,864 bytes, with its bookkeeping. */
 const SINGLE_MB = 72;
 /** Maximum of all others together with which a holder counts as a single one, in bytes. */
 const MAX_BESIDE_SINGLE_BYTES = 8_000_000;
-/** Requests and connections are objects of the JavaScript heap, which has 160 MB for everything. */
+/** Limit on the estimates for requests and connections, which are objects of the JavaScript heap. */
 const MAX_STATE_BYTES = 40_000_000;
-/** Their part of what a small VM has left beside one largest body. */
+/** Part of what a small VM has left beside one largest body that these estimates may take. */
 const STATE_SHARE = 0.5;
 /** Part of the VM's descriptors for callers; the others are for backend servers, the store and the log. */
 const CONNECTION_SHARE = 0.6;
@@ -41,10 +41,10 @@
 
 /** Limits on what is held for all callers together. */
 export interface CallerBudget {
-  /** Returns the limit on everything that is held, in bytes, with a JavaScript heap of a size in bytes beside it. */
+  /** Returns the limit on what all callers hold together, in bytes, with a JavaScript heap of a size in bytes beside it. */
   readonly getSharedBytes: (heapBytes: number) => number;
-  /** Returns the limit for a single holder, in bytes; it fits one largest body. */
-  readonly getTotalBytes: (heapBytes: number) => number;
+  /** Returns the limit on what a single holder has, in bytes, with such a heap; it fits one largest body. */
+  readonly getSingleBytes: (heapBytes: number) => number;
   /** JavaScript heap and buffers together, in bytes, beyond which what is no longer held is to be freed. */
   readonly collectBytes: number;
   /** Limit on the estimates for connections and requests, in bytes. */
@@ -76,7 +76,7 @@
     Math.max(MIN_SHARED_MB * BYTES_PER_MB, (freeBytes - heapBytes) * HELD_SHARE);
   return {
     getSharedBytes,
-    getTotalBytes: (heapBytes) => Math.max(SINGLE_MB * BYTES_PER_MB, getSharedBytes(heapBytes)),
+    getSingleBytes: (heapBytes) => Math.max(SINGLE_MB * BYTES_PER_MB, getSharedBytes(heapBytes)),
     collectBytes: freeBytes * COLLECT_SHARE,
     stateBytes: Math.min(MAX_STATE_BYTES, Math.max(0, (freeBytes - SINGLE_MB * BYTES_PER_MB) * STATE_SHARE)),
     maxConnections: Math.max(1, Math.floor(maxDescriptors * CONNECTION_SHARE)),
@@ -89,6 +89,7 @@
  *
  * @param largestBytes - What the largest holder has, in bytes.
  * @param heldBytes - What all hold, in bytes.
+ * @returns Whether the largest holder counts as a single one.
  */
 export function isSingleHolder(largestBytes: number, heldBytes: number): boolean {
   return heldBytes - largestBytes <= MAX_BESIDE_SINGLE_BYTES;
@@ -145,10 +146,6 @@
   return chosen;
 }
 
-function weigh({ bytes, stalledMs }: Holder): number {
-  return bytes * (stalledMs + MIN_STALLED_MS);
-}
-
 /**
  * Estimates the memory of header fields.
  *
@@ -159,3 +156,7 @@
 export function estimateFieldBytes(fields: number, textBytes: number): number {
   return Math.max(0, fields * FIELD_BYTES + textBytes - USUAL_FIELDS_BYTES);
 }
+
+function weigh({ bytes, stalledMs }: Holder): number {
+  return bytes * (stalledMs + MIN_STALLED_MS);
+}
--- a/src/gateway/callers/requestBody.ts
+++ b/src/gateway/callers/requestBody.ts
@@ -110,7 +110,7 @@
     add: (chunk) => {
       if (chunk.byteLength >= MIN_KEPT_CHUNK_BYTES || (kept.length === 0 && usedBytes === 0)) {
         endPiece();
-        kept.push(isMostOfItsBuffer(chunk) ? chunk : Buffer.from(chunk));
+        kept.push(isMostOfBuffer(chunk) ? chunk : Buffer.from(chunk));
         return chunk.byteLength + CHUNK_BYTES;
       }
       let addedBytes = 0;
@@ -144,7 +144,7 @@
   }
 }
 
-/** Returns whether keeping a chunk holds little more memory than its own: buffers are freed as a whole. */
-function isMostOfItsBuffer(chunk: Buffer): boolean {
+/** Returns whether a chunk is most of its buffer, which is freed as a whole. */
+function isMostOfBuffer(chunk: Buffer): boolean {
   return chunk.byteLength * 2 >= chunk.buffer.byteLength;
 }
--- a/src/gateway/servers/answerBody.ts
+++ b/src/gateway/servers/answerBody.ts
@@ -92,7 +92,7 @@
           // The connection may carry the next answer before this one is closed.
           stopLimit();
           const content = Buffer.concat(chunks.list(), bytes);
-          // The chunks are dropped, and take memory until they are freed.
+          // The chunks count as dropped: they take memory until they are freed.
           memory?.addAnswerBytes(bytes);
           memory?.addAnswerBytes(-bytes);
           resolve({ kind: isFramed(answer) ? "whole" : "unframed", content });
--- a/test/callerMemory.test.ts
+++ b/test/callerMemory.test.ts
@@ -64,7 +64,7 @@
 
 // Guards against a limit that refuses one request of the largest size, which the pages promise to serve.
 test.each([210, 350, 602])("one largest body fits the limit on a VM of %d MB", (memoryMb) => {
-  const bytes = createCallerBudget(memoryMb, 4100).getTotalBytes(60 * MB);
+  const bytes = createCallerBudget(memoryMb, 4100).getSingleBytes(60 * MB);
   expect(bytes).toBeGreaterThan(LARGEST_BODY_BYTES * 1.05);
   expect(bytes).toBeLessThan(memoryMb * MB);
 });
