Share the set-up of the tests with hostile callers

hostileCallers.test.ts had copies of the heads, pieces, crowds, ordinary caller and start of hostileCallersAtFaults.test.ts. What callers send is in test/support/callerRequests.ts, the start on the smallest VM in smallVm.ts, the list of named cases (also of plannedStop.test.ts) in cases.ts.

--- a/test/hostileCallersAtFaults.test.ts
+++ b/test/hostileCallersAtFaults.test.ts
@@ -1,39 +1,36 @@
 /**
  * Callers that the product does not control, against real daemon processes: further kinds of callers, and all kinds at
  * once during faults, a start and a stop. A process must live, stay within the memory and descriptors of its VM, and
- * answer an ordinary request afterwards. Crowds and bounds were fixed before the product was changed for them.
+ * answer an ordinary request afterwards.
  */
 import { afterEach, expect, test } from "vitest";
 import { StoreFault } from "../standins/edge/objectStore";
+import { listByName } from "./support/cases";
 import { countDescriptors, readPeakBytes } from "./support/crowd";
 import {
   type Crowd,
   type CrowdKind,
-  MAX_BODY_BYTES,
   crowdKinds,
   mixedCrowd,
   openCrowd,
   waitingCrowdKinds,
 } from "./support/crowdKinds";
-import { sendOrdinaryRequest } from "./support/ordinaryCaller";
-import { type CallerAddress, type SingleDaemonOptions, startSingleDaemon } from "./support/singleDaemon";
+import { SERVED, sendOrdinaryRequest } from "./support/ordinaryCaller";
+import type { CallerAddress, SingleDaemonOptions } from "./support/singleDaemon";
+import { MEMORY_BYTES, startOnSmallVm } from "./support/smallVm";
 
 /** Determines the addresses of the daemon processes, beyond those that soaks use. */
 const PROCESS_SEED = 201;
-/** Memory of the smallest VM of the deployments. */
-const MEMORY_MB = 210;
-const BYTES_PER_MB = 1_000_000;
 /** Enough for the largest crowd. */
 const MAX_FDS = 2200;
 /** The backend server takes this many requests at the same time in cases in which it does not answer. */
 const CAPACITY = 200;
 const SAMPLE_INTERVAL_MS = 50;
 const TEST_TIMEOUT_MS = 120_000;
-const SERVED = /^HTTP\/1\.1 200 [^]*\r\n\r\n5$/;
 /** Events that a shutdown ends with. */
 const SHUTDOWN_ENDED = /"event":100[45],/;
 
-type SingleDaemon = Awaited<ReturnType<typeof startSingleDaemon>>;
+type SingleDaemon = Awaited<ReturnType<typeof startOnSmallVm>>;
 type DaemonProcess = SingleDaemon["daemons"][number];
 
 const closing: (() => Promise<void> | void)[] = [];
@@ -57,7 +54,7 @@
 ];
 
 // Guards against a process that runs out of memory or descriptors, or gets stuck, by what callers send.
-test.each(kinds.map((kind) => [kind.name, kind] as const))(
+test.each(listByName(kinds))(
   "a daemon survives callers that %s",
   async (_name, kind) => {
     const single = await start(kind.options);
@@ -92,7 +89,7 @@
 ];
 
 // Guards against limits that hold for each kind of callers alone, or only while nothing else fails.
-test.each(faults.map((fault) => [fault.name, fault] as const))(
+test.each(listByName(faults))(
   "daemons survive all kinds of callers at once while %s",
   async (_name, { options, begin }) => {
     const single = await start(options);
@@ -121,7 +118,7 @@
       .toBe(true);
     crowd.close();
     expect(daemon.readLog()).toMatch(SHUTDOWN_ENDED);
-    expect.soft(peak.stop()).toBeLessThan(MEMORY_MB * BYTES_PER_MB);
+    expect.soft(peak.stop()).toBeLessThan(MEMORY_BYTES);
     await expect.poll(() => daemon.getPid() !== undefined).toBe(true);
     await daemon.waitUntilReady();
     await expectServed(daemons);
@@ -148,12 +145,7 @@
 );
 
 async function start(options: SingleDaemonOptions = {}): Promise<SingleDaemon> {
-  const single = await startSingleDaemon(PROCESS_SEED, {
-    limits: { memoryMb: MEMORY_MB, maxFds: MAX_FDS },
-    maxBodyBytes: MAX_BODY_BYTES,
-    answersAtOnce: true,
-    ...options,
-  });
+  const single = await startOnSmallVm(PROCESS_SEED, MAX_FDS, options);
   closing.push(single.close);
   return single;
 }
@@ -186,7 +178,7 @@
   });
   const peakBytes = peaks.map((peak) => peak.stop());
   expect(isAlive(), `a process has ended: ${/FATAL ERROR.*/.exec(daemon.readLog())?.[0] ?? ""}`).toBe(true);
-  expect.soft(Math.max(...peakBytes)).toBeLessThan(MEMORY_MB * BYTES_PER_MB);
+  expect.soft(Math.max(...peakBytes)).toBeLessThan(MEMORY_BYTES);
   expect.soft(Math.max(...descriptors)).toBeLessThanOrEqual(MAX_FDS);
 }
 
--- a/test/plannedStop.test.ts
+++ b/test/plannedStop.test.ts
@@ -23,6 +23,7 @@
   isConnectionRefused,
   startListener,
 } from "./support/plannedStop";
+import { listByName } from "./support/cases";
 import { startSingleDaemon } from "./support/singleDaemon";
 
 const GRACE_MS = 6000;
@@ -37,11 +38,6 @@
 /** Ends a run that hangs. */
 const PROCESS_TIMEOUT_MS = 120_000;
 
-/** Lists cases with their whole names, which Vitest shortens otherwise. */
-function listByName<Case extends { readonly name: string }>(cases: readonly Case[]): [string, Case][] {
-  return cases.map((each) => [each.name, each]);
-}
-
 /** Starts the graceful shutdown of a listener. */
 function startStop(
   { listener }: Awaited<ReturnType<typeof startListener>>,
--- a/test/support/crowdKinds.ts
+++ b/test/support/crowdKinds.ts
@@ -1,17 +1,11 @@
 /** Kinds of callers that the product does not control, and what each of their connections sends. */
+import { CHUNK, CHUNKED_HEAD, GET, PIECE, POST, SMALL_CHUNKS, repeat } from "./callerRequests";
 import { type CrowdConnection, openCrowdConnection, waitUntilSent, waitUntilStalled } from "./crowd";
 import type { CallerAddress } from "./singleDaemon";
 
 /** Limit of the configuration on request bodies, which the kinds keep or exceed. */
 export const MAX_BODY_BYTES = 8_388_608;
 
-const USUAL_FIELDS = "Host: a.example\r\nRequest-Id: q\r\nRequest-Deadline: 60000\r\n";
-const GET = `GET /long/ HTTP/1.1\r\n${USUAL_FIELDS}`;
-const POST = `POST /long/ HTTP/1.1\r\n${USUAL_FIELDS}`;
-const CHUNKED_HEAD = `${POST}Transfer-Encoding: chunked\r\n\r\n`;
-const PIECE = Buffer.alloc(65_536, "x");
-const CHUNK = Buffer.concat([Buffer.from("10000\r\n"), PIECE, Buffer.from("\r\n")]);
-const SMALL_CHUNKS = Buffer.from("1\r\nx\r\n".repeat(10_000));
 /** Header fields within a limit of 16,384 bytes. */
 const MANY_FIELDS = createFields(900, "");
 /** Header fields within the 65,536 bytes that the HTTP parser reads of a head. */
@@ -32,11 +26,32 @@
 export interface Crowd {
   /** Waits until the daemon reads nothing more of what the crowd sends, and no caller comes back any more. */
   waitUntilSettled(): Promise<void>;
+  /** Waits until each connection has sent a number of bytes or is closed. */
+  waitUntilSent(bytes: number): Promise<void>;
   close(): void;
 }
 
 const ahead = (request: string, count: number) => () => repeat(request.repeat(count), 20);
 
+/** Kinds that send bodies over the limit or only a part of one. */
+export const bodyCrowdKinds: readonly CrowdKind[] = [
+  {
+    name: "announce bodies over the limit",
+    connections: 40,
+    createPieces: () => [`${POST}Content-Length: ${8 * MAX_BODY_BYTES}\r\n\r\n`, ...repeat(PIECE, 120)],
+  },
+  {
+    name: "send chunked bodies over the limit",
+    connections: 40,
+    createPieces: () => [CHUNKED_HEAD, ...repeat(CHUNK, 256)],
+  },
+  {
+    name: "send chunked bodies within the limit that stop short",
+    connections: 40,
+    createPieces: () => [CHUNKED_HEAD, ...repeat(CHUNK, 80)],
+  },
+];
+
 /** Kinds that need nothing of the backend server. */
 export const crowdKinds = {
   aheadWithUsualFields: {
@@ -90,12 +105,7 @@
 export const mixedCrowd: readonly CrowdKind[] = [
   ...Object.values(crowdKinds),
   ...Object.values(waitingCrowdKinds),
-  {
-    name: "announce bodies over the limit",
-    createPieces: () => [`${POST}Content-Length: ${8 * MAX_BODY_BYTES}\r\n\r\n`, ...repeat(PIECE, 120)],
-  },
-  { name: "send bodies over the limit", createPieces: () => [CHUNKED_HEAD, ...repeat(CHUNK, 256)] },
-  { name: "send bodies that stop short", createPieces: () => [CHUNKED_HEAD, ...repeat(CHUNK, 80)] },
+  ...bodyCrowdKinds,
   {
     name: "send chunks of one byte",
     createPieces: () => [CHUNKED_HEAD, ...repeat(SMALL_CHUNKS, 20)],
@@ -124,6 +134,7 @@
       await returning;
       await waitUntilStalled(staying);
     },
+    waitUntilSent: (bytes) => waitUntilSent(staying, bytes),
     close: () => {
       isClosed = true;
       staying.forEach((connection) => {
@@ -149,9 +160,3 @@
 function createFields(count: number, value: string): string {
   return Array.from({ length: count }, (_, index) => `a${index}:${value}\r\n`).join("");
 }
-
-function* repeat<Value>(value: Value, count: number): Iterable<Value> {
-  for (let index = 0; index < count; index += 1) {
-    yield value;
-  }
-}
--- a/test/support/singleDaemon.ts
+++ b/test/support/singleDaemon.ts
@@ -186,8 +186,7 @@
 
 async function isAnswering(daemon: SoakDaemon): Promise<boolean> {
   try {
-    const { host } = getCallerAddress(daemon);
-    const answer = await request(`http://${host}:${READINESS_PORT}${WirePath.Ready}`);
+    const answer = await request(`http://${daemon.host}:${READINESS_PORT}${WirePath.Ready}`);
     await answer.body.dump();
     return true;
   } catch {
