--- a/review/standins-2/client.mjs
+++ b/review/standins-2/client.mjs
@@ -67,6 +67,7 @@
           status: answer.statusCode,
           bytes: chunks.reduce((total, chunk) => total + chunk.byteLength, 0),
           signature: answer.headers["upstream-signature"],
+          retryAfterS: Number(answer.headers["retry-after"] ?? 0),
         });
       });
     });
--- a/review/standins-2/daemon.mjs
+++ b/review/standins-2/daemon.mjs
@@ -26,10 +26,19 @@
 }
 
 /** Starts one daemon. */
-export function startDaemon({ name, zone, host, store, folder, memoryMb = 350, maxFds = 4100 }) {
+export function startDaemon({
+  name,
+  zone,
+  host,
+  store,
+  folder,
+  memoryMb = 350,
+  maxFds = 4100,
+  bootstrap = true,
+}) {
   const settings = join(folder, `${name}.toml`);
   const log = join(folder, `${name}.log`);
-  writeFileSync(settings, createSettings({ name, zone, host, store, memoryMb, maxFds }));
+  writeFileSync(settings, createSettings({ name, zone, host, store, memoryMb, maxFds, bootstrap }));
   const output = openSync(log, "a");
   const child = spawn(COMMAND[0], COMMAND.slice(1), {
     cwd: ROOT,
@@ -93,7 +102,7 @@
   });
 }
 
-function createSettings({ name, zone, host, store, memoryMb, maxFds }) {
+function createSettings({ name, zone, host, store, memoryMb, maxFds, bootstrap }) {
   return `grants = "rpc"
 [self]
 nodeName = "${name}"
@@ -104,7 +113,7 @@
 zone = "${zone}"
 region = "north"
 lossCounts = false
-bootstrap = true
+bootstrap = ${bootstrap}
 [self.limits]
 cpuShare = 0.54
 cpus = 1
