--- a/review/standins-2/daemon.mjs
+++ b/review/standins-2/daemon.mjs
@@ -9,6 +9,10 @@
 const ROOT = fileURLToPath(new URL("../../", import.meta.url));
 const COMMAND = ["node", "--max-old-space-size=160", "target/hemlockbank.cjs"];
 
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+  process.once(signal, () => process.exit(2));
+}
+
 /** Returns a loopback network of its own for one run: `127.A.B.`. */
 export function chooseNetwork() {
   return `127.${64 + Math.floor(Math.random() * 128)}.${1 + Math.floor(Math.random() * 250)}.`;
@@ -45,6 +49,8 @@
     env: { PATH: process.env.PATH, HOME: process.env.HOME, HEMLOCKBANK_SETTINGS: settings },
     stdio: ["ignore", output, output],
   });
+  // Also when the script fails.
+  process.once("exit", () => child.kill("SIGKILL"));
   let ended;
   const exit = new Promise((resolve) => {
     child.once("exit", (code, signal) => {
