--- a/review/standins-2/daemon.mjs
+++ b/review/standins-2/daemon.mjs
@@ -50,10 +50,12 @@
     stdio: ["ignore", output, output],
   });
   // Also when the script fails.
-  process.once("exit", () => child.kill("SIGKILL"));
+  const kill = () => child.kill("SIGKILL");
+  process.once("exit", kill);
   let ended;
   const exit = new Promise((resolve) => {
     child.once("exit", (code, signal) => {
+      process.removeListener("exit", kill);
       ended = { code, signal, at: performance.now() };
       resolve(ended);
     });
