--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -126,7 +126,7 @@
   }
 
   function handle(request, response, text) {
-    const url = new URL(request.url, "http://store");
+    const url = new URL(request.url, `http://${host}`);
     const [kind = "", name, part] = url.pathname.slice(PREFIX.length).split("/").map(decodeURIComponent);
     if (!url.pathname.startsWith(PREFIX) || part === "status") {
       reply(response, 404, {});
